--- /dev/null
+++ b/crates/agent/src/admin.rs
@@ -0,0 +1,69 @@
+//! Admin address of an agent.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::Serialize;
+use web::{Request, Response};
+
+use crate::Agent;
+use crate::run::Render;
+
+/// State of an agent.
+#[derive(Debug, Serialize)]
+struct Status {
+    vm: String,
+    domain: String,
+    leaving: bool,
+    superseded: bool,
+    revision: u64,
+    age_ms: Option<u64>,
+    running: u32,
+    live: usize,
+    chunk_bytes: usize,
+    answer_bytes: usize,
+    origin_bytes: u64,
+    peer_bytes: u64,
+    bad_chunks: u64,
+    control_bytes: (u64, u64),
+}
+
+/// Answers on the admin address.
+pub async fn handle(agent: Arc<Agent>, req: Request, metrics: Render) -> Response {
+    match req.uri().path() {
+        "/health" => web::text(200, "up\n"),
+        "/ready" if agent.leaving() => web::text(503, "leaving\n"),
+        "/ready" if live(&agent) == 0 => web::text(503, "no version is live\n"),
+        "/ready" => web::text(200, "ready\n"),
+        "/metrics" => web::text(200, metrics()),
+        "/status" => web::json(
+            200,
+            serde_json::to_string(&status(&agent)).expect("plain data"),
+        ),
+        _ => web::text(404, "use /health, /ready, /metrics or /status\n"),
+    }
+}
+
+fn live(agent: &Agent) -> usize {
+    agent.holdings.borrow().iter().filter(|h| h.live).count()
+}
+
+fn status(agent: &Agent) -> Status {
+    let read = |n: &AtomicU64| n.load(Ordering::Relaxed);
+    Status {
+        vm: agent.cfg.upkeep.vm.clone(),
+        domain: agent.cfg.upkeep.domain.clone(),
+        leaving: agent.leaving(),
+        superseded: agent.superseded(),
+        revision: agent.force.revision(),
+        age_ms: agent.force.age().map(|age| age.as_millis() as u64),
+        running: agent.gate.running(),
+        live: live(agent),
+        chunk_bytes: agent.chunks().held(),
+        answer_bytes: agent.ledger.bytes(),
+        origin_bytes: read(&agent.drawn.origin),
+        peer_bytes: read(&agent.drawn.peers),
+        bad_chunks: read(&agent.drawn.bad),
+        control_bytes: agent.traffic.bytes(),
+    }
+}
--- /dev/null
+++ b/crates/agent/src/ask.rs
@@ -0,0 +1,56 @@
+//! What an entry sends with a request.
+
+use std::time::Duration;
+
+use base::{DomainName, Model, RequestId, header};
+use displaydoc::Display;
+use hyper::HeaderMap;
+use table::Version;
+
+/// A request as an entry describes it.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Request.
+    pub id: RequestId,
+    /// Model or plain service.
+    pub model: Model,
+    /// Version it is pinned to.
+    pub version: Version,
+    /// Time left.
+    pub remaining: Duration,
+    /// Failure domain of the entry.
+    pub domain: DomainName,
+    /// Whether it must run at most once.
+    pub once: bool,
+}
+
+/// the header {0} is missing or makes no sense; send requests through an entry
+#[derive(Debug, Display)]
+pub struct BadAsk(&'static str);
+
+impl std::error::Error for BadAsk {}
+
+/// Longest name in a header, in bytes.
+const MAX_NAME: usize = 128;
+
+impl Ask {
+    /// Reads the headers.
+    pub fn read(headers: &HeaderMap) -> Result<Ask, BadAsk> {
+        let text = |name: &'static str| {
+            web::header(headers, name)
+                .filter(|s| !s.is_empty() && s.len() <= MAX_NAME)
+                .ok_or(BadAsk(name))
+        };
+        let ms: u64 = text(header::DEADLINE)?
+            .parse()
+            .map_err(|_| BadAsk(header::DEADLINE))?;
+        Ok(Ask {
+            id: text(header::REQUEST)?.to_owned(),
+            model: text(header::MODEL)?.to_owned(),
+            version: Version::parse(text(header::VERSION)?).ok_or(BadAsk(header::VERSION))?,
+            remaining: Duration::from_millis(ms),
+            domain: text(header::DOMAIN)?.to_owned(),
+            once: web::header(headers, header::UNSAFE) == Some("true"),
+        })
+    }
+}
--- /dev/null
+++ b/crates/agent/src/fetch.rs
@@ -0,0 +1,354 @@
+//! Fetches one version, chunk by chunk, and hands it to the engine.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use base::{Digest, Map, Set, header};
+use bytes::Bytes;
+use displaydoc::Display;
+use log::{debug, info, warn};
+use platform::PlatformError;
+use rand::seq::{IndexedRandom, SliceRandom};
+use table::Version;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use web::read_body;
+use weights::{Manifest, StoreError};
+use wire::Peer;
+
+use crate::source::{Rule, Source, Swarm};
+use crate::{Agent, PeersJob};
+
+/// Log prefix of this part.
+const PART: &str = "fetch";
+
+/// Time between two looks at who has what.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// Time between two questions to the entries.
+const ASK: Duration = Duration::from_millis(500);
+
+/// Agents of the own failure domain, and of others, looked at at once.
+const LOOK_AT: [usize; 2] = [16, 8];
+
+/// Pause before a manifest that nobody has is looked for again.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Largest manifest, in bytes.
+const MAX_MANIFEST: usize = 80 << 20;
+
+/// Why a chunk did not come.
+#[derive(Debug, Display)]
+enum ChunkError {
+    /// the source was not reached or broke off ({0})
+    Source(String),
+    /// the source is busy
+    Busy,
+    /// {0}
+    Bad(StoreError),
+    /// the engine did not take the chunk ({0})
+    Engine(crate::engine::EngineError),
+}
+
+/// A version on its way in.
+struct Fetch {
+    agent: Arc<Agent>,
+    version: Digest,
+    manifest: Arc<Manifest>,
+    rule: Rule,
+    swarm: Swarm,
+    wanted_since: Map<usize, Instant>,
+    in_flight: Set<usize>,
+    permille: Arc<AtomicU64>,
+}
+
+/// Brings all chunks of a version to the engine. `permille` follows the progress.
+pub async fn fetch(
+    agent: Arc<Agent>,
+    version: Digest,
+    staged: Set<u32>,
+    permille: Arc<AtomicU64>,
+) -> Arc<Manifest> {
+    let manifest = find_manifest(&agent, version).await;
+    agent.manifests().insert(version, manifest.clone());
+    let now = Instant::now();
+    let missing = (0..manifest.chunks.len()).filter(|i| !staged.contains(&(*i as u32)));
+    let mut fetch = Fetch {
+        rule: rule(&agent),
+        swarm: Swarm::default(),
+        wanted_since: missing.map(|i| (i, now)).collect(),
+        in_flight: Set::default(),
+        permille,
+        agent,
+        version,
+        manifest,
+    };
+    fetch.run().await;
+    let took = now.elapsed();
+    info!(target: PART, "{PART}: {} is staged whole after {took:?}", version.short());
+    fetch.manifest
+}
+
+fn rule(agent: &Agent) -> Rule {
+    Rule {
+        vm: agent.cfg.upkeep.vm.clone(),
+        domain: agent.cfg.upkeep.domain.clone(),
+        per_domain: agent.cfg.origin_copies == "domain",
+        patience: agent.cfg.origin_patience,
+        bad_chunks: agent.cfg.bad_chunks,
+        bad_time: agent.cfg.bad_time,
+    }
+}
+
+impl Fetch {
+    async fn run(&mut self) {
+        let mut fetching: JoinSet<(usize, Source, Result<(), ChunkError>)> = JoinSet::new();
+        let mut asked: Option<Instant> = None;
+        let mut look = tokio::time::interval(LOOK);
+        look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        while !self.wanted_since.is_empty() {
+            tokio::select! {
+                _ = look.tick() => {
+                    if asked.is_none_or(|at| at.elapsed() > ASK) {
+                        self.ask_entries().await;
+                        asked = Some(Instant::now());
+                    }
+                    self.look_at_peers().await;
+                }
+                Some(done) = fetching.join_next() => match done {
+                    Ok((i, source, result)) => self.took(i, source, result),
+                    Err(e) => warn!(target: PART, "{PART}: a fetch failed: {e}"),
+                },
+            }
+            self.start(&mut fetching);
+        }
+    }
+
+    async fn ask_entries(&mut self) {
+        let version = Version::Weights(self.version);
+        if let Some(peers) = ask_peers(&self.agent, version).await {
+            self.swarm.set_peers(&self.rule.vm, peers);
+        }
+    }
+
+    async fn look_at_peers(&mut self) {
+        let near = self.sample(|p| p.domain == self.rule.domain, LOOK_AT[0]);
+        let far = self.sample(|p| p.domain != self.rule.domain, LOOK_AT[1]);
+        let mut looks = JoinSet::new();
+        for addr in near.into_iter().chain(far) {
+            let (agent, version) = (self.agent.clone(), self.version);
+            looks.spawn(async move { (addr, have(&agent, addr, version).await) });
+        }
+        while let Some(looked) = looks.join_next().await {
+            match looked {
+                Ok((addr, Some(have))) => self.swarm.set_have(addr, have),
+                Ok((addr, None)) => self.swarm.lost(addr),
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn sample(&self, of: impl Fn(&Peer) -> bool, n: usize) -> Vec<SocketAddr> {
+        let addrs: Vec<SocketAddr> = self
+            .swarm
+            .peers()
+            .iter()
+            .filter(|p| of(p) && !self.swarm.banned(p.addr, &self.rule))
+            .map(|p| p.addr)
+            .collect();
+        addrs.sample(&mut rand::rng(), n).copied().collect()
+    }
+
+    /// Starts as many fetches as the settings allow, in random order of chunks.
+    fn start(&mut self, fetching: &mut JoinSet<(usize, Source, Result<(), ChunkError>)>) {
+        let mut wanted: Vec<usize> = self
+            .wanted_since
+            .keys()
+            .filter(|i| !self.in_flight.contains(*i))
+            .copied()
+            .collect();
+        wanted.shuffle(&mut rand::rng());
+        for i in wanted {
+            if self.in_flight.len() >= self.agent.cfg.fetches as usize {
+                return;
+            }
+            let waited = self.wanted_since[&i].elapsed();
+            let held = self.agent.chunks().get(&self.manifest.chunks[i]);
+            let chosen = match held {
+                Some(_) => Some(Source::Origin),
+                None => self
+                    .swarm
+                    .choose(i, &self.manifest.chunks[i], &self.rule, waited),
+            };
+            let Some(source) = chosen else {
+                continue;
+            };
+            self.in_flight.insert(i);
+            let (agent, version, manifest) =
+                (self.agent.clone(), self.version, self.manifest.clone());
+            fetching.spawn(async move {
+                let result = bring(&agent, version, &manifest, i, held, source).await;
+                (i, source, result)
+            });
+        }
+    }
+
+    fn took(&mut self, i: usize, source: Source, result: Result<(), ChunkError>) {
+        self.in_flight.remove(&i);
+        match (result, source) {
+            (Ok(()), _) => {
+                self.wanted_since.remove(&i);
+                let all = self.manifest.chunks.len();
+                let permille = (all - self.wanted_since.len()) * 1000 / all;
+                self.permille.store(permille as u64, Ordering::Relaxed);
+            }
+            (Err(ChunkError::Busy), Source::Peer(addr)) => self.swarm.busy(addr),
+            (Err(ChunkError::Bad(e)), source) => {
+                warn!(target: PART, "{PART}: a bad chunk came from {source:?}: {e}");
+                self.agent.drawn.bad.fetch_add(1, Ordering::Relaxed);
+                metrics::counter!("driftnotch_bad_chunks_total").increment(1);
+                if let Source::Peer(addr) = source {
+                    self.swarm.bad(addr);
+                }
+            }
+            (Err(ChunkError::Source(why)), Source::Peer(addr)) => {
+                debug!(target: PART, "{PART}: {addr} gave no chunk {i}: {why}");
+                self.swarm.lost(addr);
+            }
+            (Err(e), source) => debug!(target: PART, "{PART}: no chunk {i} from {source:?}: {e}"),
+        }
+    }
+}
+
+/// Takes one chunk from its source, checks and keeps it, and stages it at the engine.
+async fn bring(
+    agent: &Agent,
+    version: Digest,
+    manifest: &Manifest,
+    i: usize,
+    held: Option<Bytes>,
+    source: Source,
+) -> Result<(), ChunkError> {
+    let buf = match held {
+        Some(buf) => buf,
+        None => {
+            let buf = take(agent, version, manifest, i, source).await?;
+            let kept = agent.chunks().put(manifest.chunks[i], buf.clone());
+            kept.map_err(ChunkError::Bad)?;
+            buf
+        }
+    };
+    agent
+        .engine
+        .stage(version, i, buf, agent.fence())
+        .await
+        .map_err(ChunkError::Engine)
+}
+
+async fn take(
+    agent: &Agent,
+    version: Digest,
+    manifest: &Manifest,
+    i: usize,
+    source: Source,
+) -> Result<Bytes, ChunkError> {
+    let (first, end) = manifest.range(i);
+    match source {
+        Source::Origin => {
+            let buf = agent
+                .origin
+                .range(version, first, end)
+                .await
+                .map_err(|e| ChunkError::Source(e.to_string()))?;
+            count(&agent.drawn.origin, "origin", buf.len());
+            Ok(buf)
+        }
+        Source::Peer(addr) => {
+            let path = format!("/chunk/{version}/{i}");
+            let buf = get(agent, addr, &path, (end - first) as usize).await?;
+            count(&agent.drawn.peers, "peer", buf.len());
+            Ok(buf)
+        }
+    }
+}
+
+fn count(drawn: &AtomicU64, from: &'static str, n: usize) {
+    drawn.fetch_add(n as u64, Ordering::Relaxed);
+    metrics::counter!("driftnotch_chunk_bytes_total", "direction" => from).increment(n as u64);
+}
+
+async fn get(
+    agent: &Agent,
+    addr: SocketAddr,
+    path: &str,
+    limit: usize,
+) -> Result<Bytes, ChunkError> {
+    let within = agent.cfg.chunk_timeout;
+    let req = hyper::Request::builder()
+        .uri(path)
+        .header(header::DOMAIN, &agent.cfg.upkeep.domain)
+        .body(web::empty())
+        .map_err(|e| ChunkError::Source(e.to_string()))?;
+    let res = agent
+        .client
+        .send(addr, req, within)
+        .await
+        .map_err(|e| ChunkError::Source(e.to_string()))?;
+    match res.status().as_u16() {
+        200 => read_body(res.into_body(), limit, within)
+            .await
+            .map_err(|e| ChunkError::Source(e.to_string())),
+        429 => Err(ChunkError::Busy),
+        status => Err(ChunkError::Source(format!("it answered {status}"))),
+    }
+}
+
+async fn have(agent: &Agent, addr: SocketAddr, version: Digest) -> Option<Vec<bool>> {
+    let path = format!("/have/{version}");
+    let buf = get(agent, addr, &path, weights::manifest::MAX_CHUNKS)
+        .await
+        .ok()?;
+    Some(buf.iter().map(|b| *b == crate::peer::HELD).collect())
+}
+
+async fn ask_peers(agent: &Agent, version: Version) -> Option<Vec<Peer>> {
+    let (tx, rx) = oneshot::channel();
+    agent.peers.send(PeersJob { version, tx }).await.ok()?;
+    rx.await.ok()
+}
+
+/// The manifest of a version, from a peer or the object store, for as long as it takes.
+async fn find_manifest(agent: &Agent, version: Digest) -> Arc<Manifest> {
+    let mut warned = false;
+    loop {
+        if let Some(manifest) = agent.manifests().get(&version) {
+            return manifest.clone();
+        }
+        if let Some(manifest) = manifest_of_peers(agent, version).await {
+            return Arc::new(manifest);
+        }
+        match agent.objects.manifest(version).await {
+            Ok(Some(manifest)) => return Arc::new(manifest),
+            Ok(None) if !warned => {
+                let name = version.short();
+                warn!(target: PART, "{PART}: no manifest of {name} is published; run `driftnotch publish`");
+                warned = true;
+            }
+            Err(e @ PlatformError::Garbled(_)) => warn!(target: PART, "{PART}: {e}"),
+            Ok(None) | Err(_) => {}
+        }
+        tokio::time::sleep(MANIFEST_PAUSE).await;
+    }
+}
+
+async fn manifest_of_peers(agent: &Agent, version: Digest) -> Option<Manifest> {
+    let peers = ask_peers(agent, Version::Weights(version)).await?;
+    let own = &agent.cfg.upkeep.vm;
+    let others: Vec<Peer> = peers.into_iter().filter(|p| p.vm != *own).collect();
+    let peer = others.choose(&mut rand::rng())?;
+    let path = format!("/manifest/{version}");
+    let buf = get(agent, peer.addr, &path, MAX_MANIFEST).await.ok()?;
+    Manifest::decode(&buf, version).ok()
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,140 @@
+//! Starts an agent, and stops it without cutting off a request.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base::{Map, unix_ms};
+use displaydoc::Display;
+use log::{info, warn};
+use platform::{Kv, Objects, Origin};
+use settings::AgentCfg;
+use table::Force;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, mpsc, watch};
+use web::{Bounds, Client, Stop};
+use weights::ChunkStore;
+use wire::counted::Traffic;
+
+use crate::engine::Engine;
+use crate::gate::Gate;
+use crate::ledger::Ledger;
+use crate::{Agent, Drawn, PeersJob, admin, handle, links, peer, rollout};
+
+/// Log prefix of this part.
+const PART: &str = "agent";
+
+/// Questions to the entries that may wait.
+const MAX_JOBS: usize = 64;
+
+/// Longest wait for a connection to the upstream or a peer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Why an agent could not start.
+#[derive(Debug, Display)]
+pub enum AgentError {
+    /// {0} can't be listened on ({1}); free the address or change `{2}` in the settings
+    Listen(SocketAddr, std::io::Error, &'static str),
+    /// the control thread can't be started ({0}); free some memory
+    Thread(std::io::Error),
+    /// the settings name no origin; add `platform_origin`
+    NoOrigin,
+}
+
+impl std::error::Error for AgentError {}
+
+/// Renders the metrics.
+pub type Render = Arc<dyn Fn() -> String + Send + Sync>;
+
+/// Runs an agent until `stop`, then lets what runs end.
+pub async fn run(cfg: AgentCfg, mut stop: Stop, render: Render) -> Result<(), AgentError> {
+    let entries = bind(cfg.listen, "listen").await?;
+    let peers = bind(cfg.peer, "peer").await?;
+    let admin = bind(cfg.upkeep.admin, "admin").await?;
+    let upkeep = cfg.upkeep.clone();
+    let serves = Arc::new(Semaphore::new(cfg.serves as usize));
+    let (jobs_tx, jobs) = mpsc::channel(MAX_JOBS);
+    let agent = new_agent(cfg, jobs_tx)?;
+    info!(target: PART, "{PART}: {} in {} listens on {}", upkeep.vm, upkeep.domain, agent.cfg.listen);
+    start_links(&agent, jobs)?;
+    tokio::spawn(rollout::follow(agent.clone()));
+    let (close, closing) = watch::channel(false);
+    let bounds = Bounds {
+        connections: upkeep.max_connections,
+        header_timeout: upkeep.header_timeout,
+        header_bytes: upkeep.max_header,
+        drain: upkeep.drain_timeout,
+    };
+    let a = agent.clone();
+    let entry_server = tokio::spawn(web::serve(entries, bounds, closing.clone(), move |req| {
+        handle::handle(a.clone(), req)
+    }));
+    let a = agent.clone();
+    let peer_server = tokio::spawn(web::serve(peers, bounds, closing.clone(), move |req| {
+        peer::handle(a.clone(), serves.clone(), req)
+    }));
+    let a = agent.clone();
+    let admin_server = tokio::spawn(web::serve(admin, Bounds::internal(), closing, move |req| {
+        admin::handle(a.clone(), req, render.clone())
+    }));
+    let _ = stop.wait_for(|stopping| *stopping).await;
+    drain(&agent).await;
+    let _ = close.send(true);
+    let _ = tokio::join!(entry_server, peer_server, admin_server);
+    info!(target: PART, "{PART}: stopped");
+    Ok(())
+}
+
+/// Refuses new requests, says so to the entries, and waits for those that run.
+async fn drain(agent: &Agent) {
+    let upkeep = &agent.cfg.upkeep;
+    info!(target: PART, "{PART}: stopping; running requests go on");
+    agent.leave();
+    tokio::time::sleep(upkeep.stop_notice).await;
+    if !agent.gate.drained(None, upkeep.drain_timeout).await {
+        warn!(target: PART, "{PART}: requests outlasted the drain of {:?}", upkeep.drain_timeout);
+    }
+}
+
+async fn bind(addr: SocketAddr, field: &'static str) -> Result<TcpListener, AgentError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| AgentError::Listen(addr, e, field))
+}
+
+fn new_agent(cfg: AgentCfg, peers: mpsc::Sender<PeersJob>) -> Result<Arc<Agent>, AgentError> {
+    let upkeep = &cfg.upkeep;
+    let platform = &upkeep.platform;
+    let origin = platform.origin.ok_or(AgentError::NoOrigin)?;
+    // The clock of one VM tells a later agent from an earlier one; see docs/DESIGN.md.
+    let incarnation = unix_ms();
+    Ok(Arc::new(Agent {
+        incarnation,
+        force: Arc::new(Force::new(upkeep.domains.clone())),
+        gate: Gate::default(),
+        ledger: Ledger::new(cfg.answer_memory as usize, cfg.answer_retention),
+        engine: Engine::new(cfg.upstream, cfg.engine_timeout, cfg.load_timeout),
+        client: Client::new(CONNECT_TIMEOUT),
+        objects: Objects::new(Kv::new(platform.objects, platform.timeout)),
+        origin: Origin::new(origin, cfg.chunk_timeout),
+        peers,
+        traffic: Traffic::default(),
+        drawn: Drawn::default(),
+        holdings: watch::Sender::new(Vec::new()),
+        chunks: Mutex::new(ChunkStore::new(cfg.chunk_memory as usize)),
+        manifests: Mutex::new(Map::default()),
+        fence: AtomicU64::new(incarnation),
+        leaving: watch::Sender::new(false),
+        superseded: AtomicBool::new(false),
+        cfg,
+    }))
+}
+
+fn start_links(agent: &Arc<Agent>, jobs: mpsc::Receiver<PeersJob>) -> Result<(), AgentError> {
+    let name = format!("links-{}", agent.cfg.listen.port());
+    let agent = agent.clone();
+    wire::thread::spawn(name, move || links::keep(agent, jobs))
+        .map(drop)
+        .map_err(AgentError::Thread)
+}
--- /dev/null
+++ b/crates/base/src/place.rs
@@ -0,0 +1,72 @@
+//! Places: failure domains and the regions that group them.
+
+use std::fmt;
+
+use crate::{DomainName, RegionName};
+
+/// Prefix that marks a region in a list of places.
+const REGION_PREFIX: &str = "region:";
+
+/// A place a row may name.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Place {
+    /// One failure domain.
+    Domain(DomainName),
+    /// Every failure domain of a region.
+    Region(RegionName),
+}
+
+impl Place {
+    /// Reads `recife` or `region:nordeste`.
+    pub fn parse(s: &str) -> Place {
+        match s.strip_prefix(REGION_PREFIX) {
+            Some(region) => Place::Region(region.to_owned()),
+            None => Place::Domain(s.to_owned()),
+        }
+    }
+}
+
+impl fmt::Display for Place {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Place::Domain(name) => f.write_str(name),
+            Place::Region(name) => write!(f, "{REGION_PREFIX}{name}"),
+        }
+    }
+}
+
+/// The failure domains of a deployment, each with its region.
+#[derive(Debug, Clone, Default)]
+pub struct Domains {
+    list: Vec<(DomainName, RegionName)>,
+}
+
+impl Domains {
+    /// Domains in the given order.
+    pub fn new(list: Vec<(DomainName, RegionName)>) -> Domains {
+        Domains { list }
+    }
+
+    /// Names of all failure domains.
+    pub fn names(&self) -> impl Iterator<Item = &DomainName> {
+        self.list.iter().map(|(name, _)| name)
+    }
+
+    /// Whether a failure domain of this name exists.
+    pub fn has(&self, domain: &str) -> bool {
+        self.names().any(|name| name == domain)
+    }
+
+    /// Whether the place names something that exists.
+    pub fn knows(&self, place: &Place) -> bool {
+        self.names().any(|name| self.within(name, place))
+    }
+
+    /// Whether the failure domain lies within the place.
+    pub fn within(&self, domain: &str, place: &Place) -> bool {
+        match place {
+            Place::Domain(name) => name == domain && self.has(domain),
+            Place::Region(region) => self.list.iter().any(|(d, r)| d == domain && r == region),
+        }
+    }
+}
--- /dev/null
+++ b/crates/base/src/units.rs
@@ -0,0 +1,73 @@
+//! Reads and writes durations and byte sizes with their units, in one place.
+
+use std::time::Duration;
+
+use displaydoc::Display;
+
+/// {0:?} has no unit that is known; write a number with {1}
+#[derive(Debug, Display, PartialEq, Eq)]
+pub struct BadUnit(String, &'static str);
+
+impl std::error::Error for BadUnit {}
+
+const DURATION_UNITS: &str = "ms, s, m or h, such as 250ms";
+const BYTES_UNITS: &str = "B, KiB, MiB or GiB, such as 4MiB";
+
+fn split(s: &str) -> (&str, &str) {
+    let at = s.find(|c: char| !c.is_ascii_digit()).unwrap_or(s.len());
+    (&s[..at], s[at..].trim())
+}
+
+/// Reads `250ms`, `3s`, `5m` or `24h`.
+pub fn parse_duration(s: &str) -> Result<Duration, BadUnit> {
+    let bad = || BadUnit(s.to_owned(), DURATION_UNITS);
+    let (number, unit) = split(s.trim());
+    let number: u64 = number.parse().map_err(|_| bad())?;
+    let unit_ms: u64 = match unit {
+        "ms" => 1,
+        "s" => 1_000,
+        "m" => 60_000,
+        "h" => 3_600_000,
+        _ => return Err(bad()),
+    };
+    number
+        .checked_mul(unit_ms)
+        .map(Duration::from_millis)
+        .ok_or_else(bad)
+}
+
+/// Reads `512B`, `64KiB`, `4MiB` or `2GiB`.
+pub fn parse_bytes(s: &str) -> Result<u64, BadUnit> {
+    let bad = || BadUnit(s.to_owned(), BYTES_UNITS);
+    let (number, unit) = split(s.trim());
+    let number: u64 = number.parse().map_err(|_| bad())?;
+    let shift = match unit {
+        "B" => 0,
+        "KiB" => 10,
+        "MiB" => 20,
+        "GiB" => 30,
+        _ => return Err(bad()),
+    };
+    number.checked_mul(1 << shift).ok_or_else(bad)
+}
+
+/// Writes a duration in the largest unit that keeps it whole.
+pub fn show_duration(d: Duration) -> String {
+    match d.as_millis() as u64 {
+        ms if ms == 0 || ms % 1_000 != 0 => format!("{ms}ms"),
+        ms if ms % 3_600_000 == 0 => format!("{}h", ms / 3_600_000),
+        ms if ms % 60_000 == 0 => format!("{}m", ms / 60_000),
+        ms => format!("{}s", ms / 1_000),
+    }
+}
+
+/// Writes a size in the largest unit that keeps it whole.
+pub fn show_bytes(n: u64) -> String {
+    const UNITS: [(u32, &str); 3] = [(30, "GiB"), (20, "MiB"), (10, "KiB")];
+    UNITS
+        .iter()
+        .find(|(shift, _)| n > 0 && n.is_multiple_of(1 << shift))
+        .map_or(format!("{n}B"), |(shift, unit)| {
+            format!("{}{unit}", n >> shift)
+        })
+}
--- /dev/null
+++ b/crates/cli/src/commands/agent.rs
@@ -0,0 +1,20 @@
+//! `driftnotch agent`
+
+use std::path::Path;
+
+use settings::Settings;
+
+use super::process;
+use crate::error::Error;
+
+/// Runs an agent until it is stopped.
+pub fn run(settings: &Path) -> Result<(), Error> {
+    let Settings::Agent(cfg) = process::load(settings)? else {
+        return Err(Error::WrongRole(settings.to_owned(), "an agent"));
+    };
+    let process = process::start(settings, &cfg.upkeep.log)?;
+    process
+        .runtime
+        .block_on(agent::run(*cfg, process.stop, process.render))
+        .map_err(Error::Agent)
+}
--- /dev/null
+++ b/crates/cli/src/commands/entry.rs
@@ -0,0 +1,20 @@
+//! `driftnotch entry`
+
+use std::path::Path;
+
+use settings::Settings;
+
+use super::process;
+use crate::error::Error;
+
+/// Runs an entry until it is stopped.
+pub fn run(settings: &Path) -> Result<(), Error> {
+    let Settings::Entry(cfg) = process::load(settings)? else {
+        return Err(Error::WrongRole(settings.to_owned(), "an entry"));
+    };
+    let process = process::start(settings, &cfg.upkeep.log)?;
+    process
+        .runtime
+        .block_on(entry::run(*cfg, process.stop, process.render))
+        .map_err(Error::Entry)
+}
--- /dev/null
+++ b/crates/cli/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! Commands, a file each.
+
+pub mod agent;
+pub mod burn;
+pub mod check;
+pub mod entry;
+pub mod operator;
+pub mod process;
+pub mod publish;
+pub mod status;
+pub mod table;
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,37 @@
+//! `driftnotch`: one binary for entries, agents and operators.
+
+mod commands;
+mod error;
+mod help;
+mod logs;
+mod options;
+mod output;
+mod stop;
+
+use std::process::ExitCode;
+
+use options::{Command, Options};
+
+fn main() -> ExitCode {
+    match Options::parse(std::env::args_os().skip(1).collect()).and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("driftnotch: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
+
+fn run(options: Options) -> Result<(), error::Error> {
+    match options.command {
+        Command::Help(topic) => output::line(help::text(topic)),
+        Command::Version => output::line(concat!("driftnotch ", env!("CARGO_PKG_VERSION"))),
+        Command::Entry(settings) => commands::entry::run(&settings),
+        Command::Agent(settings) => commands::agent::run(&settings),
+        Command::Check(check) => commands::check::run(&check),
+        Command::Table(table) => commands::table::run(&table),
+        Command::Publish(publish) => commands::publish::run(&publish),
+        Command::Status(status) => commands::status::run(&status),
+        Command::Burn(burn) => commands::burn::run(&burn),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/admin.rs
@@ -0,0 +1,137 @@
+//! Admin address: metrics, health, readiness and status.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use web::{Request, Response};
+
+use crate::Entry;
+
+/// State of an entry, as `driftnotch status` reads it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Status {
+    /// VM.
+    pub vm: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Whether a planned stop has begun.
+    pub leaving: bool,
+    /// Revision in force here.
+    pub revision: u64,
+    /// Since when, in milliseconds.
+    pub in_force_ms: u64,
+    /// Time since the platform's confirmation, in milliseconds.
+    pub age_ms: Option<u64>,
+    /// Other entries heard.
+    pub entries: Vec<String>,
+    /// Upstreams of the failure domain.
+    pub upstreams: Vec<UpstreamStatus>,
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Control bytes received and sent.
+    pub control_bytes: (u64, u64),
+}
+
+/// State of an upstream as an entry sees it.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct UpstreamStatus {
+    /// VM.
+    pub vm: String,
+    /// Where its agent takes requests.
+    pub listen: String,
+    /// Revision its agent serves by.
+    pub revision: u64,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether it is left alone after failures.
+    pub ejected: bool,
+    /// Requests of this entry running there.
+    pub running: u32,
+    /// Versions.
+    pub holdings: Vec<HoldingStatus>,
+}
+
+/// State of a version at an upstream.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct HoldingStatus {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: String,
+    /// Whether requests are sent for it.
+    pub live: bool,
+    /// Chunks verified, in thousandths.
+    pub permille: u16,
+}
+
+/// Answers on the admin address; `metrics` renders the metrics.
+pub async fn handle(
+    entry: Arc<Entry>,
+    req: Request,
+    metrics: Arc<dyn Fn() -> String + Send + Sync>,
+) -> Response {
+    match req.uri().path() {
+        "/health" => web::text(200, "up\n"),
+        "/ready" => ready(&entry),
+        "/metrics" => web::text(200, metrics()),
+        "/status" => web::json(
+            200,
+            serde_json::to_string(&status(&entry)).expect("plain data"),
+        ),
+        "/burn" => {
+            let history = entry.telemetry.history(&entry.cfg.upkeep.domain);
+            web::json(200, serde_json::to_string(&history).expect("plain data"))
+        }
+        _ => web::text(404, "use /health, /ready, /metrics, /status or /burn\n"),
+    }
+}
+
+fn ready(entry: &Entry) -> Response {
+    match entry.force.age() {
+        _ if entry.stopping() => web::text(503, "stopping\n"),
+        None => web::text(503, "no table as yet\n"),
+        Some(_) => web::text(200, "ready\n"),
+    }
+}
+
+fn status(entry: &Entry) -> Status {
+    let view = entry.force.view();
+    let upkeep = &entry.cfg.upkeep;
+    let mut upstreams: Vec<UpstreamStatus> = entry
+        .fleet
+        .local()
+        .iter()
+        .map(|u| UpstreamStatus {
+            vm: u.vm().clone(),
+            listen: u.listen().to_string(),
+            revision: u.revision(),
+            leaving: u.leaving() || entry.fleet.listed_leaving(u.vm()),
+            ejected: u.ejected(),
+            running: u.running(),
+            holdings: u.holdings().into_iter().map(holding).collect(),
+        })
+        .collect();
+    upstreams.sort_by(|a, b| a.vm.cmp(&b.vm));
+    let others = entry.fleet.entries().into_iter();
+    Status {
+        vm: upkeep.vm.clone(),
+        domain: upkeep.domain.clone(),
+        leaving: entry.stopping(),
+        revision: view.edition.revision,
+        in_force_ms: view.since.elapsed().as_millis() as u64,
+        age_ms: entry.force.age().map(|age| age.as_millis() as u64),
+        entries: others.map(|e| e.note.vm).collect(),
+        upstreams,
+        waiting: entry.queue.len(),
+        control_bytes: entry.traffic.bytes(),
+    }
+}
+
+fn holding(h: wire::Holding) -> HoldingStatus {
+    HoldingStatus {
+        model: h.model,
+        version: h.version.to_string(),
+        live: h.live,
+        permille: h.permille,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/call.rs
@@ -0,0 +1,273 @@
+//! A caller's request, read and checked.
+
+use std::time::{Duration, Instant};
+
+use base::{Digest, Model, RequestId, Workspace, header, new_request_id};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method};
+use serde::Deserialize;
+use settings::EntryCfg;
+use web::{BodyError, Request, read_body};
+
+use crate::refusal::Refusal;
+
+/// Workspace of callers that name none.
+const NO_WORKSPACE: &str = "none";
+
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 255;
+
+/// Path under which plain services are called.
+const SERVICES: &str = "/services/";
+
+/// Paths of completions.
+const COMPLETIONS: [&str; 2] = ["/v1/completions", "/v1/chat/completions"];
+
+/// Headers passed on to a back end.
+const PASSED: [&str; 6] = [
+    "content-type",
+    "accept",
+    "if-none-match",
+    "if-match",
+    "range",
+    "authorization",
+];
+
+/// What may be done with a request after it was sent once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Safety {
+    /// It may be sent again.
+    Repeatable,
+    /// It is sent once; a resend by the caller is another request.
+    Once,
+    /// It runs at most once for its idempotency key.
+    Keyed(String),
+}
+
+/// A caller's request.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// Id.
+    pub id: RequestId,
+    /// Model or plain service.
+    pub model: Model,
+    /// Whether a plain service is meant.
+    pub service: bool,
+    /// Workspace.
+    pub workspace: Workspace,
+    /// Method.
+    pub method: Method,
+    /// Path and query at the back end.
+    pub path: String,
+    /// Headers passed on.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Whether the caller asked for a stream of events.
+    pub stream: bool,
+    /// What may be done after it was sent.
+    pub safety: Safety,
+    /// Priority the caller lowered it to.
+    pub priority: Option<u8>,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller gives up.
+    pub deadline: Instant,
+    /// Hash of the start of the prompt; 0 where there is none.
+    pub prefix: u64,
+}
+
+/// The fields of a completion's body that matter here.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    prompt: Option<serde_json::Value>,
+    #[serde(default)]
+    messages: Option<serde_json::Value>,
+}
+
+impl Call {
+    /// Reads a request and its body, within the bounds of the settings.
+    pub async fn read(req: Request, cfg: &EntryCfg) -> Result<Call, Refusal> {
+        let arrived = Instant::now();
+        let (head, body) = req.into_parts();
+        let path = head.uri.path().to_owned();
+        let completion = COMPLETIONS.contains(&path.as_str());
+        let service = path.strip_prefix(SERVICES).map(str::to_owned);
+        if !completion && service.is_none() {
+            return Err(Refusal::NoPath);
+        }
+        let within = cfg.upkeep.body_timeout;
+        let body = read_body(body, cfg.upkeep.max_body, within)
+            .await
+            .map_err(|e| match e {
+                BodyError::TooLarge(limit) => Refusal::TooLarge(limit),
+                BodyError::Slow(within) => Refusal::SlowBody(within),
+                e => Refusal::Malformed(e.to_string()),
+            })?;
+        let mut call = Call {
+            id: new_request_id(),
+            model: String::new(),
+            service: !completion,
+            workspace: read_workspace(&head.headers)?,
+            safety: read_safety(&head.headers, &head.method, !completion)?,
+            priority: read_priority(&head.headers)?,
+            headers: passed(&head.headers),
+            method: head.method,
+            path,
+            body,
+            stream: false,
+            arrived,
+            deadline: arrived + read_deadline(&head.headers, cfg)?,
+            prefix: 0,
+        };
+        match service {
+            Some(rest) => call.read_service(&rest, head.uri.query())?,
+            None => call.read_completion(cfg.prefix_bytes as usize)?,
+        }
+        Ok(call)
+    }
+
+    /// Time left.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether it must run at most once.
+    pub fn is_unsafe(&self) -> bool {
+        self.safety != Safety::Repeatable
+    }
+
+    /// Digest of what an idempotency key stands for.
+    pub fn content(&self) -> Digest {
+        let mut buf = Vec::with_capacity(self.body.len() + 256);
+        for part in [self.method.as_str(), &self.path, &self.model] {
+            buf.extend_from_slice(part.as_bytes());
+            buf.push(0);
+        }
+        buf.extend_from_slice(&self.body);
+        Digest::of(&buf)
+    }
+
+    fn read_service(&mut self, rest: &str, query: Option<&str>) -> Result<(), Refusal> {
+        let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+        if name.is_empty() {
+            return Err(Refusal::NoPath);
+        }
+        self.model = name.to_owned();
+        self.path = match query {
+            Some(query) => format!("/{path}?{query}"),
+            None => format!("/{path}"),
+        };
+        Ok(())
+    }
+
+    fn read_completion(&mut self, prefix_bytes: usize) -> Result<(), Refusal> {
+        if self.method != Method::POST {
+            return Err(Refusal::Malformed(
+                "a completion is asked for by POST".into(),
+            ));
+        }
+        let completion: Completion = serde_json::from_slice(&self.body)
+            .map_err(|e| Refusal::Malformed(format!("the body is no completion request ({e})")))?;
+        let prompt = completion.prompt.or(completion.messages);
+        self.prefix = prefix_hash(prompt, prefix_bytes);
+        self.model = completion.model;
+        self.stream = completion.stream;
+        Ok(())
+    }
+}
+
+fn prefix_hash(prompt: Option<serde_json::Value>, bytes: usize) -> u64 {
+    let text = match prompt {
+        Some(serde_json::Value::String(s)) => s,
+        Some(value) => value.to_string(),
+        None => return 0,
+    };
+    let start = &text.as_bytes()[..text.len().min(bytes)];
+    if start.is_empty() {
+        return 0;
+    }
+    let digest = Digest::of(start);
+    let first: [u8; 8] = digest.as_bytes()[..8]
+        .try_into()
+        .expect("eight of 32 bytes");
+    u64::from_le_bytes(first)
+}
+
+fn passed(headers: &HeaderMap) -> HeaderMap {
+    PASSED
+        .iter()
+        .filter_map(|name| {
+            let name = hyper::header::HeaderName::from_static(name);
+            headers.get(&name).map(|value| (name, value.clone()))
+        })
+        .collect()
+}
+
+fn read_workspace(headers: &HeaderMap) -> Result<Workspace, Refusal> {
+    let name = match headers.get(header::WORKSPACE) {
+        None => return Ok(NO_WORKSPACE.to_owned()),
+        Some(value) => value.to_str().unwrap_or_default(),
+    };
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    match !name.is_empty() && name.len() <= 64 && name.chars().all(plain) {
+        true => Ok(name.to_owned()),
+        false => Err(malformed(
+            header::WORKSPACE,
+            "1 to 64 letters, digits, '-', '_' and '.'",
+        )),
+    }
+}
+
+fn read_safety(headers: &HeaderMap, method: &Method, service: bool) -> Result<Safety, Refusal> {
+    let key = match headers.get(header::IDEMPOTENCY_KEY) {
+        None => None,
+        Some(value) => match value.to_str() {
+            Ok(key) if !key.is_empty() && key.len() <= MAX_KEY => Some(key.to_owned()),
+            _ => {
+                return Err(malformed(
+                    header::IDEMPOTENCY_KEY,
+                    "1 to 255 visible ASCII characters",
+                ));
+            }
+        },
+    };
+    let marked = match headers.get(header::UNSAFE).map(|v| v.as_bytes()) {
+        None | Some(b"false") => false,
+        Some(b"true") => true,
+        Some(_) => return Err(malformed(header::UNSAFE, "true or false")),
+    };
+    let by_method = service && !method.is_idempotent();
+    Ok(match key {
+        Some(key) => Safety::Keyed(key),
+        None if marked || by_method => Safety::Once,
+        None => Safety::Repeatable,
+    })
+}
+
+fn read_priority(headers: &HeaderMap) -> Result<Option<u8>, Refusal> {
+    match web::header(headers, header::PRIORITY).map(str::parse::<u8>) {
+        None => Ok(None),
+        Some(Ok(n)) if n <= 9 => Ok(Some(n)),
+        Some(_) => Err(malformed(header::PRIORITY, "a number from 0 to 9")),
+    }
+}
+
+fn read_deadline(headers: &HeaderMap, cfg: &EntryCfg) -> Result<Duration, Refusal> {
+    match web::header(headers, header::DEADLINE).map(str::parse::<u64>) {
+        None => Ok(cfg.default_deadline),
+        Some(Ok(ms)) if ms > 0 => Ok(Duration::from_millis(ms).min(cfg.max_deadline)),
+        Some(_) => Err(malformed(
+            header::DEADLINE,
+            "a whole number of milliseconds above 0",
+        )),
+    }
+}
+
+fn malformed(name: &str, wanted: &str) -> Refusal {
+    Refusal::Malformed(format!("the header {name} needs {wanted}"))
+}
--- /dev/null
+++ b/crates/entry/src/claim.rs
@@ -0,0 +1,256 @@
+//! Claims on idempotency keys, in the platform's table.
+//!
+//! A claim is a value written only if there is none under its key; the platform's table decides
+//! who is first, so no entry needs to know of another. Claims made within a short interval go out
+//! in one transaction. One entry of the failure domain, the claimer, writes for all: that saves
+//! writes and nothing else, so it doesn't matter if two take themselves for the claimer.
+//! docs/DESIGN.md weighs this against other ways.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Digest, DomainName, Incarnation, RequestId, Set, VmId};
+use futures_util::future::join_all;
+use platform::{Got, Kv, Op, PlatformError, Tag, Unless};
+use serde::{Deserialize, Serialize};
+use tokio::sync::{Semaphore, mpsc, oneshot};
+use wire::{Claim, Claimed};
+
+/// Claims that may wait to be written; more are refused.
+const MAX_WAITING: usize = 4096;
+
+/// Transactions on their way at once.
+const MAX_WRITES: usize = 8;
+
+/// What is written under a key: which request holds it, and where that request was sent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Request.
+    pub request: RequestId,
+    /// Digest of the request's content.
+    pub content: Digest,
+    /// Upstream VM it was sent to.
+    pub vm: VmId,
+    /// Where that VM's agent takes requests.
+    pub listen: SocketAddr,
+    /// Incarnation of that agent.
+    pub incarnation: Incarnation,
+    /// Failure domain of that VM.
+    pub domain: DomainName,
+    /// Whether the request is known not to have run and not to be sent any more.
+    pub released: bool,
+}
+
+/// What became of a write.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Written {
+    /// It took effect.
+    Won,
+    /// Another claim stands.
+    Taken,
+    /// It may have taken effect.
+    Unknown,
+    /// It did not take effect.
+    Down,
+}
+
+#[derive(Debug)]
+struct Pending {
+    claim: Claim,
+    tx: oneshot::Sender<Claimed>,
+}
+
+/// How claims are gathered.
+#[derive(Debug, Clone, Copy)]
+pub struct Gather {
+    /// Time over which claims are gathered.
+    pub interval: Duration,
+    /// Claims in one write.
+    pub batch: usize,
+    /// Time a claim is kept.
+    pub retention: Duration,
+}
+
+/// Writer and reader of claims.
+#[derive(Debug, Clone)]
+pub struct Claims {
+    kv: Kv,
+    gather: Gather,
+    own: mpsc::Sender<Pending>,
+    writer: mpsc::Sender<Pending>,
+}
+
+/// Key of a workspace's idempotency key.
+pub fn key_of(workspace: &str, key: &str) -> String {
+    let digest = Digest::of(format!("{workspace}\0{key}").as_bytes());
+    format!("claim/{digest}")
+}
+
+impl Claims {
+    /// Starts the writer. `claimer` names the entry that writes for this one, or `None` where this
+    /// one does; `forward` hands claims to it.
+    pub fn start<C, W, F>(kv: Kv, gather: Gather, claimer: C, forward: W) -> Claims
+    where
+        C: Fn() -> Option<SocketAddr> + Send + Sync + 'static,
+        W: Fn(SocketAddr, Vec<Claim>) -> F + Send + Sync + 'static,
+        F: Future<Output = Vec<Claimed>> + Send + 'static,
+    {
+        let (writer, to_write) = mpsc::channel(MAX_WAITING);
+        let (own, own_claims) = mpsc::channel(MAX_WAITING);
+        let claims = Claims {
+            kv,
+            gather,
+            own,
+            writer,
+        };
+        let committing = claims.clone();
+        tokio::spawn(gather_claims(to_write, gather, move |batch| {
+            let committing = committing.clone();
+            async move { committing.commit(batch).await }
+        }));
+        let writing = claims.clone();
+        tokio::spawn(gather_claims(own_claims, gather, move |batch| {
+            let forwarded = claimer().map(|to| forward(to, batch.clone()));
+            let writing = writing.clone();
+            async move {
+                match forwarded {
+                    Some(forwarded) => forwarded.await,
+                    None => writing.write_for(batch).await,
+                }
+            }
+        }));
+        claims
+    }
+
+    /// Claims a key for a record.
+    pub async fn claim(&self, key: String, record: &Record) -> Written {
+        let value = serde_json::to_string(record).expect("plain data");
+        let ttl = self.gather.retention;
+        let claimed = enqueue(&self.own, Claim { key, value, ttl }).await;
+        match claimed {
+            Claimed::Won => Written::Won,
+            Claimed::Taken => Written::Taken,
+            Claimed::Down => Written::Down,
+            Claimed::Unknown => Written::Unknown,
+        }
+    }
+
+    /// Takes in claims, of this entry or another, and writes them with what else has gathered.
+    pub async fn write_for(&self, claims: Vec<Claim>) -> Vec<Claimed> {
+        let written = claims.into_iter().map(|c| enqueue(&self.writer, c));
+        join_all(written).await
+    }
+
+    /// Replaces a record that still has the tag.
+    pub async fn replace(&self, key: &str, tag: Tag, record: &Record) -> Written {
+        let value = serde_json::to_string(record).expect("plain data");
+        let claim = Claim {
+            key: key.to_owned(),
+            value,
+            ttl: self.gather.retention,
+        };
+        match self.kv.commit(vec![op(&claim, Unless::Changed(tag))]).await {
+            Ok(Ok(_)) => Written::Won,
+            Ok(Err(_)) => Written::Taken,
+            Err(e) if e.may_have_written() => Written::Unknown,
+            Err(_) => Written::Down,
+        }
+    }
+
+    /// The record under a key, with its tag.
+    pub async fn read(&self, key: &str) -> Result<Option<(Record, Tag)>, PlatformError> {
+        match self.kv.get(&format!("/kv/{key}"), None).await? {
+            Got::Value(buf, tag) => serde_json::from_slice(&buf)
+                .map(|record| Some((record, tag)))
+                .map_err(|e| PlatformError::Garbled(e.to_string())),
+            Got::Absent | Got::Unchanged => Ok(None),
+        }
+    }
+
+    /// Writes claims in one transaction; claims whose key is taken are left out and told so.
+    pub async fn commit(&self, claims: Vec<Claim>) -> Vec<Claimed> {
+        let mut results = vec![Claimed::Taken; claims.len()];
+        let mut left: Vec<usize> = first_of_each_key(&claims);
+        while !left.is_empty() {
+            let ops = left
+                .iter()
+                .map(|i| op(&claims[*i], Unless::Present))
+                .collect();
+            metrics::counter!("driftnotch_claim_writes_total").increment(1);
+            let result = match self.kv.commit(ops).await {
+                Ok(Ok(_)) => Claimed::Won,
+                Ok(Err(taken)) => {
+                    let before = left.len();
+                    left.retain(|i| !taken.contains(&claims[*i].key));
+                    match left.len() < before {
+                        true => continue,
+                        false => Claimed::Unknown,
+                    }
+                }
+                Err(e) if e.may_have_written() => Claimed::Unknown,
+                Err(_) => Claimed::Down,
+            };
+            left.drain(..).for_each(|i| results[i] = result);
+        }
+        results
+    }
+}
+
+/// Indices of the first claim on each key; later ones in the same batch come too late.
+fn first_of_each_key(claims: &[Claim]) -> Vec<usize> {
+    let mut seen: Set<&str> = Set::default();
+    (0..claims.len())
+        .filter(|i| seen.insert(&claims[*i].key))
+        .collect()
+}
+
+fn op(claim: &Claim, unless: Unless) -> Op {
+    Op {
+        key: claim.key.clone(),
+        unless,
+        value: claim.value.clone(),
+        ttl_s: Some(claim.ttl.as_secs()),
+    }
+}
+
+/// Puts a claim in line and waits for what becomes of it.
+async fn enqueue(line: &mpsc::Sender<Pending>, claim: Claim) -> Claimed {
+    let (tx, rx) = oneshot::channel();
+    match line.try_send(Pending { claim, tx }) {
+        Ok(()) => rx.await.unwrap_or(Claimed::Unknown),
+        Err(_) => Claimed::Down,
+    }
+}
+
+/// Gathers claims for half the interval and writes each batch on a task of its own; a claim
+/// passes two such lines, that of its entry and that of the claimer.
+async fn gather_claims<W, F>(mut rx: mpsc::Receiver<Pending>, gather: Gather, write: W)
+where
+    W: Fn(Vec<Claim>) -> F,
+    F: Future<Output = Vec<Claimed>> + Send + 'static,
+{
+    let writes = Arc::new(Semaphore::new(MAX_WRITES));
+    while let Some(first) = rx.recv().await {
+        let mut batch = vec![first];
+        let until = tokio::time::Instant::now() + gather.interval / 2;
+        while batch.len() < gather.batch {
+            match tokio::time::timeout_at(until, rx.recv()).await {
+                Ok(Some(next)) => batch.push(next),
+                Ok(None) | Err(_) => break,
+            }
+        }
+        let Ok(permit) = writes.clone().acquire_owned().await else {
+            return;
+        };
+        let (claims, txs): (Vec<Claim>, Vec<_>) =
+            batch.into_iter().map(|p| (p.claim, p.tx)).unzip();
+        let written = write(claims);
+        tokio::spawn(async move {
+            for (tx, claimed) in txs.into_iter().zip(written.await) {
+                let _ = tx.send(claimed);
+            }
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,218 @@
+//! Answers agents and other entries on control links.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use base::Revision;
+use capnp::Error;
+use log::{debug, info};
+use table::{Edition, Version};
+use tokio::net::TcpListener;
+use wire::control_capnp::{entry as rpc, seat};
+use wire::{BeatReply, Freshness, Note, WireError, convert};
+
+use crate::Entry;
+use crate::upstream::Upstream;
+
+/// Log prefix of this part.
+const PART: &str = "control";
+
+/// Entries named to another process at once.
+const ENTRY_SAMPLE: usize = 16;
+
+/// Accepts links for as long as the process runs; call within a `LocalSet`.
+pub async fn listen(entry: Arc<Entry>, listener: TcpListener) {
+    loop {
+        let Ok((stream, from)) = listener.accept().await else {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            continue;
+        };
+        let server: rpc::Client = capnp_rpc::new_client(EntryServer {
+            entry: entry.clone(),
+        });
+        let traffic = entry.traffic.clone();
+        tokio::task::spawn_local(async move {
+            if let Err(e) = wire::accept(stream, server, &traffic).await {
+                debug!(target: PART, "{PART}: link from {from} ended: {e}");
+            }
+        });
+    }
+}
+
+struct EntryServer {
+    entry: Arc<Entry>,
+}
+
+impl rpc::Server for EntryServer {
+    async fn join(
+        self: Rc<Self>,
+        params: rpc::JoinParams,
+        mut results: rpc::JoinResults,
+    ) -> Result<(), Error> {
+        let info = convert::read_info(params.get()?.get_info()?)?;
+        if info.domain != self.entry.cfg.upkeep.domain {
+            let own = &self.entry.cfg.upkeep.domain;
+            return Err(Error::failed(format!(
+                "this entry is in {own}; link to the entries of {}",
+                info.domain
+            )));
+        }
+        info!(target: PART, "{PART}: agent {} joined from {}", info.vm, info.listen);
+        let upstream = self.entry.fleet.join(info, self.entry.lease());
+        let server = SeatServer {
+            entry: self.entry.clone(),
+            upstream,
+        };
+        results.get().set_seat(capnp_rpc::new_client(server));
+        Ok(())
+    }
+
+    async fn exchange(
+        self: Rc<Self>,
+        params: rpc::ExchangeParams,
+        mut results: rpc::ExchangeResults,
+    ) -> Result<(), Error> {
+        let note = convert::read_note(params.get()?.get_note()?)?;
+        let to = note.domain.clone();
+        self.entry
+            .book
+            .add(note.entries.iter().chain([&note.control]));
+        self.entry.fleet.heard(note, self.entry.lease());
+        convert::write_note(results.get().init_note(), &own_note(&self.entry, &to));
+        Ok(())
+    }
+
+    async fn watch(
+        self: Rc<Self>,
+        params: rpc::WatchParams,
+        mut results: rpc::WatchResults,
+    ) -> Result<(), Error> {
+        let edition = later_than(&self.entry, params.get()?.get_have()).await?;
+        convert::write_edition(results.get().init_edition(), &edition);
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: rpc::ClaimParams,
+        mut results: rpc::ClaimResults,
+    ) -> Result<(), Error> {
+        let claims = convert::read_claims(params.get()?.get_claims()?)?;
+        let n = claims.len() as u32;
+        let claimed = self.entry.claims.write_for(claims).await;
+        let mut list = results.get().init_results(n);
+        for (i, c) in claimed.into_iter().enumerate() {
+            list.set(i as u32, convert::write_claimed(c));
+        }
+        Ok(())
+    }
+}
+
+/// An agent's seat; the agent is forgotten when its link ends.
+struct SeatServer {
+    entry: Arc<Entry>,
+    upstream: Arc<Upstream>,
+}
+
+impl Drop for SeatServer {
+    fn drop(&mut self) {
+        info!(target: PART, "{PART}: agent {} parted", self.upstream.vm());
+        self.entry.fleet.part(&self.upstream);
+    }
+}
+
+impl seat::Server for SeatServer {
+    async fn beat(
+        self: Rc<Self>,
+        params: seat::BeatParams,
+        mut results: seat::BeatResults,
+    ) -> Result<(), Error> {
+        let beat = convert::read_beat(params.get()?.get_beat()?)?;
+        let seen = beat.entries_seen;
+        self.upstream.beat(beat, self.entry.lease());
+        let entries_seen = self.entry.fleet.entries_seen();
+        let reply = BeatReply {
+            fresh: freshness(&self.entry),
+            interval: self.entry.beat_interval(),
+            leaving: self.entry.fleet.listed_leaving(self.upstream.vm()),
+            entries_seen,
+            entries: match seen == entries_seen {
+                true => Vec::new(),
+                false => domain_entries(&self.entry),
+            },
+        };
+        convert::write_beat_reply(results.get().init_reply(), &reply);
+        Ok(())
+    }
+
+    async fn watch(
+        self: Rc<Self>,
+        params: seat::WatchParams,
+        mut results: seat::WatchResults,
+    ) -> Result<(), Error> {
+        let edition = later_than(&self.entry, params.get()?.get_have()).await?;
+        convert::write_edition(results.get().init_edition(), &edition);
+        Ok(())
+    }
+
+    async fn peers(
+        self: Rc<Self>,
+        params: seat::PeersParams,
+        mut results: seat::PeersResults,
+    ) -> Result<(), Error> {
+        let text = params.get()?.get_version()?.to_str()?;
+        let version =
+            Version::parse(text).ok_or_else(|| WireError::Garbled("version".to_owned()))?;
+        let peers = self.entry.fleet.peers(&version);
+        convert::write_peers(results.get().init_peers(peers.len() as u32), &peers);
+        Ok(())
+    }
+}
+
+/// Waits for an edition later than the one the other side has.
+async fn later_than(entry: &Entry, have: Revision) -> Result<Edition, Error> {
+    let mut views = entry.force.subscribe();
+    let view = views
+        .wait_for(|view| view.edition.revision > have)
+        .await
+        .map_err(|e| Error::failed(e.to_string()))?;
+    Ok(view.edition.clone())
+}
+
+/// What this entry serves by. An unconfirmed one has an age that no hold allows.
+fn freshness(entry: &Entry) -> Freshness {
+    Freshness {
+        revision: entry.force.revision(),
+        age: entry.force.age().unwrap_or(wire::NEVER),
+    }
+}
+
+/// What this entry tells an entry of a failure domain.
+pub fn own_note(entry: &Entry, to: &str) -> Note {
+    let upkeep = &entry.cfg.upkeep;
+    let abroad = to != upkeep.domain;
+    Note {
+        vm: upkeep.vm.clone(),
+        domain: upkeep.domain.clone(),
+        control: entry.cfg.control,
+        fresh: freshness(entry),
+        leaving: entry.stopping(),
+        entries: entry.book.sample(ENTRY_SAMPLE),
+        replicas: if abroad {
+            entry.fleet.replicas()
+        } else {
+            Vec::new()
+        },
+        rollouts: if abroad {
+            entry.fleet.rollouts()
+        } else {
+            Vec::new()
+        },
+    }
+}
+
+fn domain_entries(entry: &Entry) -> Vec<SocketAddr> {
+    let siblings = entry.fleet.siblings().into_iter().map(|e| e.note.control);
+    siblings.chain([entry.cfg.control]).collect()
+}
--- /dev/null
+++ b/crates/entry/src/route.rs
@@ -0,0 +1,147 @@
+//! Chooses the upstream of a request.
+//!
+//! Candidates have the pinned version live, are not leaving, and lie in a permitted place; those
+//! of the own failure domain go first. Among them a prompt's prefix prefers one upstream (by
+//! rendezvous hash) while that one's load is within a bound of the mean; else the less loaded of
+//! two random ones is taken. Loads lag, so the entry's own count of running requests is part of
+//! them. Upstreams that fail are left alone, unless all do.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::Digest;
+use rand::RngExt;
+use settings::EntryCfg;
+use table::Row;
+
+use crate::call::Call;
+use crate::fleet::Fleet;
+use crate::upstream::{Slot, Upstream};
+
+/// What became of a choice.
+#[derive(Debug)]
+pub enum Pick {
+    /// An upstream with a free slot.
+    Chosen(Slot),
+    /// There are upstreams, but none has a free slot.
+    Busy,
+    /// There is no upstream.
+    Nobody,
+}
+
+/// A candidate and since when its version has been live.
+#[derive(Debug, Clone)]
+struct Candidate {
+    upstream: Arc<Upstream>,
+    live_since: Instant,
+}
+
+impl Candidate {
+    /// Load, raised while the replica is warming up.
+    fn weight(&self, slow_start: Duration) -> f64 {
+        let warmth = match self.live_since.elapsed() {
+            age if age >= slow_start => 1.0,
+            age => (age.as_secs_f64() / slow_start.as_secs_f64()).max(0.1),
+        };
+        (f64::from(self.upstream.load()) + 1.0) / warmth
+    }
+}
+
+/// Upstreams that could serve a row, those of the own domain first.
+pub fn can_serve(fleet: &Fleet, row: &Row, cfg: &EntryCfg) -> bool {
+    !candidates(fleet, row, cfg, &[]).is_empty()
+}
+
+/// Chooses an upstream for a call pinned to a row, none of `tried`.
+pub fn pick(
+    fleet: &Fleet,
+    row: &Row,
+    call: &Call,
+    cfg: &EntryCfg,
+    tried: &[Arc<Upstream>],
+) -> Pick {
+    let candidates = candidates(fleet, row, cfg, tried);
+    if candidates.is_empty() {
+        return Pick::Nobody;
+    }
+    let limit = cfg.upstream_running as u32;
+    let free: Vec<Candidate> = candidates
+        .into_iter()
+        .filter(|c| c.upstream.running() < limit)
+        .collect();
+    if free.is_empty() {
+        return Pick::Busy;
+    }
+    let chosen = preferred(&free, call, cfg).unwrap_or_else(|| of_two(&free, cfg));
+    match Slot::take(&chosen.upstream, limit) {
+        Some(slot) => Pick::Chosen(slot),
+        None => Pick::Busy,
+    }
+}
+
+fn candidates(fleet: &Fleet, row: &Row, cfg: &EntryCfg, tried: &[Arc<Upstream>]) -> Vec<Candidate> {
+    let usable = |upstreams: Vec<Arc<Upstream>>| -> Vec<Candidate> {
+        upstreams
+            .into_iter()
+            .filter(|u| !tried.iter().any(|t| Arc::ptr_eq(t, u)))
+            .filter(|u| !cfg.check_places || row.permits(u.domain(), &cfg.upkeep.domains))
+            .filter(|u| !fleet.listed_leaving(u.vm()))
+            .filter_map(|upstream| {
+                let live_since = upstream.live_since(&row.model, &row.version)?;
+                Some(Candidate {
+                    upstream,
+                    live_since,
+                })
+            })
+            .collect()
+    };
+    let local = without_ejected(usable(fleet.local()));
+    match local.is_empty() {
+        true => without_ejected(usable(fleet.remote())),
+        false => local,
+    }
+}
+
+/// Leaves out ejected upstreams, unless nobody would be left.
+fn without_ejected(all: Vec<Candidate>) -> Vec<Candidate> {
+    let healthy: Vec<Candidate> = all
+        .iter()
+        .filter(|c| !c.upstream.ejected())
+        .cloned()
+        .collect();
+    match healthy.is_empty() {
+        true => all,
+        false => healthy,
+    }
+}
+
+/// The upstream the prompt's prefix prefers, while its load is within the bound.
+fn preferred(free: &[Candidate], call: &Call, cfg: &EntryCfg) -> Option<Candidate> {
+    if call.prefix == 0 || free.len() < 2 {
+        return None;
+    }
+    let best = free
+        .iter()
+        .max_by_key(|c| rendezvous(call.prefix, c.upstream.vm()))?;
+    let sum: f64 = free.iter().map(|c| c.weight(cfg.slow_start)).sum();
+    let bound = sum / free.len() as f64 * cfg.prefix_load as f64 / 100.0;
+    (best.weight(cfg.slow_start) <= bound.max(2.0)).then(|| best.clone())
+}
+
+fn of_two(free: &[Candidate], cfg: &EntryCfg) -> Candidate {
+    let mut rng = rand::rng();
+    let a = rng.random_range(0..free.len());
+    let b = rng.random_range(0..free.len());
+    let lighter = match free[a].weight(cfg.slow_start) <= free[b].weight(cfg.slow_start) {
+        true => a,
+        false => b,
+    };
+    free[lighter].clone()
+}
+
+/// Rank of a VM for a key; the highest wins.
+fn rendezvous(key: u64, vm: &str) -> Digest {
+    let mut buf = key.to_le_bytes().to_vec();
+    buf.extend_from_slice(vm.as_bytes());
+    Digest::of(&buf)
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,192 @@
+//! Starts an entry, and stops it without cutting off a request.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use base::Digest;
+use displaydoc::Display;
+use log::info;
+use platform::{Kv, Members, Tables};
+use settings::EntryCfg;
+use table::Force;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+use web::{Bounds, Client, Stop};
+use wire::Claimed;
+use wire::counted::Traffic;
+
+use crate::claim::{Claims, Gather};
+use crate::fleet::Fleet;
+use crate::limit::Limiter;
+use crate::links::{AddressBook, ClaimJob};
+use crate::queue::Queue;
+use crate::retry::RetryBudget;
+use crate::share::Shares;
+use crate::telemetry::{BurnBounds, Telemetry};
+use crate::{Entry, admin, control, links, poll, serve};
+
+/// Log prefix of this part.
+const PART: &str = "entry";
+
+/// Batches of claims that may wait to be forwarded.
+const MAX_JOBS: usize = 256;
+
+/// Why an entry could not start.
+#[derive(Debug, Display)]
+pub enum EntryError {
+    /// {0} can't be listened on ({1}); free the address or change `{2}` in the settings
+    Listen(SocketAddr, std::io::Error, &'static str),
+    /// the control thread can't be started ({0}); free some memory
+    Thread(std::io::Error),
+}
+
+impl std::error::Error for EntryError {}
+
+/// Renders the metrics.
+pub type Render = Arc<dyn Fn() -> String + Send + Sync>;
+
+/// Runs an entry until `stop`, then lets what runs end.
+pub async fn run(cfg: EntryCfg, mut stop: Stop, render: Render) -> Result<(), EntryError> {
+    let callers = bind(cfg.listen, "listen").await?;
+    let control = bind(cfg.control, "control").await?;
+    let admin = bind(cfg.upkeep.admin, "admin").await?;
+    let upkeep = cfg.upkeep.clone();
+    let (jobs_tx, jobs_rx) = mpsc::channel(MAX_JOBS);
+    let entry = new_entry(cfg, jobs_tx);
+    info!(target: PART, "{PART}: {} in {} listens on {}", upkeep.vm, upkeep.domain, entry.cfg.listen);
+    start_control(&entry, control, jobs_rx)?;
+    start_polls(&entry);
+    let (close, closing) = watch::channel(false);
+    let admin_entry = entry.clone();
+    let admin_server = tokio::spawn(web::serve(
+        admin,
+        Bounds::internal(),
+        closing.clone(),
+        move |req| admin::handle(admin_entry.clone(), req, render.clone()),
+    ));
+    let bounds = Bounds {
+        connections: upkeep.max_connections,
+        header_timeout: upkeep.header_timeout,
+        header_bytes: upkeep.max_header,
+        drain: upkeep.drain_timeout,
+    };
+    let caller_entry = entry.clone();
+    let caller_server = tokio::spawn(web::serve(callers, bounds, closing, move |req| {
+        serve::handle(caller_entry.clone(), req)
+    }));
+    let _ = stop.wait_for(|stopping| *stopping).await;
+    info!(target: PART, "{PART}: stopping; running requests go on");
+    entry.begin_stop();
+    tokio::time::sleep(upkeep.stop_notice).await;
+    let _ = close.send(true);
+    let _ = caller_server.await;
+    let _ = admin_server.await;
+    info!(target: PART, "{PART}: stopped");
+    Ok(())
+}
+
+async fn bind(addr: SocketAddr, field: &'static str) -> Result<TcpListener, EntryError> {
+    TcpListener::bind(addr)
+        .await
+        .map_err(|e| EntryError::Listen(addr, e, field))
+}
+
+fn new_entry(cfg: EntryCfg, jobs: mpsc::Sender<ClaimJob>) -> Arc<Entry> {
+    let upkeep = cfg.upkeep.clone();
+    let kv = Kv::new(upkeep.platform.table, upkeep.platform.timeout);
+    let gather = Gather {
+        interval: cfg.claim_interval,
+        batch: cfg.claim_batch as usize,
+        retention: cfg.claim_retention,
+    };
+    let bounds = BurnBounds {
+        first_token: cfg.first_token_bound,
+        between_tokens: cfg.token_bound,
+    };
+    Arc::new_cyclic(|weak: &std::sync::Weak<Entry>| {
+        let weak = weak.clone();
+        let claimer = move || weak.upgrade().and_then(|entry| claimer(&entry));
+        let forward = move |to, claims: Vec<wire::Claim>| {
+            let jobs = jobs.clone();
+            async move {
+                let n = claims.len();
+                let (tx, rx) = oneshot::channel();
+                match jobs.send(ClaimJob { to, claims, tx }).await {
+                    Ok(()) => rx.await.unwrap_or_else(|_| vec![Claimed::Unknown; n]),
+                    Err(_) => vec![Claimed::Down; n],
+                }
+            }
+        };
+        Entry {
+            force: Arc::new(Force::new(upkeep.domains.clone())),
+            fleet: Fleet::new(upkeep.domain.clone()),
+            limiter: Limiter::default(),
+            queue: Queue::new(cfg.max_queue as usize),
+            retries: RetryBudget::new(cfg.retry_budget),
+            shares: Shares::default(),
+            claims: Claims::start(kv, gather, claimer, forward),
+            client: Client::new(cfg.connect_timeout),
+            telemetry: Arc::new(Telemetry::new(bounds)),
+            traffic: Traffic::default(),
+            book: AddressBook::new(cfg.control, &cfg.entries),
+            stopping: AtomicBool::new(false),
+            cfg,
+        }
+    })
+}
+
+/// The entry of the failure domain that writes claims for all; `None` where this one does.
+fn claimer(entry: &Entry) -> Option<SocketAddr> {
+    let own = (rank(&entry.cfg.upkeep.vm), None);
+    entry
+        .fleet
+        .siblings()
+        .into_iter()
+        .map(|e| (rank(&e.note.vm), Some(e.note.control)))
+        .chain([own])
+        .max_by_key(|(rank, _)| *rank)
+        .and_then(|(_, control)| control)
+}
+
+fn rank(vm: &str) -> Digest {
+    Digest::of(vm.as_bytes())
+}
+
+fn start_control(
+    entry: &Arc<Entry>,
+    listener: TcpListener,
+    jobs: mpsc::Receiver<ClaimJob>,
+) -> Result<(), EntryError> {
+    let entry = entry.clone();
+    let listener = listener.into_std().map_err(EntryError::Thread)?;
+    let name = format!("control-{}", entry.cfg.control.port());
+    wire::thread::spawn(name, move || async move {
+        let listener = TcpListener::from_std(listener).expect("a bound listener");
+        tokio::join!(
+            control::listen(entry.clone(), listener),
+            links::keep(entry, jobs)
+        );
+    })
+    .map(drop)
+    .map_err(EntryError::Thread)
+}
+
+fn start_polls(entry: &Arc<Entry>) {
+    let cfg = &entry.cfg.upkeep.platform;
+    let tables = Tables::new(Kv::new(cfg.table, cfg.timeout));
+    tokio::spawn(poll::table(entry.clone(), tables));
+    if let Some(addr) = cfg.members {
+        let members = Members::new(Kv::new(addr, cfg.timeout));
+        tokio::spawn(poll::members(entry.clone(), members));
+    }
+    let gauge = entry.clone();
+    tokio::spawn(async move {
+        loop {
+            metrics::gauge!("driftnotch_waiting").set(gauge.queue.len() as f64);
+            metrics::gauge!("driftnotch_upstreams").set(gauge.fleet.local().len() as f64);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/entry/src/running.rs
@@ -0,0 +1,35 @@
+//! A request counted as running, from its choice of an upstream to its last byte.
+
+use std::sync::Arc;
+
+use crate::Entry;
+use crate::upstream::{Slot, Upstream};
+
+/// A running request; frees its slot when dropped.
+#[derive(Debug)]
+pub struct Running {
+    slot: Option<Slot>,
+    entry: Arc<Entry>,
+}
+
+impl Running {
+    /// Counts a request as running.
+    pub fn new(entry: &Arc<Entry>, slot: Slot) -> Running {
+        Running {
+            slot: Some(slot),
+            entry: entry.clone(),
+        }
+    }
+
+    /// Where it runs.
+    pub fn upstream(&self) -> &Arc<Upstream> {
+        &self.slot.as_ref().expect("held until dropped").upstream
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.slot = None;
+        self.entry.queue.freed();
+    }
+}
--- /dev/null
+++ b/crates/lab/src/commands/standins.rs
@@ -0,0 +1,51 @@
+//! Stand-ins as processes of their own; they end on SIGTERM.
+
+use std::net::SocketAddr;
+
+use lab::standin::engine::{Behaviour, Engine};
+use lab::standin::platform::Platform;
+use lab::standin::service::PlainService;
+use pico_args::Arguments;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use super::{deployment, duration, finish};
+use crate::LabError;
+
+pub async fn platform(mut args: Arguments) -> Result<(), LabError> {
+    let layout = deployment(&mut args)?;
+    let rate = args.opt_value_from_str("--origin-rate")?;
+    finish(args)?;
+    let (_tx, stop) = watch::channel(false);
+    let platform = Platform::start(layout.platform(), rate, stop).await?;
+    platform.set_members(&layout.members());
+    until_term().await
+}
+
+pub async fn engine(mut args: Arguments) -> Result<(), LabError> {
+    let listen: SocketAddr = args.value_from_str("--listen")?;
+    let mut behaviour = Behaviour {
+        honours_fences: !args.contains("--ignore-fences"),
+        ..Behaviour::default()
+    };
+    if let Some(token) = duration(&mut args, "--token")? {
+        behaviour.token = token;
+    }
+    finish(args)?;
+    let (_tx, stop) = watch::channel(false);
+    Engine::start(listen, behaviour, stop).await?;
+    until_term().await
+}
+
+pub async fn service(mut args: Arguments) -> Result<(), LabError> {
+    let listen: SocketAddr = args.value_from_str("--listen")?;
+    finish(args)?;
+    let (_tx, stop) = watch::channel(false);
+    PlainService::start(listen, stop).await?;
+    until_term().await
+}
+
+async fn until_term() -> Result<(), LabError> {
+    signal(SignalKind::terminate())?.recv().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/layout.rs
@@ -0,0 +1,232 @@
+//! A deployment on loopback: every VM has an address of its own and fixed ports.
+
+use std::fmt::Write;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+use platform::{Member, MemberRole, MemberState};
+
+use crate::standin::platform::Addrs;
+
+/// Ports of an entry VM.
+const ENTRY_PORTS: [u16; 3] = [8080, 8081, 8082];
+
+/// Ports of an upstream VM.
+const AGENT_PORTS: [u16; 4] = [8180, 8181, 8182, 8000];
+
+/// First host number of upstream VMs.
+const FIRST_AGENT: u8 = 100;
+
+/// A deployment: failure domains with their VMs, on `127.NET.0.0/16`.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// Second number of the addresses.
+    pub net: u8,
+    /// Third number of the first failure domain's addresses.
+    pub base: u8,
+    /// Failure domains with their regions.
+    pub domains: Vec<(String, String)>,
+    /// Entries in each failure domain.
+    pub entries: u8,
+    /// Agents beside engines in each failure domain.
+    pub engines: u8,
+    /// Agents beside plain services in each failure domain.
+    pub services: u8,
+}
+
+/// An entry VM.
+#[derive(Debug, Clone)]
+pub struct EntryVm {
+    /// Id.
+    pub vm: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Callers' address.
+    pub listen: SocketAddr,
+    /// Control address.
+    pub control: SocketAddr,
+    /// Admin address.
+    pub admin: SocketAddr,
+}
+
+/// An upstream VM.
+#[derive(Debug, Clone)]
+pub struct UpstreamVm {
+    /// Id.
+    pub vm: String,
+    /// Failure domain.
+    pub domain: String,
+    /// Entries' address.
+    pub listen: SocketAddr,
+    /// Peers' address.
+    pub peer: SocketAddr,
+    /// Admin address.
+    pub admin: SocketAddr,
+    /// Engine or service.
+    pub upstream: SocketAddr,
+    /// Whether the upstream is a plain service.
+    pub service: bool,
+}
+
+impl Layout {
+    /// The three failure domains of Cajueiro, with a number of VMs in each.
+    pub fn cajueiro(net: u8, base: u8, entries: u8, engines: u8, services: u8) -> Layout {
+        let domain = |name: &str, region: &str| (name.to_owned(), region.to_owned());
+        Layout {
+            net,
+            base,
+            domains: vec![
+                domain("recife", "pernambuco"),
+                domain("fortaleza", "ceara"),
+                domain("salvador", "bahia"),
+            ],
+            entries,
+            engines,
+            services,
+        }
+    }
+
+    /// Addresses of the platform's stand-in.
+    pub fn platform(&self) -> Addrs {
+        Addrs {
+            table: self.addr(0, 1, 9000),
+            objects: self.addr(0, 1, 9001),
+            members: self.addr(0, 1, 9002),
+            origin: self.addr(0, 1, 9003),
+        }
+    }
+
+    fn addr(&self, domain: usize, host: u8, port: u16) -> SocketAddr {
+        let ip = Ipv4Addr::new(127, self.net, self.base + domain as u8, host);
+        SocketAddr::new(IpAddr::V4(ip), port)
+    }
+
+    /// All entry VMs.
+    pub fn entry_vms(&self) -> Vec<EntryVm> {
+        let mut vms = Vec::new();
+        for (d, (domain, _)) in self.domains.iter().enumerate() {
+            for n in 1..=self.entries {
+                let [listen, control, admin] = ENTRY_PORTS.map(|port| self.addr(d, n + 10, port));
+                vms.push(EntryVm {
+                    vm: format!("{domain}-entry-{n}"),
+                    domain: domain.clone(),
+                    listen,
+                    control,
+                    admin,
+                });
+            }
+        }
+        vms
+    }
+
+    /// All upstream VMs, those with engines first in each failure domain.
+    pub fn upstream_vms(&self) -> Vec<UpstreamVm> {
+        let mut vms = Vec::new();
+        for (d, (domain, _)) in self.domains.iter().enumerate() {
+            for n in 1..=self.engines + self.services {
+                let [listen, peer, admin, upstream] =
+                    AGENT_PORTS.map(|port| self.addr(d, FIRST_AGENT + n, port));
+                let service = n > self.engines;
+                let kind = if service { "service" } else { "engine" };
+                vms.push(UpstreamVm {
+                    vm: format!("{domain}-{kind}-{n}"),
+                    domain: domain.clone(),
+                    listen,
+                    peer,
+                    admin,
+                    upstream,
+                    service,
+                });
+            }
+        }
+        vms
+    }
+
+    /// The platform's list of VMs.
+    pub fn members(&self) -> Vec<Member> {
+        let entries = self.entry_vms().into_iter().map(|e| Member {
+            vm: e.vm,
+            role: MemberRole::Entry,
+            domain: e.domain,
+            addr: e.control,
+            state: MemberState::Live,
+        });
+        let upstreams = self.upstream_vms().into_iter().map(|u| Member {
+            vm: u.vm,
+            role: MemberRole::Upstream,
+            domain: u.domain,
+            addr: u.listen,
+            state: MemberState::Live,
+        });
+        entries.chain(upstreams).collect()
+    }
+
+    fn common(&self, role: &str) -> String {
+        let domains: Vec<String> = self
+            .domains
+            .iter()
+            .map(|(d, r)| format!("{d}: {r}"))
+            .collect();
+        let platform = self.platform();
+        format!(
+            "role: {role}\ndomains: {{{}}}\nplatform_table: {}\nplatform_objects: {}\n",
+            domains.join(", "),
+            platform.table,
+            platform.objects
+        )
+    }
+
+    /// Settings of an entry; each of `more` is a line.
+    pub fn entry_settings(&self, e: &EntryVm, more: &[String]) -> String {
+        let seeds: Vec<String> = self
+            .entry_vms()
+            .iter()
+            .map(|e| e.control.to_string())
+            .collect();
+        let mut s = self.common("entry");
+        let _ = writeln!(s, "vm: {}\ndomain: {}", e.vm, e.domain);
+        let _ = writeln!(
+            s,
+            "listen: {}\ncontrol: {}\nadmin: {}",
+            e.listen, e.control, e.admin
+        );
+        let _ = writeln!(s, "platform_members: {}", self.platform().members);
+        let _ = writeln!(s, "entries: [{}]", seeds.join(", "));
+        s + &more.join("\n") + "\n"
+    }
+
+    /// Settings of an agent; each of `more` is a line.
+    pub fn agent_settings(&self, u: &UpstreamVm, more: &[String]) -> String {
+        let seeds: Vec<String> = self
+            .entry_vms()
+            .iter()
+            .filter(|e| e.domain == u.domain)
+            .map(|e| e.control.to_string())
+            .collect();
+        let kind = if u.service { "service" } else { "engine" };
+        let mut s = self.common("agent");
+        let _ = writeln!(s, "vm: {}\ndomain: {}\nkind: {kind}", u.vm, u.domain);
+        let _ = writeln!(
+            s,
+            "listen: {}\npeer: {}\nadmin: {}",
+            u.listen, u.peer, u.admin
+        );
+        let _ = writeln!(s, "upstream: {}", u.upstream);
+        let _ = writeln!(s, "platform_members: {}", self.platform().members);
+        let _ = writeln!(s, "platform_origin: {}", self.platform().origin);
+        let _ = writeln!(s, "entries: [{}]", seeds.join(", "));
+        s + &more.join("\n") + "\n"
+    }
+
+    /// Settings of an operator.
+    pub fn operator_settings(&self, author: &str) -> String {
+        let admins: Vec<String> = self
+            .entry_vms()
+            .iter()
+            .map(|e| e.admin.to_string())
+            .collect();
+        let mut s = self.common("operator");
+        let _ = writeln!(s, "author: {author}\nadmins: [{}]", admins.join(", "));
+        let _ = writeln!(s, "platform_origin: {}", self.platform().origin);
+        s
+    }
+}
--- /dev/null
+++ b/crates/lab/src/standin/fault.rs
@@ -0,0 +1,78 @@
+//! Faults of a stand-in, set by `PUT /fault` or in process.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::{Deserialize, Serialize};
+use web::{BodyError, Response};
+
+/// What is wrong with a stand-in.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// It answers 503 to everything.
+    pub down: bool,
+    /// It takes requests and never answers.
+    pub hang: bool,
+    /// It answers after this many milliseconds.
+    pub delay_ms: u64,
+    /// The next so many writes take effect and their answer is lost.
+    pub lose_writes: u32,
+    /// The next so many writes are lost before they take effect.
+    pub drop_writes: u32,
+    /// The next so many bodies have a byte changed.
+    pub corrupt: u32,
+    /// The next so many bodies are cut short.
+    pub truncate: u32,
+}
+
+/// Handle on the faults of a stand-in.
+#[derive(Debug, Clone, Default)]
+pub struct FaultBox {
+    faults: Arc<Mutex<Faults>>,
+}
+
+impl FaultBox {
+    /// Sets the faults.
+    pub fn set(&self, faults: Faults) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = faults;
+    }
+
+    /// The faults.
+    pub fn get(&self) -> Faults {
+        self.faults
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Uses up one of a counted fault; `true` if there was one.
+    pub fn take(&self, count: impl Fn(&mut Faults) -> &mut u32) -> bool {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        let n = count(&mut faults);
+        let some = *n > 0;
+        *n = n.saturating_sub(1);
+        some
+    }
+
+    /// Delays, hangs or refuses; `None` where the request goes on.
+    pub async fn meet(&self) -> Option<Response> {
+        let faults = self.get();
+        if faults.delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.hang {
+            std::future::pending::<()>().await;
+        }
+        faults.down.then(|| web::text(503, "down\n"))
+    }
+}
+
+/// An answer that breaks off after its head.
+pub fn broken() -> Response {
+    let frames =
+        futures_util::stream::iter([Err::<Frame<bytes::Bytes>, _>(BodyError::Cut("fault"))]);
+    hyper::Response::new(BodyExt::boxed_unsync(StreamBody::new(frames)))
+}
--- /dev/null
+++ b/crates/lab/src/standin/mod.rs
@@ -0,0 +1,25 @@
+//! Stand-ins for outside systems, each by its published protocol.
+
+pub mod engine;
+pub mod fault;
+pub mod kv;
+pub mod origin;
+pub mod platform;
+pub mod relay;
+pub mod service;
+
+use std::net::SocketAddr;
+
+use tokio::net::TcpListener;
+use web::{Bounds, Request, Response, Stop};
+
+/// Serves a stand-in on an address until `stop`.
+pub async fn serve<H, F>(addr: SocketAddr, stop: Stop, handler: H) -> std::io::Result<()>
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let listener = TcpListener::bind(addr).await?;
+    tokio::spawn(web::serve(listener, Bounds::internal(), stop, handler));
+    Ok(())
+}
--- /dev/null
+++ b/crates/lab/src/standin/origin.rs
@@ -0,0 +1,82 @@
+//! The origin of weights, with a link of a given rate.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use base::{Digest, Map};
+use bytes::Bytes;
+use serde::Serialize;
+
+/// A link that carries so many bytes a second.
+#[derive(Debug)]
+pub struct PacedLink {
+    rate: Option<u64>,
+    free_at: Mutex<Instant>,
+}
+
+impl PacedLink {
+    /// A link of a rate in bytes a second; `None` has no bound.
+    pub fn new(rate: Option<u64>) -> PacedLink {
+        PacedLink {
+            rate,
+            free_at: Mutex::new(Instant::now()),
+        }
+    }
+
+    /// Waits until the link has carried the bytes.
+    pub async fn carry(&self, bytes: usize) {
+        let Some(rate) = self.rate else {
+            return;
+        };
+        let took = Duration::from_secs_f64(bytes as f64 / rate as f64);
+        let done = {
+            let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
+            *free_at = (*free_at).max(Instant::now()) + took;
+            *free_at
+        };
+        tokio::time::sleep_until(done.into()).await;
+    }
+}
+
+/// What was drawn from the origin.
+#[derive(Debug, Clone, Copy, Default, Serialize, serde::Deserialize)]
+pub struct OriginStats {
+    /// Bytes sent.
+    pub bytes: u64,
+    /// Reads.
+    pub reads: u64,
+}
+
+/// Weights by version, as their ranges were published.
+#[derive(Debug, Default)]
+pub struct Weights {
+    versions: Mutex<Map<Digest, Vec<u8>>>,
+    stats: Mutex<OriginStats>,
+}
+
+impl Weights {
+    /// Takes a range of a version.
+    pub fn put(&self, version: Digest, first: usize, buf: &[u8]) {
+        let mut versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let weights = versions.entry(version).or_default();
+        if weights.len() < first + buf.len() {
+            weights.resize(first + buf.len(), 0);
+        }
+        weights[first..first + buf.len()].copy_from_slice(buf);
+    }
+
+    /// A range of a version.
+    pub fn get(&self, version: &Digest, first: usize, last: usize) -> Option<Bytes> {
+        let versions = self.versions.lock().unwrap_or_else(PoisonError::into_inner);
+        let range = versions.get(version)?.get(first..=last)?;
+        let mut stats = self.stats.lock().unwrap_or_else(PoisonError::into_inner);
+        stats.bytes += range.len() as u64;
+        stats.reads += 1;
+        Some(Bytes::copy_from_slice(range))
+    }
+
+    /// What was drawn.
+    pub fn stats(&self) -> OriginStats {
+        *self.stats.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/standin/platform.rs
@@ -0,0 +1,287 @@
+//! The platform: table service, object store, list of VMs and origin of weights.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::Digest;
+use bytes::{Bytes, BytesMut};
+use hyper::{HeaderMap, Method};
+use platform::Unless;
+use platform::kv::MAX_VALUE;
+use serde::{Deserialize, Serialize};
+use web::{Request, Response, Stop, read_body};
+
+use super::fault::{FaultBox, broken};
+use super::kv::Store;
+use super::origin::{OriginStats, PacedLink, Weights};
+
+/// Longest wait for a body.
+const BODY: Duration = Duration::from_secs(30);
+
+/// Key of the list of VMs.
+const MEMBERS: &str = "members";
+
+/// Addresses of the platform's services.
+#[derive(Debug, Clone, Copy)]
+pub struct Addrs {
+    /// Table service.
+    pub table: SocketAddr,
+    /// Object store.
+    pub objects: SocketAddr,
+    /// List of VMs.
+    pub members: SocketAddr,
+    /// Origin of weights.
+    pub origin: SocketAddr,
+}
+
+/// One service of the platform.
+#[derive(Debug, Clone, Default)]
+pub struct Service {
+    /// Values.
+    pub store: Arc<Store>,
+    /// Faults.
+    pub faults: FaultBox,
+}
+
+/// The origin.
+#[derive(Debug, Clone)]
+pub struct Origin {
+    /// Weights.
+    pub weights: Arc<Weights>,
+    /// Faults.
+    pub faults: FaultBox,
+    link: Arc<PacedLink>,
+}
+
+/// The platform.
+#[derive(Debug, Clone)]
+pub struct Platform {
+    /// Table service.
+    pub table: Service,
+    /// Object store.
+    pub objects: Service,
+    /// List of VMs.
+    pub members: Service,
+    /// Origin of weights.
+    pub origin: Origin,
+}
+
+/// Counts of a service, at `/stats`.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct Counts {
+    /// Reads.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+}
+
+impl Platform {
+    /// Starts the platform; the origin's link carries `rate` bytes a second.
+    pub async fn start(addrs: Addrs, rate: Option<u64>, stop: Stop) -> std::io::Result<Platform> {
+        let platform = Platform {
+            table: Service::default(),
+            objects: Service::default(),
+            members: Service::default(),
+            origin: Origin {
+                weights: Arc::default(),
+                faults: FaultBox::default(),
+                link: Arc::new(PacedLink::new(rate)),
+            },
+        };
+        let services = [
+            (addrs.table, &platform.table),
+            (addrs.objects, &platform.objects),
+            (addrs.members, &platform.members),
+        ];
+        for (addr, service) in services {
+            let service = service.clone();
+            super::serve(addr, stop.clone(), move |req| values(service.clone(), req)).await?;
+        }
+        let origin = platform.origin.clone();
+        super::serve(addrs.origin, stop, move |req| weights(origin.clone(), req)).await?;
+        Ok(platform)
+    }
+
+    /// Sets the list of VMs.
+    pub fn set_members(&self, members: &[platform::Member]) {
+        let buf = serde_json::to_vec(members).expect("plain data");
+        self.members.store.put(MEMBERS, buf.into(), None);
+    }
+}
+
+/// Answers as table service, object store or list of VMs.
+async fn values(service: Service, req: Request) -> Response {
+    if let Some(res) = admin(&service.faults, &req) {
+        return res.await_body(&service.faults, req).await;
+    }
+    if req.uri().path() == "/stats" {
+        let (reads, writes) = service.store.counts();
+        let counts = Counts { reads, writes };
+        return web::json(200, serde_json::to_string(&counts).expect("plain data"));
+    }
+    if let Some(res) = service.faults.meet().await {
+        return res;
+    }
+    let (head, body) = req.into_parts();
+    let path = head.uri.path().to_owned();
+    let key = path
+        .strip_prefix("/kv/")
+        .unwrap_or(path.trim_start_matches('/'));
+    let Ok(buf) = read_body(body, MAX_VALUE, BODY).await else {
+        return web::text(400, "bad body\n");
+    };
+    match head.method {
+        Method::GET => get(&service, key, &head.headers),
+        Method::PUT | Method::POST => write(&service, key, &head, buf),
+        _ => web::text(405, "use GET, PUT or POST\n"),
+    }
+}
+
+fn get(service: &Service, key: &str, headers: &HeaderMap) -> Response {
+    let Some((buf, tag)) = service.store.get(key) else {
+        return web::text(404, "no value\n");
+    };
+    let unchanged = web::header(headers, "if-none-match") == Some(tag.as_str());
+    let mut res = match unchanged {
+        true => web::text(304, ""),
+        false => web::text(200, ""),
+    };
+    if !unchanged {
+        *res.body_mut() = web::full(buf);
+    }
+    web::set_header(res.headers_mut(), "etag", &tag);
+    res
+}
+
+fn write(service: &Service, key: &str, head: &hyper::http::request::Parts, buf: Bytes) -> Response {
+    if service.faults.take(|f| &mut f.drop_writes) {
+        return broken();
+    }
+    let res = match head.method == Method::POST {
+        true => commit(service, &buf),
+        false => put(service, key, &head.headers, buf),
+    };
+    match service.faults.take(|f| &mut f.lose_writes) {
+        true => broken(),
+        false => res,
+    }
+}
+
+fn put(service: &Service, key: &str, headers: &HeaderMap, buf: Bytes) -> Response {
+    let unless = match (
+        web::header(headers, "if-none-match"),
+        web::header(headers, "if-match"),
+    ) {
+        (Some("*"), _) => Some(Unless::Present),
+        (_, Some(tag)) => Some(Unless::Changed(tag.to_owned())),
+        _ => None,
+    };
+    match service.store.put(key, buf, unless.as_ref()) {
+        Some(tag) => {
+            let mut res = web::text(201, "");
+            web::set_header(res.headers_mut(), "etag", &tag);
+            res
+        }
+        None => web::text(412, "the condition failed\n"),
+    }
+}
+
+fn commit(service: &Service, buf: &[u8]) -> Response {
+    let Ok(transaction) = serde_json::from_slice(buf) else {
+        return web::text(400, "no transaction\n");
+    };
+    match service.store.commit(transaction) {
+        Ok(committed) => web::json(200, serde_json::to_string(&committed).expect("plain data")),
+        Err(refusal) => web::json(412, serde_json::to_string(&refusal).expect("plain data")),
+    }
+}
+
+/// Answers as origin.
+async fn weights(origin: Origin, req: Request) -> Response {
+    if let Some(res) = admin(&origin.faults, &req) {
+        return res.await_body(&origin.faults, req).await;
+    }
+    if req.uri().path() == "/stats" {
+        let stats: OriginStats = origin.weights.stats();
+        return web::json(200, serde_json::to_string(&stats).expect("plain data"));
+    }
+    if let Some(res) = origin.faults.meet().await {
+        return res;
+    }
+    let (head, body) = req.into_parts();
+    let version = head.uri.path().strip_prefix("/weights/");
+    let Some(version) = version.and_then(|v| v.parse::<Digest>().ok()) else {
+        return web::text(404, "use /weights/VERSION\n");
+    };
+    match head.method {
+        Method::GET => send(&origin, version, &head.headers).await,
+        Method::PUT => {
+            let Ok(buf) = read_body(body, 1 << 30, BODY).await else {
+                return web::text(400, "bad body\n");
+            };
+            match first_of(web::header(&head.headers, "content-range"), "bytes ") {
+                Some((first, _)) => origin.weights.put(version, first, &buf),
+                None => return web::text(400, "no content-range\n"),
+            }
+            web::text(204, "")
+        }
+        _ => web::text(405, "use GET or PUT\n"),
+    }
+}
+
+async fn send(origin: &Origin, version: Digest, headers: &HeaderMap) -> Response {
+    let range = first_of(web::header(headers, "range"), "bytes=");
+    let buf = range.and_then(|(first, last)| origin.weights.get(&version, first, last));
+    let Some(buf) = buf else {
+        return web::text(404, "no such range\n");
+    };
+    origin.link.carry(buf.len()).await;
+    let mut res = web::text(206, "");
+    *res.body_mut() = web::full(spoilt(&origin.faults, buf));
+    res
+}
+
+/// The bytes, spoilt where a fault says so.
+pub fn spoilt(faults: &FaultBox, buf: Bytes) -> Bytes {
+    if faults.take(|f| &mut f.corrupt) {
+        let mut changed = BytesMut::from(&buf[..]);
+        changed[0] ^= 1;
+        return changed.freeze();
+    }
+    match faults.take(|f| &mut f.truncate) {
+        true => buf.slice(..buf.len() / 2),
+        false => buf,
+    }
+}
+
+fn first_of(value: Option<&str>, prefix: &str) -> Option<(usize, usize)> {
+    let range = value?.strip_prefix(prefix)?;
+    let range = range.split('/').next()?;
+    let (first, last) = range.split_once('-')?;
+    Some((first.parse().ok()?, last.parse().ok()?))
+}
+
+/// A request that sets faults.
+pub struct SetFaults;
+
+/// Whether a request sets faults.
+pub fn admin(_faults: &FaultBox, req: &Request) -> Option<SetFaults> {
+    (req.uri().path() == "/fault" && req.method() == Method::PUT).then_some(SetFaults)
+}
+
+impl SetFaults {
+    /// Reads and sets the faults.
+    pub async fn await_body(self, faults: &FaultBox, req: Request) -> Response {
+        let Ok(buf) = read_body(req.into_body(), MAX_VALUE, BODY).await else {
+            return web::text(400, "bad body\n");
+        };
+        match serde_json::from_slice(&buf) {
+            Ok(set) => {
+                faults.set(set);
+                web::text(204, "")
+            }
+            Err(e) => web::text(400, format!("{e}\n")),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/standin/service.rs
@@ -0,0 +1,77 @@
+//! A plain service: keeps a ledger of its calls and answers each with what it was sent.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use web::{Request, Response, Stop, read_body};
+
+use super::fault::FaultBox;
+use super::platform::admin;
+
+/// A call in the ledger.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallRecord {
+    /// Method.
+    pub method: String,
+    /// Path.
+    pub path: String,
+    /// Body.
+    pub body: String,
+}
+
+/// A service.
+#[derive(Debug, Clone, Default)]
+pub struct PlainService {
+    /// Faults.
+    pub faults: FaultBox,
+    ledger: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+impl PlainService {
+    /// Starts a service.
+    pub async fn start(addr: SocketAddr, stop: Stop) -> std::io::Result<PlainService> {
+        let service = PlainService::default();
+        let serving = service.clone();
+        super::serve(addr, stop, move |req| handle(serving.clone(), req)).await?;
+        Ok(service)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<CallRecord>> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What it was called with.
+    pub fn ledger(&self) -> Vec<CallRecord> {
+        self.lock().clone()
+    }
+}
+
+async fn handle(service: PlainService, req: Request) -> Response {
+    if let Some(set) = admin(&service.faults, &req) {
+        return set.await_body(&service.faults, req).await;
+    }
+    if req.uri().path() == "/ledger" {
+        return web::json(
+            200,
+            serde_json::to_string(&service.ledger()).expect("plain data"),
+        );
+    }
+    let method = req.method().to_string();
+    let path = req.uri().path().to_owned();
+    let Ok(buf) = read_body(req.into_body(), 16 << 20, Duration::from_secs(30)).await else {
+        return web::text(400, "bad body\n");
+    };
+    let record = CallRecord {
+        method,
+        path,
+        body: String::from_utf8_lossy(&buf).into_owned(),
+    };
+    service.lock().push(record.clone());
+    // The call has run; a fault from here on loses its answer.
+    if let Some(res) = service.faults.meet().await {
+        return res;
+    }
+    web::json(200, serde_json::to_string(&record).expect("plain data"))
+}
--- /dev/null
+++ b/crates/platform/src/origin.rs
@@ -0,0 +1,90 @@
+//! The origin of weights: ranged reads of whole versions.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Digest;
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
+use web::{Client, SendError, read_body};
+
+use crate::PlatformError;
+
+/// Access to the origin.
+#[derive(Debug, Clone)]
+pub struct Origin {
+    client: Client,
+    addr: SocketAddr,
+    timeout: Duration,
+}
+
+impl Origin {
+    /// The origin at an address; `timeout` bounds each read and write.
+    pub fn new(addr: SocketAddr, timeout: Duration) -> Origin {
+        Origin {
+            client: Client::new(timeout),
+            addr,
+            timeout,
+        }
+    }
+
+    /// Bytes `first` to `end` (exclusive) of a version. They are as yet unchecked.
+    pub async fn range(
+        &self,
+        version: Digest,
+        first: u64,
+        end: u64,
+    ) -> Result<Bytes, PlatformError> {
+        let req = Request::builder()
+            .uri(path(version))
+            .header("range", format!("bytes={first}-{}", end - 1))
+            .body(web::empty())
+            .map_err(|e| PlatformError::Garbled(e.to_string()))?;
+        let res = self.send(req).await?;
+        match res.status() {
+            StatusCode::OK | StatusCode::PARTIAL_CONTENT => {}
+            status => return Err(PlatformError::Refused(status.as_u16())),
+        }
+        read_body(res.into_body(), (end - first) as usize, self.timeout)
+            .await
+            .map_err(|e| PlatformError::Lost(e.to_string()))
+    }
+
+    /// Publishes the bytes of a chunk of a version. Writing the same bytes again changes nothing.
+    pub async fn publish(
+        &self,
+        version: Digest,
+        first: u64,
+        buf: Bytes,
+    ) -> Result<(), PlatformError> {
+        let last = first + (buf.len() as u64).saturating_sub(1);
+        let req = Request::builder()
+            .method(Method::PUT)
+            .uri(path(version))
+            .header("content-range", format!("bytes {first}-{last}/*"))
+            .body(web::full(buf))
+            .map_err(|e| PlatformError::Garbled(e.to_string()))?;
+        let res = self.send(req).await?;
+        match res.status() {
+            status if status.is_success() => Ok(()),
+            status => Err(PlatformError::Refused(status.as_u16())),
+        }
+    }
+
+    async fn send(
+        &self,
+        req: Request<web::Body>,
+    ) -> Result<hyper::Response<hyper::body::Incoming>, PlatformError> {
+        self.client
+            .send(self.addr, req, self.timeout)
+            .await
+            .map_err(|e| match e {
+                SendError::NotSent(..) => PlatformError::Down(e.to_string()),
+                _ => PlatformError::Lost(e.to_string()),
+            })
+    }
+}
+
+fn path(version: Digest) -> String {
+    format!("/weights/{version}")
+}
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,178 @@
+//! Holds a settings file against the declared fields.
+
+use std::path::Path;
+
+use base::{Map, Set};
+use saphyr::{LoadableYamlNode, MarkedYaml, YamlData};
+use table::Fault;
+
+use crate::field::{AGENT, COMMON, ENTRY, OPERATOR, PROCESS};
+use crate::value::{self, Value, Values};
+use crate::{AgentCfg, EntryCfg, Field, OperatorCfg, Role};
+
+/// Largest settings file, in bytes.
+const MAX_FILE: u64 = 1 << 20;
+
+/// A checked settings file.
+#[derive(Debug, Clone)]
+pub enum Settings {
+    /// Of an entry.
+    Entry(Box<EntryCfg>),
+    /// Of an agent.
+    Agent(Box<AgentCfg>),
+    /// Of an operator.
+    Operator(Box<OperatorCfg>),
+}
+
+/// All fields of a role.
+pub fn fields(role: Role) -> Vec<&'static Field> {
+    let own: &[&[Field]] = match role {
+        Role::Entry => &[COMMON, PROCESS, ENTRY],
+        Role::Agent => &[COMMON, PROCESS, AGENT],
+        Role::Operator => &[COMMON, OPERATOR],
+    };
+    own.iter().flat_map(|list| list.iter()).collect()
+}
+
+/// Reads and checks a file; on failure, lists every fault.
+pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
+    let whole = |remedy: String| vec![Fault::new(0, "file", remedy)];
+    let size = std::fs::metadata(path).map_err(|e| whole(format!("{e}; check the path")))?;
+    if size.len() > MAX_FILE {
+        return Err(whole(format!(
+            "the file is larger than {MAX_FILE} bytes; shorten it"
+        )));
+    }
+    let text =
+        std::fs::read_to_string(path).map_err(|e| whole(format!("{e}; write UTF-8 text")))?;
+    check(&text)
+}
+
+/// Checks the text of a file; on failure, lists every fault.
+pub fn check(text: &str) -> Result<Settings, Vec<Fault>> {
+    let docs = MarkedYaml::load_from_str(text).map_err(|e| {
+        vec![Fault::new(
+            e.marker().line(),
+            "file",
+            format!("{}; write valid YAML", e.info()),
+        )]
+    })?;
+    let map = match docs.first().map(|doc| &doc.data) {
+        Some(YamlData::Mapping(map)) => map,
+        _ => {
+            return Err(vec![Fault::new(
+                1,
+                "file",
+                "write one map of fields, as `role: entry`",
+            )]);
+        }
+    };
+    let nodes: Vec<(String, usize, &MarkedYaml)> = map
+        .iter()
+        .map(|(k, v)| (value::scalar(k).unwrap_or_default(), k.span.start.line(), v))
+        .collect();
+    let role = find_role(&nodes)?;
+    let fields = fields(role);
+    let mut faults = Vec::new();
+    let (values, lines) = read_values(&nodes, &fields, &mut faults);
+    let last_line = text.lines().count();
+    let missing = fields
+        .iter()
+        .filter(|f| f.required() && !lines.contains_key(f.name));
+    faults.extend(missing.map(|f| {
+        let remedy = format!("the field is missing; add it ({})", f.doc);
+        Fault::new(last_line, f.name, remedy)
+    }));
+    check_together(role, &values, &lines, &mut faults);
+    if !faults.is_empty() {
+        faults.sort_by_key(|fault| fault.line);
+        return Err(faults);
+    }
+    Ok(match role {
+        Role::Entry => Settings::Entry(Box::new(EntryCfg::new(&values))),
+        Role::Agent => Settings::Agent(Box::new(AgentCfg::new(&values))),
+        Role::Operator => Settings::Operator(Box::new(OperatorCfg::new(&values))),
+    })
+}
+
+fn find_role(nodes: &[(String, usize, &MarkedYaml)]) -> Result<Role, Vec<Fault>> {
+    let remedy = "write `role: entry`, `role: agent` or `role: operator`";
+    let Some((_, line, node)) = nodes.iter().find(|(name, ..)| name == "role") else {
+        return Err(vec![Fault::new(1, "role", remedy)]);
+    };
+    match value::scalar(node).as_deref() {
+        Some("entry") => Ok(Role::Entry),
+        Some("agent") => Ok(Role::Agent),
+        Some("operator") => Ok(Role::Operator),
+        _ => Err(vec![Fault::new(*line, "role", remedy)]),
+    }
+}
+
+fn read_values(
+    nodes: &[(String, usize, &MarkedYaml)],
+    fields: &[&'static Field],
+    faults: &mut Vec<Fault>,
+) -> (Values, Map<&'static str, usize>) {
+    let mut values: Values = fields
+        .iter()
+        .filter_map(|f| value::default(f.kind).map(|v| (f.name, v)))
+        .collect();
+    let mut lines = Map::default();
+    for (name, line, node) in nodes {
+        let Some(field) = fields.iter().find(|f| f.name == name) else {
+            let hint = base::nearest::hint(name, fields.iter().map(|f| f.name));
+            let remedy = format!("there is no such field{hint}; remove it");
+            faults.push(Fault::new(*line, name.clone(), remedy));
+            continue;
+        };
+        lines.insert(field.name, *line);
+        match value::read(field.kind, node) {
+            Ok(v) => drop(values.insert(field.name, v)),
+            Err(remedy) => faults.push(Fault::new(*line, field.name, remedy)),
+        }
+    }
+    (values, lines)
+}
+
+/// Faults that only several fields together show.
+fn check_together(
+    role: Role,
+    values: &Values,
+    lines: &Map<&'static str, usize>,
+    faults: &mut Vec<Fault>,
+) {
+    let line = |name: &str| lines.get(name).copied().unwrap_or(0);
+    if let (Some(Value::Text(domain)), Some(Value::Pairs(domains))) =
+        (values.get("domain"), values.get("domains"))
+    {
+        let known: Vec<&str> = domains.iter().map(|(name, _)| name.as_str()).collect();
+        if !known.contains(&domain.as_str()) {
+            let hint = base::nearest::hint(domain, known.iter().copied());
+            let remedy = format!("{domain} is not in domains ({}){hint}", known.join(", "));
+            faults.push(Fault::new(line("domain"), "domain", remedy));
+        }
+    }
+    if let Some(Value::Pairs(levels)) = values.get("log_levels") {
+        let known = ["error", "warn", "info", "debug", "trace", "off"];
+        let bad = levels.iter().filter(|(_, l)| !known.contains(&l.as_str()));
+        faults.extend(bad.map(|(part, level)| {
+            let remedy = format!("{level:?} is no level for {part}; use {}", known.join(", "));
+            Fault::new(line("log_levels"), "log_levels", remedy)
+        }));
+    }
+    let own: &[&str] = match role {
+        Role::Entry => &["listen", "control", "admin"],
+        Role::Agent => &["listen", "peer", "admin"],
+        Role::Operator => &[],
+    };
+    let mut seen = Set::default();
+    for name in own {
+        match values.get(name) {
+            Some(Value::Addrs(addrs)) if !addrs.iter().all(|a| seen.insert(*a)) => {
+                let remedy = "the address is used twice in this file; give each its own port";
+                faults.push(Fault::new(line(name), *name, remedy));
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,14 @@
+//! Settings files in YAML, one for each process.
+//!
+//! Every field is declared once, with its kind, default, range and a sentence on when to change
+//! it ([`field`]). [`check`] holds a file against the declarations and lists every fault; the
+//! typed structs ([`EntryCfg`], [`AgentCfg`], [`OperatorCfg`]) are built from checked values only.
+
+pub mod check;
+pub mod field;
+pub mod role;
+pub mod value;
+
+pub use check::{Settings, check, load};
+pub use field::{Field, Kind};
+pub use role::{AgentCfg, EntryCfg, LogCfg, OperatorCfg, PlatformCfg, Role, Upkeep};
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,69 @@
+//! The table that operators keep in version control.
+//!
+//! A row names a model or plain service, its version, the places it may run in, its share of
+//! traffic, its limits, its priority and how long a place that is cut off may go on by it. The
+//! table is a CSV file; [`Table::parse`] lists every fault in it with its line and remedy.
+
+pub mod diff;
+pub mod edition;
+pub mod fault;
+pub mod force;
+pub mod limits;
+pub mod parse;
+pub mod row;
+
+pub use diff::{Change, diff};
+pub use edition::Edition;
+pub use fault::Fault;
+pub use force::{Force, InForce};
+pub use limits::Limits;
+pub use row::{Hold, Row, Version};
+
+use base::Domains;
+
+/// Rows in the order of the file.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Table {
+    /// All rows.
+    pub rows: Vec<Row>,
+}
+
+impl Table {
+    /// Rows of a model that permit a failure domain.
+    pub fn permitted<'a>(
+        &'a self,
+        model: &'a str,
+        domain: &'a str,
+        domains: &'a Domains,
+    ) -> impl Iterator<Item = &'a Row> {
+        self.rows
+            .iter()
+            .filter(move |row| row.model == model && row.permits(domain, domains))
+    }
+
+    /// The row of a model and version that permits a failure domain.
+    pub fn find(
+        &self,
+        model: &str,
+        version: &Version,
+        domain: &str,
+        domains: &Domains,
+    ) -> Option<&Row> {
+        self.rows
+            .iter()
+            .filter(|row| row.model == model && row.version == *version)
+            .find(|row| row.permits(domain, domains))
+    }
+
+    /// Whether any row names the model.
+    pub fn knows(&self, model: &str) -> bool {
+        self.rows.iter().any(|row| row.model == model)
+    }
+
+    /// Whether the version's weights may lie in the failure domain.
+    pub fn may_hold(&self, version: &Version, domain: &str, domains: &Domains) -> bool {
+        self.rows
+            .iter()
+            .any(|row| row.version == *version && row.permits(domain, domains))
+    }
+}
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,98 @@
+//! Bounded server: one task for each connection, drained at a planned stop.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::server::graceful::GracefulShutdown;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Semaphore, watch};
+
+use crate::{Request, Response};
+
+/// Pause after a failed accept, so that a lack of descriptors doesn't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of a server.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Connections at once.
+    pub connections: usize,
+    /// Longest wait for a head.
+    pub header_timeout: Duration,
+    /// Largest head, in bytes.
+    pub header_bytes: usize,
+    /// Longest drain at a planned stop.
+    pub drain: Duration,
+}
+
+impl Bounds {
+    /// Bounds for admin servers and stand-ins.
+    pub fn internal() -> Bounds {
+        Bounds {
+            connections: 4096,
+            header_timeout: Duration::from_secs(10),
+            header_bytes: 64 << 10,
+            drain: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Receives `true` when a planned stop begins.
+pub type Stop = watch::Receiver<bool>;
+
+/// Serves until a planned stop, then lets running requests end within the drain time.
+pub async fn serve<H, F>(listener: TcpListener, bounds: Bounds, mut stop: Stop, handler: H)
+where
+    H: Fn(Request) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let graceful = GracefulShutdown::new();
+    let slots = Arc::new(Semaphore::new(bounds.connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stopping| *stopping) => break,
+        };
+        match (accepted, slots.clone().try_acquire_owned()) {
+            (Ok((stream, _)), Ok(slot)) => {
+                let watcher = graceful.watcher();
+                let handler = handler.clone();
+                tokio::spawn(async move {
+                    connection(stream, bounds, watcher, handler).await;
+                    drop(slot);
+                });
+            }
+            (Ok((stream, _)), Err(_)) => drop(stream),
+            (Err(_), _) => tokio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    drop(listener);
+    let _ = tokio::time::timeout(bounds.drain, graceful.shutdown()).await;
+}
+
+async fn connection<H, F>(
+    stream: TcpStream,
+    bounds: Bounds,
+    watcher: hyper_util::server::graceful::Watcher,
+    handler: H,
+) where
+    H: Fn(Request) -> F + Send + Sync + 'static,
+    F: Future<Output = Response> + Send + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |req| {
+        let answer = handler(req);
+        async move { Ok::<_, Infallible>(answer.await) }
+    });
+    let conn = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(bounds.header_timeout)
+        .max_buf_size(bounds.header_bytes)
+        .serve_connection(TokioIo::new(stream), service);
+    // A broken connection is the peer's affair; its request is handled where it runs.
+    let _ = watcher.watch(conn).await;
+}
--- /dev/null
+++ b/crates/wire/src/convert.rs
@@ -0,0 +1,287 @@
+//! Messages to and from the generated code.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use capnp::{struct_list, text, text_list};
+use table::{Edition, Version};
+
+use crate::control_capnp as c;
+use crate::{
+    AgentInfo, Beat, BeatReply, Claim, Claimed, Freshness, Holding, Note, Peer, Replica, Rollout,
+    WireError,
+};
+
+type Read<T> = Result<T, WireError>;
+
+fn garbled(what: &str) -> WireError {
+    WireError::Garbled(what.to_owned())
+}
+
+fn string(t: text::Reader) -> Read<String> {
+    Ok(t.to_str()?.to_owned())
+}
+
+fn parse<T: FromStr>(t: text::Reader, what: &str) -> Read<T> {
+    t.to_str()?.parse().map_err(|_| garbled(what))
+}
+
+fn version(t: text::Reader) -> Read<Version> {
+    Version::parse(t.to_str()?).ok_or_else(|| garbled("version"))
+}
+
+fn addrs(list: text_list::Reader) -> Read<Vec<SocketAddr>> {
+    list.iter().map(|t| parse(t?, "address")).collect()
+}
+
+fn write_addrs(mut list: text_list::Builder, addrs: &[SocketAddr]) {
+    for (i, addr) in addrs.iter().enumerate() {
+        list.set(i as u32, addr.to_string().as_str());
+    }
+}
+
+/// Reads who an agent is.
+pub fn read_info(r: c::agent_info::Reader) -> Read<AgentInfo> {
+    Ok(AgentInfo {
+        vm: string(r.get_vm()?)?,
+        domain: string(r.get_domain()?)?,
+        incarnation: r.get_incarnation(),
+        listen: parse(r.get_listen()?, "address")?,
+        peer: parse(r.get_peer()?, "address")?,
+        service: r.get_service(),
+        repeatable: r.get_repeatable(),
+    })
+}
+
+/// Writes who an agent is.
+pub fn write_info(mut b: c::agent_info::Builder, info: &AgentInfo) {
+    b.set_vm(info.vm.as_str());
+    b.set_domain(info.domain.as_str());
+    b.set_incarnation(info.incarnation);
+    b.set_listen(info.listen.to_string().as_str());
+    b.set_peer(info.peer.to_string().as_str());
+    b.set_service(info.service);
+    b.set_repeatable(info.repeatable);
+}
+
+/// Reads a heartbeat.
+pub fn read_beat(r: c::beat::Reader) -> Read<Beat> {
+    let holdings = r.get_holdings()?.iter().map(|h| {
+        Ok(Holding {
+            model: string(h.get_model()?)?,
+            version: version(h.get_version()?)?,
+            live: h.get_live(),
+            permille: h.get_permille(),
+        })
+    });
+    Ok(Beat {
+        revision: r.get_revision(),
+        running: r.get_running(),
+        leaving: r.get_leaving(),
+        holdings: holdings.collect::<Read<_>>()?,
+        entries_seen: r.get_entries_seen(),
+    })
+}
+
+/// Writes a heartbeat.
+pub fn write_beat(mut b: c::beat::Builder, beat: &Beat) {
+    b.set_revision(beat.revision);
+    b.set_running(beat.running);
+    b.set_leaving(beat.leaving);
+    b.set_entries_seen(beat.entries_seen);
+    let mut list = b.init_holdings(beat.holdings.len() as u32);
+    for (i, holding) in beat.holdings.iter().enumerate() {
+        let mut h = list.reborrow().get(i as u32);
+        h.set_model(holding.model.as_str());
+        h.set_version(holding.version.to_string().as_str());
+        h.set_live(holding.live);
+        h.set_permille(holding.permille);
+    }
+}
+
+fn read_fresh(r: c::freshness::Reader) -> Freshness {
+    Freshness {
+        revision: r.get_revision(),
+        age: Duration::from_millis(r.get_age_ms()),
+    }
+}
+
+fn write_fresh(mut b: c::freshness::Builder, fresh: &Freshness) {
+    b.set_revision(fresh.revision);
+    b.set_age_ms(fresh.age.as_millis() as u64);
+}
+
+/// Reads the answer to a heartbeat.
+pub fn read_beat_reply(r: c::beat_reply::Reader) -> Read<BeatReply> {
+    Ok(BeatReply {
+        fresh: read_fresh(r.get_fresh()?),
+        interval: Duration::from_millis(r.get_interval_ms().into()),
+        leaving: r.get_leaving(),
+        entries_seen: r.get_entries_seen(),
+        entries: addrs(r.get_entries()?)?,
+    })
+}
+
+/// Writes the answer to a heartbeat.
+pub fn write_beat_reply(mut b: c::beat_reply::Builder, reply: &BeatReply) {
+    write_fresh(b.reborrow().init_fresh(), &reply.fresh);
+    b.set_interval_ms(reply.interval.as_millis() as u32);
+    b.set_leaving(reply.leaving);
+    b.set_entries_seen(reply.entries_seen);
+    write_addrs(b.init_entries(reply.entries.len() as u32), &reply.entries);
+}
+
+/// Reads an edition of the table.
+pub fn read_edition(r: c::edition::Reader) -> Read<Edition> {
+    Ok(Edition {
+        revision: r.get_revision(),
+        edit: string(r.get_edit()?)?,
+        author: string(r.get_author()?)?,
+        at_ms: r.get_at_ms(),
+        csv: string(r.get_csv()?)?,
+    })
+}
+
+/// Writes an edition of the table.
+pub fn write_edition(mut b: c::edition::Builder, edition: &Edition) {
+    b.set_revision(edition.revision);
+    b.set_edit(edition.edit.as_str());
+    b.set_author(edition.author.as_str());
+    b.set_at_ms(edition.at_ms);
+    b.set_csv(edition.csv.as_str());
+}
+
+/// Reads a list of peers.
+pub fn read_peers(list: struct_list::Reader<c::peer::Owned>) -> Read<Vec<Peer>> {
+    let read = |r: c::peer::Reader| {
+        Ok(Peer {
+            vm: string(r.get_vm()?)?,
+            domain: string(r.get_domain()?)?,
+            addr: parse(r.get_addr()?, "address")?,
+            leaving: r.get_leaving(),
+        })
+    };
+    list.iter().map(read).collect()
+}
+
+/// Writes a list of peers.
+pub fn write_peers(mut list: struct_list::Builder<c::peer::Owned>, peers: &[Peer]) {
+    for (i, peer) in peers.iter().enumerate() {
+        let mut b = list.reborrow().get(i as u32);
+        b.set_vm(peer.vm.as_str());
+        b.set_domain(peer.domain.as_str());
+        b.set_addr(peer.addr.to_string().as_str());
+        b.set_leaving(peer.leaving);
+    }
+}
+
+fn read_replica(r: c::replica::Reader) -> Read<Replica> {
+    Ok(Replica {
+        model: string(r.get_model()?)?,
+        version: version(r.get_version()?)?,
+        vm: string(r.get_vm()?)?,
+        listen: parse(r.get_listen()?, "address")?,
+        incarnation: r.get_incarnation(),
+    })
+}
+
+fn write_replica(mut b: c::replica::Builder, replica: &Replica) {
+    b.set_model(replica.model.as_str());
+    b.set_version(replica.version.to_string().as_str());
+    b.set_vm(replica.vm.as_str());
+    b.set_listen(replica.listen.to_string().as_str());
+    b.set_incarnation(replica.incarnation);
+}
+
+fn read_rollout(r: c::rollout::Reader) -> Read<Rollout> {
+    Ok(Rollout {
+        version: version(r.get_version()?)?,
+        peers: read_peers(r.get_peers()?)?,
+    })
+}
+
+/// Reads a note between entries.
+pub fn read_note(r: c::note::Reader) -> Read<Note> {
+    Ok(Note {
+        vm: string(r.get_vm()?)?,
+        domain: string(r.get_domain()?)?,
+        control: parse(r.get_control()?, "address")?,
+        fresh: read_fresh(r.get_fresh()?),
+        leaving: r.get_leaving(),
+        entries: addrs(r.get_entries()?)?,
+        replicas: r
+            .get_replicas()?
+            .iter()
+            .map(read_replica)
+            .collect::<Read<_>>()?,
+        rollouts: r
+            .get_rollouts()?
+            .iter()
+            .map(read_rollout)
+            .collect::<Read<_>>()?,
+    })
+}
+
+/// Writes a note between entries.
+pub fn write_note(mut b: c::note::Builder, note: &Note) {
+    b.set_vm(note.vm.as_str());
+    b.set_domain(note.domain.as_str());
+    b.set_control(note.control.to_string().as_str());
+    write_fresh(b.reborrow().init_fresh(), &note.fresh);
+    b.set_leaving(note.leaving);
+    let entries = b.reborrow().init_entries(note.entries.len() as u32);
+    write_addrs(entries, &note.entries);
+    let mut replicas = b.reborrow().init_replicas(note.replicas.len() as u32);
+    for (i, replica) in note.replicas.iter().enumerate() {
+        write_replica(replicas.reborrow().get(i as u32), replica);
+    }
+    let mut rollouts = b.init_rollouts(note.rollouts.len() as u32);
+    for (i, rollout) in note.rollouts.iter().enumerate() {
+        let mut b = rollouts.reborrow().get(i as u32);
+        b.set_version(rollout.version.to_string().as_str());
+        write_peers(b.init_peers(rollout.peers.len() as u32), &rollout.peers);
+    }
+}
+
+/// Reads claims.
+pub fn read_claims(list: struct_list::Reader<c::claim::Owned>) -> Read<Vec<Claim>> {
+    let read = |r: c::claim::Reader| {
+        Ok(Claim {
+            key: string(r.get_key()?)?,
+            value: string(r.get_value()?)?,
+            ttl: Duration::from_secs(r.get_ttl_s()),
+        })
+    };
+    list.iter().map(read).collect()
+}
+
+/// Writes claims.
+pub fn write_claims(mut list: struct_list::Builder<c::claim::Owned>, claims: &[Claim]) {
+    for (i, claim) in claims.iter().enumerate() {
+        let mut b = list.reborrow().get(i as u32);
+        b.set_key(claim.key.as_str());
+        b.set_value(claim.value.as_str());
+        b.set_ttl_s(claim.ttl.as_secs());
+    }
+}
+
+/// Reads what became of a claim.
+pub fn read_claimed(claimed: c::Claimed) -> Claimed {
+    match claimed {
+        c::Claimed::Won => Claimed::Won,
+        c::Claimed::Taken => Claimed::Taken,
+        c::Claimed::Unknown => Claimed::Unknown,
+        c::Claimed::Down => Claimed::Down,
+    }
+}
+
+/// Writes what became of a claim.
+pub fn write_claimed(claimed: Claimed) -> c::Claimed {
+    match claimed {
+        Claimed::Won => c::Claimed::Won,
+        Claimed::Taken => c::Claimed::Taken,
+        Claimed::Unknown => c::Claimed::Unknown,
+        Claimed::Down => c::Claimed::Down,
+    }
+}
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,145 @@
+//! One control link: made, called, accepted.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use capnp::message::ReaderOptions;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::{RpcSystem, twoparty};
+use table::Edition;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use crate::control_capnp::entry;
+use crate::convert;
+use crate::counted::{Counted, Traffic};
+use crate::{AgentInfo, Claim, Claimed, Note, SeatLink, WireError};
+
+/// Largest message, in words of eight bytes.
+const MAX_MESSAGE_WORDS: usize = 4 << 20;
+
+/// Longest wait for a call that is answered at once.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
+    options
+}
+
+type Network =
+    twoparty::VatNetwork<tokio_util::compat::Compat<Counted<tokio::net::tcp::OwnedReadHalf>>>;
+
+fn network(stream: TcpStream, side: Side, traffic: &Traffic) -> Box<Network> {
+    let _ = stream.set_nodelay(true);
+    let (rx, tx) = stream.into_split();
+    Box::new(twoparty::VatNetwork::new(
+        Counted::new(rx, traffic.clone()).compat(),
+        Counted::new(tx, traffic.clone()).compat_write(),
+        side,
+        reader_options(),
+    ))
+}
+
+/// Serves one accepted link until it breaks.
+pub async fn accept(
+    stream: TcpStream,
+    server: entry::Client,
+    traffic: &Traffic,
+) -> Result<(), WireError> {
+    let network = network(stream, Side::Server, traffic);
+    RpcSystem::new(network, Some(server.client)).await?;
+    Ok(())
+}
+
+/// A link to an entry. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Link {
+    entry: entry::Client,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl std::fmt::Debug for entry::Client {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("entry::Client")
+    }
+}
+
+impl Link {
+    /// Makes a link; call within a `LocalSet`.
+    pub async fn connect(to: SocketAddr, traffic: &Traffic) -> Result<Link, WireError> {
+        let connected = tokio::time::timeout(CALL_TIMEOUT, TcpStream::connect(to)).await;
+        let stream = match connected {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(WireError::Unreachable(format!("{to}: {e}"))),
+            Err(_) => return Err(WireError::Unreachable(format!("{to}: no answer"))),
+        };
+        let mut rpc = RpcSystem::new(network(stream, Side::Client, traffic), None);
+        let client: entry::Client = rpc.bootstrap(Side::Server);
+        let driver = tokio::task::spawn_local(async move {
+            // The calls on the link see its end and say so.
+            let _ = rpc.await;
+        });
+        Ok(Link {
+            entry: client,
+            driver,
+        })
+    }
+
+    /// Joins as an agent.
+    pub async fn join(&self, info: &AgentInfo) -> Result<SeatLink, WireError> {
+        let mut req = self.entry.join_request();
+        convert::write_info(req.get().init_info(), info);
+        let res = timely(req.send().promise).await?;
+        let seat = res.get()?.get_seat()?;
+        Ok(SeatLink::new(seat))
+    }
+
+    /// Exchanges notes with the entry.
+    pub async fn exchange(&self, note: &Note) -> Result<Note, WireError> {
+        let mut req = self.entry.exchange_request();
+        convert::write_note(req.get().init_note(), note);
+        let res = timely(req.send().promise).await?;
+        convert::read_note(res.get()?.get_note()?)
+    }
+
+    /// Waits, for as long as it takes, until the entry has a later revision than `have`.
+    pub async fn watch(&self, have: base::Revision) -> Result<Edition, WireError> {
+        let mut req = self.entry.watch_request();
+        req.get().set_have(have);
+        let res = req.send().promise.await?;
+        convert::read_edition(res.get()?.get_edition()?)
+    }
+
+    /// Has the entry write claims for this one.
+    pub async fn claim(
+        &self,
+        claims: &[Claim],
+        within: Duration,
+    ) -> Result<Vec<Claimed>, WireError> {
+        let mut req = self.entry.claim_request();
+        convert::write_claims(req.get().init_claims(claims.len() as u32), claims);
+        let res = tokio::time::timeout(within, req.send().promise).await;
+        let res = res.map_err(|_| WireError::Slow)??;
+        let list = res.get()?.get_results()?;
+        let read = list.iter().map(|c| c.map(convert::read_claimed));
+        Ok(read.collect::<Result<_, _>>()?)
+    }
+}
+
+/// Waits for a call that is answered at once.
+pub(crate) async fn timely<T>(
+    call: impl Future<Output = Result<T, capnp::Error>>,
+) -> Result<T, WireError> {
+    match tokio::time::timeout(CALL_TIMEOUT, call).await {
+        Ok(res) => Ok(res?),
+        Err(_) => Err(WireError::Slow),
+    }
+}
--- /dev/null
+++ b/crates/wire/src/seat.rs
@@ -0,0 +1,49 @@
+//! An agent's seat at an entry: what it may call once it has joined.
+
+use table::{Edition, Version};
+
+use crate::control_capnp::seat;
+use crate::convert;
+use crate::link::timely;
+use crate::{Beat, BeatReply, Peer, WireError};
+
+/// The agent's end of its seat.
+pub struct SeatLink {
+    seat: seat::Client,
+}
+
+impl std::fmt::Debug for SeatLink {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SeatLink")
+    }
+}
+
+impl SeatLink {
+    pub(crate) fn new(seat: seat::Client) -> SeatLink {
+        SeatLink { seat }
+    }
+
+    /// Sends a heartbeat.
+    pub async fn beat(&self, beat: &Beat) -> Result<BeatReply, WireError> {
+        let mut req = self.seat.beat_request();
+        convert::write_beat(req.get().init_beat(), beat);
+        let res = timely(req.send().promise).await?;
+        convert::read_beat_reply(res.get()?.get_reply()?)
+    }
+
+    /// Waits, for as long as it takes, until the entry has a later revision than `have`.
+    pub async fn watch(&self, have: base::Revision) -> Result<Edition, WireError> {
+        let mut req = self.seat.watch_request();
+        req.get().set_have(have);
+        let res = req.send().promise.await?;
+        convert::read_edition(res.get()?.get_edition()?)
+    }
+
+    /// Agents that fetch or hold a version.
+    pub async fn peers(&self, version: &Version) -> Result<Vec<Peer>, WireError> {
+        let mut req = self.seat.peers_request();
+        req.get().set_version(version.to_string().as_str());
+        let res = timely(req.send().promise).await?;
+        convert::read_peers(res.get()?.get_peers()?)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/thread.rs
@@ -0,0 +1,20 @@
+//! A thread for futures that must stay on one thread.
+
+use std::future::Future;
+use std::thread::JoinHandle;
+
+use tokio::task::LocalSet;
+
+/// Runs a future, and what it spawns locally, on a named thread of its own until it ends.
+pub fn spawn<M, F>(name: String, make: M) -> std::io::Result<JoinHandle<()>>
+where
+    M: FnOnce() -> F + Send + 'static,
+    F: Future<Output = ()> + 'static,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    std::thread::Builder::new()
+        .name(name)
+        .spawn(move || LocalSet::new().block_on(&runtime, make()))
+}
