Advertise addresses other than the bound ones, and choose the outgoing one

Cause: a failure domain can only be cut off in a test, and a VM behind address translation only be used, if what it listens on and what others reach it by may differ.

--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -18,7 +18,7 @@
 use weights::{Manifest, StoreError};
 use wire::Peer;
 
-use crate::source::{Rule, Source, Swarm};
+use crate::swarm::{Rule, Source, Swarm};
 use crate::{Agent, PeersJob};
 
 /// Log prefix of this part.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request's way: [`ask`] reads what an entry sent, [`gate`] lets it in or refuses it for
 //! certain, [`handle`] runs it at the upstream, and [`ledger`] remembers unsafe ones. Weights:
 //! [`rollout`] compares the table with what the engine has, [`fetch`] brings a version's chunks
-//! in from the sources that [`source`] ranks, [`peer`] passes them on, and [`engine`] gives orders.
+//! in from the sources that [`swarm`] ranks, [`peer`] passes them on, and [`engine`] gives orders.
 //! [`links`] keeps links to the entries of the failure domain.
 
 pub mod admin;
@@ -17,7 +17,7 @@
 pub mod peer;
 pub mod rollout;
 pub mod run;
-pub mod source;
+pub mod swarm;
 
 pub use run::{AgentError, run};
 
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -90,7 +90,7 @@
     live: &Live,
     learnt: &Learnt,
 ) -> Result<(), WireError> {
-    let link = Link::connect(addr, &agent.traffic).await?;
+    let link = Link::connect(addr, agent.cfg.upkeep.source, &agent.traffic).await?;
     let seat = Rc::new(link.join(&info_of(agent)).await?);
     info!(target: PART, "{PART}: joined entry {addr}");
     live.borrow_mut().insert(addr, seat.clone());
@@ -157,8 +157,8 @@
         vm: agent.cfg.upkeep.vm.clone(),
         domain: agent.cfg.upkeep.domain.clone(),
         incarnation: agent.incarnation,
-        listen: agent.cfg.listen,
-        peer: agent.cfg.peer,
+        listen: agent.cfg.listen_reached(),
+        peer: agent.cfg.peer_reached(),
         service: !agent.cfg.is_engine(),
         repeatable: agent.cfg.repeatable,
     }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -13,7 +13,7 @@
 use table::Force;
 use tokio::net::TcpListener;
 use tokio::sync::{Semaphore, mpsc, watch};
-use web::{Bounds, Client, Stop};
+use web::{Bounds, Client, Dial, Stop};
 use weights::ChunkStore;
 use wire::counted::Traffic;
 
@@ -115,9 +115,18 @@
         gate: Gate::default(),
         ledger: Ledger::new(cfg.answer_memory as usize, cfg.answer_retention),
         engine: Engine::new(cfg.upstream, cfg.engine_timeout, cfg.load_timeout),
-        client: Client::new(CONNECT_TIMEOUT),
-        objects: Objects::new(Kv::new(platform.objects, platform.timeout)),
-        origin: Origin::new(origin, cfg.chunk_timeout),
+        client: Client::new(Dial {
+            timeout: CONNECT_TIMEOUT,
+            source: upkeep.source,
+        }),
+        objects: Objects::new(Kv::new(platform.objects, platform.dial())),
+        origin: Origin::new(
+            origin,
+            Dial {
+                timeout: cfg.chunk_timeout,
+                source: upkeep.source,
+            },
+        ),
         peers,
         traffic: Traffic::default(),
         drawn: Drawn::default(),
--- a/crates/cli/src/commands/operator.rs
+++ b/crates/cli/src/commands/operator.rs
@@ -9,7 +9,7 @@
 use serde::de::DeserializeOwned;
 use settings::{OperatorCfg, Settings};
 use tokio::runtime::{Builder, Runtime};
-use web::{Client, read_body};
+use web::{Client, Dial, read_body};
 
 use super::process;
 use crate::error::Error;
@@ -38,7 +38,7 @@
 
 /// The table's editions.
 pub fn tables(cfg: &OperatorCfg) -> Tables {
-    Tables::new(Kv::new(cfg.platform.table, cfg.platform.timeout))
+    Tables::new(Kv::new(cfg.platform.table, cfg.platform.dial()))
 }
 
 /// Asks an admin address; `None` where nobody answers.
@@ -47,7 +47,10 @@
         .uri(path)
         .body(web::empty())
         .ok()?;
-    let res = Client::new(ANSWER).send(addr, req, ANSWER).await.ok()?;
+    let res = Client::new(Dial::within(ANSWER))
+        .send(addr, req, ANSWER)
+        .await
+        .ok()?;
     let buf = read_body(res.into_body(), MAX_ANSWER, ANSWER).await.ok()?;
     Some(buf.to_vec())
 }
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -8,6 +8,7 @@
 use base::Digest;
 use platform::{Kv, Objects, Origin};
 use serde::Serialize;
+use web::Dial;
 use weights::Manifest;
 
 use super::operator;
@@ -31,12 +32,12 @@
     let manifest =
         Manifest::of(open(&options.file)?, options.chunk_bytes).map_err(Error::Weights)?;
     let version = manifest.digest();
-    let kv = Kv::new(cfg.platform.objects, cfg.platform.timeout);
+    let kv = Kv::new(cfg.platform.objects, cfg.platform.dial());
     let origin = cfg
         .platform
         .origin
         .ok_or_else(|| Error::Usage("the settings name no origin; add `platform_origin`".into()))?;
-    let origin = Origin::new(origin, CHUNK_TIMEOUT);
+    let origin = Origin::new(origin, Dial::within(CHUNK_TIMEOUT));
     operator::runtime()?.block_on(async {
         send_chunks(&origin, &manifest, open(&options.file)?, &options.file).await?;
         // The manifest goes last: whoever finds it finds all of the weights.
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -18,7 +18,7 @@
 
 use crate::call::Call;
 use crate::limit::Counted;
-use crate::running::Running;
+use crate::route::running::Running;
 use crate::telemetry::{Labels, Telemetry};
 
 /// Last event of a whole stream.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,34 +1,29 @@
 //! The entry: takes callers' requests and sends them to upstreams in permitted places.
 //!
 //! A request's way, file by file: [`call`] reads it, [`serve`] finds its row, [`limit`] counts it,
-//! [`dispatch`] takes it to an upstream that [`route`] chooses, waiting in the [`queue`] where all
-//! are busy, [`attempt`] sends it, [`answer`] brings the answer back, and [`refusal`] says what
-//! became of a request without one. [`claim`] keeps unsafe requests from running twice.
+//! [`route::dispatch`] takes it to an upstream that [`route::pick`] chooses, waiting for its
+//! [`admission`] where all are busy, [`route::attempt`] sends it, [`answer`] brings the answer
+//! back, and [`refusal`] says what became of a request without one. [`claim`] keeps unsafe
+//! requests from running twice.
 //!
-//! Beside that, [`poll`] reads the platform, [`control`] answers agents and other entries, and
-//! [`links`] keeps links to other entries. [`fleet`] is what they learn.
+//! Beside that, [`poll`] reads the platform, [`membership::control`] answers agents and other
+//! entries, and [`membership::links`] keeps links to other entries. [`membership::fleet`] is what
+//! they learn.
 
 pub mod admin;
+pub mod admission;
 pub mod answer;
-pub mod attempt;
 pub mod call;
 pub mod claim;
-pub mod control;
-pub mod dispatch;
-pub mod fleet;
 pub mod limit;
-pub mod links;
+pub mod membership;
 pub mod poll;
-pub mod queue;
 pub mod refusal;
 pub mod retry;
 pub mod route;
 pub mod run;
-pub mod running;
 pub mod serve;
-pub mod share;
 pub mod telemetry;
-pub mod upstream;
 
 pub use run::{EntryError, run};
 
@@ -53,15 +48,15 @@
     /// The edition it serves by.
     pub force: Arc<Force>,
     /// Upstreams and entries it knows.
-    pub fleet: fleet::Fleet,
+    pub fleet: membership::fleet::Fleet,
     /// Limits.
     pub limiter: limit::Limiter,
     /// Requests that wait for a slot.
-    pub queue: queue::Queue,
+    pub queue: admission::Queue,
     /// Retry budget.
     pub retries: retry::RetryBudget,
     /// Split of traffic over versions.
-    pub shares: share::Shares,
+    pub shares: route::share::Shares,
     /// Claims on idempotency keys.
     pub claims: claim::Claims,
     /// Client towards agents.
@@ -71,7 +66,7 @@
     /// Bytes of control links.
     pub traffic: Traffic,
     /// Addresses of entries to link to.
-    pub book: links::AddressBook,
+    pub book: membership::links::AddressBook,
     stopping: AtomicBool,
 }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/membership/control.rs
@@ -13,7 +13,7 @@
 use wire::{BeatReply, Freshness, Note, WireError, convert};
 
 use crate::Entry;
-use crate::upstream::Upstream;
+use crate::membership::upstream::Upstream;
 
 /// Log prefix of this part.
 const PART: &str = "control";
@@ -195,7 +195,7 @@
     Note {
         vm: upkeep.vm.clone(),
         domain: upkeep.domain.clone(),
-        control: entry.cfg.control,
+        control: entry.cfg.control_reached(),
         fresh: freshness(entry),
         leaving: entry.stopping(),
         entries: entry.book.sample(ENTRY_SAMPLE),
@@ -214,5 +214,5 @@
 
 fn domain_entries(entry: &Entry) -> Vec<SocketAddr> {
     let siblings = entry.fleet.siblings().into_iter().map(|e| e.note.control);
-    siblings.chain([entry.cfg.control]).collect()
+    siblings.chain([entry.cfg.control_reached()]).collect()
 }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/membership/fleet.rs
@@ -13,7 +13,7 @@
 use table::Version;
 use wire::{AgentInfo, Note, Peer, Replica, Rollout};
 
-use crate::upstream::Upstream;
+use crate::membership::upstream::Upstream;
 
 /// Live replicas of one version a domain tells others of.
 const REPLICA_SAMPLE: usize = 8;
--- a/crates/entry/src/links.rs
+++ b/crates/entry/src/membership/links.rs
@@ -19,7 +19,7 @@
 use wire::{Claim, Claimed, Link, WireError};
 
 use crate::Entry;
-use crate::control::own_note;
+use crate::membership::control::own_note;
 
 /// Log prefix of this part.
 const PART: &str = "links";
@@ -167,7 +167,7 @@
 
 /// Uses a link until it breaks.
 async fn use_link(entry: &Arc<Entry>, addr: SocketAddr, live: &Live) -> Result<(), WireError> {
-    let link = Rc::new(Link::connect(addr, &entry.traffic).await?);
+    let link = Rc::new(Link::connect(addr, entry.cfg.upkeep.source, &entry.traffic).await?);
     let mut to = exchange(entry, &link, "").await?;
     info!(target: PART, "{PART}: linked to entry {addr} in {to}");
     live.borrow_mut().insert(addr, link.clone());
--- a/crates/entry/src/poll.rs
+++ b/crates/entry/src/poll.rs
@@ -8,7 +8,7 @@
 use platform::{Member, MemberRole, MemberState, Members, Tables, Tag};
 
 use crate::Entry;
-use crate::links::offer;
+use crate::membership::links::offer;
 
 /// Log prefix of this part.
 const PART: &str = "poll";
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/route/attempt.rs
@@ -13,9 +13,9 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::call::Call;
 use crate::claim::Record;
+use crate::membership::upstream::Upstream;
 use crate::refusal::SOON;
-use crate::running::Running;
-use crate::upstream::Upstream;
+use crate::route::running::Running;
 
 /// How an attempt ended.
 #[derive(Debug)]
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/route/dispatch.rs
@@ -14,13 +14,13 @@
 
 use crate::Entry;
 use crate::answer::Answer;
-use crate::attempt::{Attempt, Settlement, attempt, priority, settle};
 use crate::call::{Call, Safety};
 use crate::claim::{Record, Written, key_of};
+use crate::membership::upstream::Upstream;
 use crate::refusal::{Refusal, SOON};
-use crate::route::{Pick, pick};
-use crate::running::Running;
-use crate::upstream::Upstream;
+use crate::route::attempt::{Attempt, Settlement, attempt, priority, settle};
+use crate::route::pick::{Pick, pick};
+use crate::route::running::Running;
 
 /// Log prefix of this part.
 const PART: &str = "dispatch";
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route/pick.rs
@@ -15,8 +15,8 @@
 use table::Row;
 
 use crate::call::Call;
-use crate::fleet::Fleet;
-use crate::upstream::{Slot, Upstream};
+use crate::membership::fleet::Fleet;
+use crate::membership::upstream::{Slot, Upstream};
 
 /// What became of a choice.
 #[derive(Debug)]
--- a/crates/entry/src/running.rs
+++ b/crates/entry/src/route/running.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::Entry;
-use crate::upstream::{Slot, Upstream};
+use crate::membership::upstream::{Slot, Upstream};
 
 /// A running request; frees its slot when dropped.
 #[derive(Debug)]
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -13,19 +13,20 @@
 use table::Force;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot, watch};
-use web::{Bounds, Client, Stop};
+use web::{Bounds, Client, Dial, Stop};
 use wire::Claimed;
 use wire::counted::Traffic;
 
+use crate::admission::Queue;
 use crate::claim::{Claims, Gather};
-use crate::fleet::Fleet;
 use crate::limit::Limiter;
-use crate::links::{AddressBook, ClaimJob};
-use crate::queue::Queue;
+use crate::membership::fleet::Fleet;
+use crate::membership::links::{AddressBook, ClaimJob};
+use crate::membership::{control, links};
 use crate::retry::RetryBudget;
-use crate::share::Shares;
+use crate::route::share::Shares;
 use crate::telemetry::{BurnBounds, Telemetry};
-use crate::{Entry, admin, control, links, poll, serve};
+use crate::{Entry, admin, poll, serve};
 
 /// Log prefix of this part.
 const PART: &str = "entry";
@@ -95,7 +96,7 @@
 
 fn new_entry(cfg: EntryCfg, jobs: mpsc::Sender<ClaimJob>) -> Arc<Entry> {
     let upkeep = cfg.upkeep.clone();
-    let kv = Kv::new(upkeep.platform.table, upkeep.platform.timeout);
+    let kv = Kv::new(upkeep.platform.table, upkeep.platform.dial());
     let gather = Gather {
         interval: cfg.claim_interval,
         batch: cfg.claim_batch as usize,
@@ -127,10 +128,13 @@
             retries: RetryBudget::new(cfg.retry_budget),
             shares: Shares::default(),
             claims: Claims::start(kv, gather, claimer, forward),
-            client: Client::new(cfg.connect_timeout),
+            client: Client::new(Dial {
+                timeout: cfg.connect_timeout,
+                source: upkeep.source,
+            }),
             telemetry: Arc::new(Telemetry::new(bounds)),
             traffic: Traffic::default(),
-            book: AddressBook::new(cfg.control, &cfg.entries),
+            book: AddressBook::new(cfg.control_reached(), &cfg.entries),
             stopping: AtomicBool::new(false),
             cfg,
         }
@@ -175,10 +179,10 @@
 
 fn start_polls(entry: &Arc<Entry>) {
     let cfg = &entry.cfg.upkeep.platform;
-    let tables = Tables::new(Kv::new(cfg.table, cfg.timeout));
+    let tables = Tables::new(Kv::new(cfg.table, cfg.dial()));
     tokio::spawn(poll::table(entry.clone(), tables));
     if let Some(addr) = cfg.members {
-        let members = Members::new(Kv::new(addr, cfg.timeout));
+        let members = Members::new(Kv::new(addr, cfg.dial()));
         tokio::spawn(poll::members(entry.clone(), members));
     }
     let gauge = entry.clone();
--- a/crates/entry/src/serve.rs
+++ b/crates/entry/src/serve.rs
@@ -9,10 +9,10 @@
 use crate::Entry;
 use crate::answer::Answer;
 use crate::call::Call;
-use crate::dispatch::Dispatch;
 use crate::limit::Counted;
 use crate::refusal::{Refusal, SOON};
-use crate::route::can_serve;
+use crate::route::dispatch::Dispatch;
+use crate::route::pick::can_serve;
 use crate::telemetry::Labels;
 
 /// Log prefix of this part.
--- a/crates/lab/src/commands/send.rs
+++ b/crates/lab/src/commands/send.rs
@@ -12,7 +12,7 @@
 use lab::standin::service::CallRecord;
 use pico_args::Arguments;
 use serde::Serialize;
-use web::Client;
+use web::{Client, Dial};
 
 use super::ready::get;
 use super::{deployment, finish};
@@ -89,7 +89,7 @@
 
 /// One caller at one entry: a round of every kind, again until the time is up.
 async fn caller(e: EntryVm, model: String, until: Instant, with_service: bool) -> Vec<Sent> {
-    let client = Client::new(Duration::from_secs(1));
+    let client = Client::new(Dial::within(Duration::from_secs(1)));
     let mut sent = Vec::new();
     let mut round = 0;
     loop {
@@ -169,7 +169,7 @@
 
 /// How often each marker ran, by the ledgers of all upstreams.
 async fn runs(layout: &Layout) -> BTreeMap<String, u32> {
-    let client = Client::new(Duration::from_secs(1));
+    let client = Client::new(Dial::within(Duration::from_secs(1)));
     let mut runs = BTreeMap::new();
     for u in layout.upstream_vms() {
         let markers: Vec<String> = match u.service {
--- a/crates/platform/src/kv.rs
+++ b/crates/platform/src/kv.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode, header};
 use serde::{Deserialize, Serialize};
-use web::{Client, SendError, read_body};
+use web::{Client, Dial, SendError, read_body};
 
 use crate::PlatformError;
 
@@ -80,12 +80,12 @@
 }
 
 impl Kv {
-    /// The service at an address.
-    pub fn new(addr: SocketAddr, timeout: Duration) -> Kv {
+    /// The service at an address; the dial's timeout bounds each answer, too.
+    pub fn new(addr: SocketAddr, dial: Dial) -> Kv {
         Kv {
-            client: Client::new(timeout),
+            client: Client::new(dial),
             addr,
-            timeout,
+            timeout: dial.timeout,
         }
     }
 
--- a/crates/platform/src/origin.rs
+++ b/crates/platform/src/origin.rs
@@ -6,7 +6,7 @@
 use base::Digest;
 use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
-use web::{Client, SendError, read_body};
+use web::{Client, Dial, SendError, read_body};
 
 use crate::PlatformError;
 
@@ -19,12 +19,12 @@
 }
 
 impl Origin {
-    /// The origin at an address; `timeout` bounds each read and write.
-    pub fn new(addr: SocketAddr, timeout: Duration) -> Origin {
+    /// The origin at an address; the dial's timeout bounds each read and write, too.
+    pub fn new(addr: SocketAddr, dial: Dial) -> Origin {
         Origin {
-            client: Client::new(timeout),
+            client: Client::new(dial),
             addr,
-            timeout,
+            timeout: dial.timeout,
         }
     }
 
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -11,6 +11,10 @@
     Choice(&'static [&'static str], &'static str),
     /// An IP number and port.
     Addr,
+    /// An IP number and port that may be left out.
+    MaybeAddr,
+    /// An IP number that may be left out.
+    MaybeIp,
     /// A list of IP numbers and ports; empty by default.
     Addrs,
     /// A list of names; `*` stands for all.
@@ -55,6 +59,8 @@
             Kind::Name => f.write_str("name | required |"),
             Kind::Choice(words, default) => write!(f, "{} | {default} |", words.join(" or ")),
             Kind::Addr => f.write_str("IP number:port | required |"),
+            Kind::MaybeAddr => f.write_str("IP number:port | none |"),
+            Kind::MaybeIp => f.write_str("IP number | none |"),
             Kind::Addrs => f.write_str("list of IP number:port | empty |"),
             Kind::Names("") => f.write_str("list of names | empty |"),
             Kind::Names(default) => write!(f, "list of names | [\"{default}\"] |"),
@@ -72,7 +78,9 @@
     }
 }
 
-use Kind::{Addr, Addrs, Bytes, Choice, Count, Duration, Flag, Map, Name, Names};
+use Kind::{
+    Addr, Addrs, Bytes, Choice, Count, Duration, Flag, Map, MaybeAddr, MaybeIp, Name, Names,
+};
 
 /// Fields of every role.
 pub const COMMON: &[Field] = &[
@@ -119,6 +127,11 @@
     field("vm", Name, "Id of this VM, as the platform lists it."),
     field("domain", Name, "Failure domain of this VM."),
     field("admin", Addr, "Metrics, health and readiness."),
+    field(
+        "source",
+        MaybeIp,
+        "IP number that this VM's connections to others come from, where it has several.",
+    ),
     field("platform_members", Addr, "The platform's list of VMs."),
     field(
         "drain_timeout",
@@ -161,6 +174,11 @@
 pub const ENTRY: &[Field] = &[
     field("listen", Addr, "Where callers come in."),
     field("control", Addr, "Where agents and other entries link to."),
+    field(
+        "control_advertised",
+        MaybeAddr,
+        "Where others reach `control`, if that is another address than it listens on.",
+    ),
     field(
         "entries",
         Addrs,
@@ -302,6 +320,16 @@
 pub const AGENT: &[Field] = &[
     field("listen", Addr, "Where entries send requests."),
     field("peer", Addr, "Where other agents fetch chunks."),
+    field(
+        "listen_advertised",
+        MaybeAddr,
+        "Where entries reach `listen`, if that is another address than it listens on.",
+    ),
+    field(
+        "peer_advertised",
+        MaybeAddr,
+        "Where other agents reach `peer`, if that is another address than it listens on.",
+    ),
     field(
         "upstream",
         Addr,
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -1,9 +1,10 @@
 //! Typed settings of each role, built from checked values.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use base::{DomainName, Domains, VmId};
+use web::Dial;
 
 use crate::value::{Value, Values};
 
@@ -31,6 +32,18 @@
     pub origin: Option<SocketAddr>,
     /// Longest wait for one answer.
     pub timeout: Duration,
+    /// Address that connections come from.
+    pub source: Option<IpAddr>,
+}
+
+impl PlatformCfg {
+    /// How connections to the platform are made.
+    pub fn dial(&self) -> Dial {
+        Dial {
+            timeout: self.timeout,
+            source: self.source,
+        }
+    }
 }
 
 /// Logs.
@@ -55,6 +68,8 @@
     pub domains: Domains,
     /// Admin address.
     pub admin: SocketAddr,
+    /// Address that connections come from.
+    pub source: Option<IpAddr>,
     /// Platform.
     pub platform: PlatformCfg,
     /// Longest drain at a planned stop.
@@ -101,6 +116,7 @@
     EntryCfg {
         listen: SocketAddr = addr,
         control: SocketAddr = addr,
+        control_advertised: Option<SocketAddr> = maybe_addr,
         entries: Vec<SocketAddr> = addrs,
         table_poll: Duration = duration,
         members_poll: Duration = duration,
@@ -135,7 +151,9 @@
     /// Settings of an agent; [`crate::field::AGENT`] says what each is for.
     AgentCfg {
         listen: SocketAddr = addr,
+        listen_advertised: Option<SocketAddr> = maybe_addr,
         peer: SocketAddr = addr,
+        peer_advertised: Option<SocketAddr> = maybe_addr,
         upstream: SocketAddr = addr,
         kind: String = text,
         entries: Vec<SocketAddr> = addrs,
@@ -182,7 +200,24 @@
     pub log: LogCfg,
 }
 
+impl EntryCfg {
+    /// Where others reach the control address.
+    pub fn control_reached(&self) -> SocketAddr {
+        self.control_advertised.unwrap_or(self.control)
+    }
+}
+
 impl AgentCfg {
+    /// Where entries reach the agent.
+    pub fn listen_reached(&self) -> SocketAddr {
+        self.listen_advertised.unwrap_or(self.listen)
+    }
+
+    /// Where peers reach the agent.
+    pub fn peer_reached(&self) -> SocketAddr {
+        self.peer_advertised.unwrap_or(self.peer)
+    }
+
     /// Whether the upstream is a model engine.
     pub fn is_engine(&self) -> bool {
         self.kind == "engine"
@@ -216,6 +251,7 @@
             domain: text(values, "domain"),
             domains: domains(values),
             admin: addr(values, "admin"),
+            source: maybe_ip(values, "source"),
             platform: PlatformCfg::new(values),
             drain_timeout: duration(values, "drain_timeout"),
             stop_notice: duration(values, "stop_notice"),
@@ -238,6 +274,9 @@
             members: maybe("platform_members"),
             origin: maybe("platform_origin"),
             timeout: duration(values, "platform_timeout"),
+            source: values
+                .get("source")
+                .and_then(|_| maybe_ip(values, "source")),
         }
     }
 }
@@ -278,3 +317,11 @@
 fn addr(values: &Values, field: &str) -> SocketAddr {
     addrs(values, field)[0]
 }
+
+fn maybe_addr(values: &Values, field: &str) -> Option<SocketAddr> {
+    addrs(values, field).first().copied()
+}
+
+fn maybe_ip(values: &Values, field: &str) -> Option<IpAddr> {
+    maybe_addr(values, field).map(|addr| addr.ip())
+}
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -39,7 +39,7 @@
     match kind {
         Kind::Name | Kind::Addr | Kind::Map(true) => None,
         Kind::Choice(_, word) => Some(Value::Text(word.to_owned())),
-        Kind::Addrs => Some(Value::Addrs(Vec::new())),
+        Kind::Addrs | Kind::MaybeAddr | Kind::MaybeIp => Some(Value::Addrs(Vec::new())),
         Kind::Names("") => Some(Value::Names(Vec::new())),
         Kind::Names(name) => Some(Value::Names(vec![name.to_owned()])),
         Kind::Map(false) => Some(Value::Pairs(Vec::new())),
@@ -55,7 +55,8 @@
     match kind {
         Kind::Name => read_name(node).map(Value::Text),
         Kind::Choice(words, _) => read_choice(node, words),
-        Kind::Addr => read_addr(node).map(|addr| Value::Addrs(vec![addr])),
+        Kind::MaybeIp => read_ip(node).map(|addr| Value::Addrs(vec![addr])),
+        Kind::Addr | Kind::MaybeAddr => read_addr(node).map(|addr| Value::Addrs(vec![addr])),
         Kind::Addrs => items(node)?
             .iter()
             .map(read_addr)
@@ -126,6 +127,14 @@
         .map_err(|_| format!("{s:?} is no IP number and port; write it as 127.0.0.1:8080"))
 }
 
+/// An IP number, as an address with no port.
+fn read_ip(node: &MarkedYaml) -> Result<SocketAddr, String> {
+    let s = scalar(node).ok_or("write an IP number, as 127.0.0.1")?;
+    s.parse()
+        .map(|ip| SocketAddr::new(ip, 0))
+        .map_err(|_| format!("{s:?} is no IP number; write it as 127.0.0.1"))
+}
+
 fn read_pairs(node: &MarkedYaml) -> Result<Value, String> {
     let remedy = "write a map of names, as {recife: nordeste}";
     let YamlData::Mapping(map) = &node.data else {
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -1,6 +1,6 @@
 //! Pooled client that says whether a request can have reached its server.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -37,6 +37,25 @@
     }
 }
 
+/// How connections are made.
+#[derive(Debug, Clone, Copy)]
+pub struct Dial {
+    /// Longest wait for a connection.
+    pub timeout: Duration,
+    /// Address that connections come from; `None` leaves it to the system.
+    pub source: Option<IpAddr>,
+}
+
+impl Dial {
+    /// Connections from any address.
+    pub fn within(timeout: Duration) -> Dial {
+        Dial {
+            timeout,
+            source: None,
+        }
+    }
+}
+
 /// Client with a pool of connections.
 #[derive(Debug, Clone)]
 pub struct Client {
@@ -44,11 +63,12 @@
 }
 
 impl Client {
-    /// A client that gives up on connecting after `connect_timeout`.
-    pub fn new(connect_timeout: Duration) -> Client {
+    /// A client.
+    pub fn new(dial: Dial) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_timeout));
+        connector.set_connect_timeout(Some(dial.timeout));
+        connector.set_local_address(dial.source);
         let pool = Pool::builder(TokioExecutor::new())
             .pool_max_idle_per_host(IDLE_PER_HOST)
             .pool_idle_timeout(IDLE_TIME)
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod server;
 
 pub use body::{Body, BodyError, empty, full, read_body};
-pub use client::{Client, SendError};
+pub use client::{Client, Dial, SendError};
 pub use server::{Bounds, Stop, serve};
 
 /// A request as a server gets it.
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,13 +1,13 @@
 //! One control link: made, called, accepted.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
 use table::Edition;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
@@ -74,8 +74,12 @@
 
 impl Link {
     /// Makes a link; call within a `LocalSet`.
-    pub async fn connect(to: SocketAddr, traffic: &Traffic) -> Result<Link, WireError> {
-        let connected = tokio::time::timeout(CALL_TIMEOUT, TcpStream::connect(to)).await;
+    pub async fn connect(
+        to: SocketAddr,
+        source: Option<IpAddr>,
+        traffic: &Traffic,
+    ) -> Result<Link, WireError> {
+        let connected = tokio::time::timeout(CALL_TIMEOUT, dial(to, source)).await;
         let stream = match connected {
             Ok(Ok(stream)) => stream,
             Ok(Err(e)) => return Err(WireError::Unreachable(format!("{to}: {e}"))),
@@ -134,6 +138,18 @@
     }
 }
 
+async fn dial(to: SocketAddr, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(to).await;
+    };
+    let socket = match to.is_ipv4() {
+        true => TcpSocket::new_v4()?,
+        false => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(to).await
+}
+
 /// Waits for a call that is answered at once.
 pub(crate) async fn timely<T>(
     call: impl Future<Output = Result<T, capnp::Error>>,
