--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -29,7 +29,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use settings::EntryCfg;
 use table::Force;
@@ -67,6 +67,8 @@
     pub traffic: Traffic,
     /// Addresses of entries to link to.
     pub book: membership::links::AddressBook,
+    /// When it started.
+    pub begun: Instant,
     stopping: AtomicBool,
 }
 
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use base::Digest;
 use displaydoc::Display;
@@ -135,6 +135,7 @@
             telemetry: Arc::new(Telemetry::new(bounds)),
             traffic: Traffic::default(),
             book: AddressBook::new(cfg.control_reached(), &cfg.entries),
+            begun: Instant::now(),
             stopping: AtomicBool::new(false),
             cfg,
         }
--- a/crates/lab/src/commands/standins.rs
+++ b/crates/lab/src/commands/standins.rs
@@ -17,7 +17,7 @@
     let rate = args.opt_value_from_str("--origin-rate")?;
     finish(args)?;
     let (_tx, stop) = watch::channel(false);
-    let platform = Platform::start(layout.platform(), rate, stop).await?;
+    let platform = Platform::start(layout.platform_bound(), rate, stop).await?;
     platform.set_members(&layout.members());
     until_term().await
 }
--- a/crates/lab/src/layout.rs
+++ b/crates/lab/src/layout.rs
@@ -13,6 +13,9 @@
 /// Ports of an upstream VM.
 const AGENT_PORTS: [u16; 4] = [8180, 8181, 8182, 8000];
 
+/// Added to the port of a process behind a relay.
+const BEHIND_RELAY: u16 = 10_000;
+
 /// First host number of upstream VMs.
 const FIRST_AGENT: u8 = 100;
 
@@ -31,6 +34,9 @@
     pub engines: u8,
     /// Agents beside plain services in each failure domain.
     pub services: u8,
+    /// Whether relays stand before the processes: these then listen on other ports than are
+    /// known of them.
+    pub relayed: bool,
 }
 
 /// An entry VM.
@@ -82,16 +88,36 @@
             entries,
             engines,
             services,
+            relayed: false,
+        }
+    }
+
+    /// The address a process listens on, given the one it is known by.
+    pub fn bound(&self, known: SocketAddr) -> SocketAddr {
+        match self.relayed {
+            true => SocketAddr::new(known.ip(), known.port() + BEHIND_RELAY),
+            false => known,
+        }
+    }
+
+    /// Addresses the platform's stand-in listens on.
+    pub fn platform_bound(&self) -> Addrs {
+        let known = self.platform();
+        Addrs {
+            table: self.bound(known.table),
+            objects: self.bound(known.objects),
+            members: self.bound(known.members),
+            origin: self.bound(known.origin),
         }
     }
 
     /// Addresses of the platform's stand-in.
     pub fn platform(&self) -> Addrs {
         Addrs {
-            table: self.addr(0, 1, 9000),
-            objects: self.addr(0, 1, 9001),
-            members: self.addr(0, 1, 9002),
-            origin: self.addr(0, 1, 9003),
+            table: self.addr(self.domains.len(), 1, 9000),
+            objects: self.addr(self.domains.len(), 1, 9001),
+            members: self.addr(self.domains.len(), 1, 9002),
+            origin: self.addr(self.domains.len(), 1, 9003),
         }
     }
 
@@ -175,6 +201,14 @@
         )
     }
 
+    /// Where a process listens, and where it is reached if that differs.
+    fn write_addr(&self, s: &mut String, field: &str, known: SocketAddr) {
+        let _ = writeln!(s, "{field}: {}", self.bound(known));
+        if self.relayed {
+            let _ = writeln!(s, "{field}_advertised: {known}");
+        }
+    }
+
     /// Settings of an entry; each of `more` is a line.
     pub fn entry_settings(&self, e: &EntryVm, more: &[String]) -> String {
         let seeds: Vec<String> = self
@@ -184,11 +218,9 @@
             .collect();
         let mut s = self.common("entry");
         let _ = writeln!(s, "vm: {}\ndomain: {}", e.vm, e.domain);
-        let _ = writeln!(
-            s,
-            "listen: {}\ncontrol: {}\nadmin: {}",
-            e.listen, e.control, e.admin
-        );
+        let _ = writeln!(s, "source: {}\nadmin: {}", e.listen.ip(), e.admin);
+        let _ = writeln!(s, "listen: {}", e.listen);
+        self.write_addr(&mut s, "control", e.control);
         let _ = writeln!(s, "platform_members: {}", self.platform().members);
         let _ = writeln!(s, "entries: [{}]", seeds.join(", "));
         s + &more.join("\n") + "\n"
@@ -205,11 +237,9 @@
         let kind = if u.service { "service" } else { "engine" };
         let mut s = self.common("agent");
         let _ = writeln!(s, "vm: {}\ndomain: {}\nkind: {kind}", u.vm, u.domain);
-        let _ = writeln!(
-            s,
-            "listen: {}\npeer: {}\nadmin: {}",
-            u.listen, u.peer, u.admin
-        );
+        let _ = writeln!(s, "source: {}\nadmin: {}", u.listen.ip(), u.admin);
+        self.write_addr(&mut s, "listen", u.listen);
+        self.write_addr(&mut s, "peer", u.peer);
         let _ = writeln!(s, "upstream: {}", u.upstream);
         let _ = writeln!(s, "platform_members: {}", self.platform().members);
         let _ = writeln!(s, "platform_origin: {}", self.platform().origin);
--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -1,9 +1,13 @@
-//! A relay on a TCP link that can cut it, stall it or slow it.
+//! Relays on TCP links, and a switchboard that cuts, stalls or slows them.
+//!
+//! Every VM's connections come from its own address, so a relay knows which side calls: a failure
+//! domain or the platform. The third number of an address is its side.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::Map;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -12,6 +16,9 @@
 /// Bytes read at once.
 const BUF: usize = 16 << 10;
 
+/// A failure domain or the platform, by the third number of its addresses.
+pub type Side = u8;
+
 /// State of a link.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkState {
@@ -25,68 +32,111 @@
     Slow(Duration),
 }
 
-/// A relay.
+type States = Map<(Side, Side), LinkState>;
+
+/// State of the links between sides.
 #[derive(Debug, Clone)]
-pub struct Relay {
-    state: Arc<watch::Sender<LinkState>>,
+pub struct Switchboard {
+    states: Arc<watch::Sender<States>>,
+}
+
+impl Default for Switchboard {
+    fn default() -> Switchboard {
+        Switchboard {
+            states: Arc::new(watch::Sender::new(States::default())),
+        }
+    }
 }
 
-impl Relay {
+impl Switchboard {
+    /// Sets the state of all links between two sides, both ways.
+    pub fn set(&self, a: Side, b: Side, state: LinkState) {
+        self.states.send_modify(|states| {
+            states.insert((a, b), state);
+            states.insert((b, a), state);
+        });
+    }
+
+    /// Brings all links up.
+    pub fn heal(&self) {
+        self.states.send_modify(States::clear);
+    }
+
     /// Starts a relay from an address to another.
-    pub async fn start(from: SocketAddr, to: SocketAddr) -> std::io::Result<Relay> {
+    pub async fn relay(&self, from: SocketAddr, to: SocketAddr) -> std::io::Result<()> {
         let listener = TcpListener::bind(from).await?;
-        let state = Arc::new(watch::Sender::new(LinkState::Up));
-        let relay = Relay {
-            state: state.clone(),
-        };
+        let board = self.clone();
         tokio::spawn(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                let state = state.subscribe();
-                if *state.borrow() != LinkState::Cut {
-                    tokio::spawn(carry(near, to, state));
+            while let Ok((near, caller)) = listener.accept().await {
+                let link = Link {
+                    states: board.states.subscribe(),
+                    between: (side(caller.ip()), side(from.ip())),
+                };
+                if link.state() != LinkState::Cut {
+                    tokio::spawn(carry(near, to, link));
                 }
             }
         });
-        Ok(relay)
+        Ok(())
+    }
+}
+
+/// The side of an address.
+pub fn side(ip: IpAddr) -> Side {
+    match ip {
+        IpAddr::V4(ip) => ip.octets()[2],
+        IpAddr::V6(_) => 0,
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Link {
+    states: watch::Receiver<States>,
+    between: (Side, Side),
+}
+
+impl Link {
+    fn state(&self) -> LinkState {
+        let states = self.states.borrow();
+        states.get(&self.between).copied().unwrap_or(LinkState::Up)
     }
 
-    /// Sets the link's state.
-    pub fn set(&self, state: LinkState) {
-        self.state.send_replace(state);
+    /// Waits until the state is one that `is` says yes to.
+    async fn until(&mut self, is: impl Fn(LinkState) -> bool) {
+        while !is(self.state()) {
+            if self.states.changed().await.is_err() {
+                return;
+            }
+        }
     }
 }
 
-async fn carry(near: TcpStream, to: SocketAddr, state: watch::Receiver<LinkState>) {
+async fn carry(near: TcpStream, to: SocketAddr, link: Link) {
     let Ok(far) = TcpStream::connect(to).await else {
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
-    let mut cut = state.clone();
+    let mut cut = link.clone();
+    let there = pump(near_rx, far_tx, link.clone());
+    let back = pump(far_rx, near_tx, link);
     tokio::select! {
-        _ = cut.wait_for(|s| *s == LinkState::Cut) => {}
-        _ = async { tokio::join!(pump(near_rx, far_tx, state.clone()), pump(far_rx, near_tx, state)) } => {}
+        _ = cut.until(|s| s == LinkState::Cut) => {}
+        _ = async { tokio::join!(there, back) } => {}
     }
 }
 
-async fn pump(
-    mut rx: OwnedReadHalf,
-    mut tx: OwnedWriteHalf,
-    mut state: watch::Receiver<LinkState>,
-) {
+async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut link: Link) {
     let mut buf = vec![0; BUF];
     while let Ok(n) = rx.read(&mut buf).await {
         if n == 0 {
             break;
         }
-        let now = *state.borrow();
-        if let LinkState::Slow(pause) = now {
+        if let LinkState::Slow(pause) = link.state() {
             tokio::time::sleep(pause).await;
         }
-        if state.wait_for(|s| *s != LinkState::Stalled).await.is_err() {
-            break;
-        }
+        link.until(|s| s != LinkState::Stalled).await;
         if tx.write_all(&buf[..n]).await.is_err() {
             break;
         }
