--- a/crates/agent/src/ledger.rs
+++ b/crates/agent/src/ledger.rs
@@ -3,14 +3,15 @@
 //! A request id starts at most once here. An entry that lost an answer, or found an earlier claim
 //! on an idempotency key, asks what became of the id; an id that has not started is sealed by the
 //! question and can never start. Answers are kept for resends within a bound on bytes and time.
-//! Ids are kept longer; once the oldest had to be forgotten, an id that isn't known is no longer
-//! said not to have run.
+//! Ids are kept longer. An id tells when it was made, and of those that had to be forgotten the
+//! latest time is kept: an id that isn't known and is no later can neither start nor be said not
+//! to have run.
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Map, RequestId, Settled};
+use base::{Map, RequestId, Settled, request_time};
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
@@ -42,7 +43,7 @@
     oldest_id: VecDeque<RequestId>,
     oldest_answer: VecDeque<RequestId>,
     bytes: usize,
-    forgot: bool,
+    forgotten_until: Option<u64>,
 }
 
 /// The ledger.
@@ -74,10 +75,10 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Starts an id; `false` where it was sealed or has started before.
+    /// Starts an id; `false` where it was sealed or has, or may have, started before.
     pub fn begin(&self, id: &str) -> bool {
         let mut inner = self.inner();
-        if inner.ids.contains_key(id) {
+        if inner.ids.contains_key(id) || inner.may_be_forgotten(id) {
             return false;
         }
         inner.insert(id, State::Running, self.max_ids);
@@ -113,7 +114,7 @@
             Some(State::Running) => (Settled::Running, None),
             Some(State::Done(recorded, _)) => (Settled::Done, Some(recorded.clone())),
             Some(State::Gone) => (Settled::Gone, None),
-            None if inner.forgot => (Settled::Gone, None),
+            None if inner.may_be_forgotten(id) => (Settled::Gone, None),
             None => {
                 inner.insert(id, State::Sealed, self.max_ids);
                 (Settled::Sealed, None)
@@ -128,10 +129,17 @@
 }
 
 impl Inner {
+    /// Whether an id that isn't known may be one that was forgotten.
+    fn may_be_forgotten(&self, id: &str) -> bool {
+        self.forgotten_until
+            .is_some_and(|until| request_time(id) <= until)
+    }
+
     fn insert(&mut self, id: &str, state: State, max_ids: usize) {
         while self.oldest_id.len() >= max_ids {
             if let Some(oldest) = self.oldest_id.pop_front() {
-                self.forgot = true;
+                let time = request_time(&oldest);
+                self.forgotten_until = self.forgotten_until.max(Some(time));
                 self.drop_answer(&oldest);
                 self.ids.remove(&oldest);
             }
--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -29,9 +29,21 @@
 /// Fencing number of an order to an engine.
 pub type Fence = u64;
 
-/// A new random request id: 32 hex digits.
+/// Hex digits at the start of a request id that tell when it was made.
+const TIME_DIGITS: usize = 12;
+
+/// A new request id: 32 hex digits, of which the first 12 are milliseconds since the Unix epoch
+/// and the others random.
 pub fn new_request_id() -> RequestId {
-    format!("{:032x}", rand::random::<u128>())
+    let random = rand::random::<u128>() >> (4 * TIME_DIGITS);
+    format!("{:012x}{random:020x}", unix_ms())
+}
+
+/// When a request id was made, in milliseconds since the Unix epoch; 0 where it doesn't say.
+pub fn request_time(id: &str) -> u64 {
+    id.get(..TIME_DIGITS)
+        .and_then(|digits| u64::from_str_radix(digits, 16).ok())
+        .unwrap_or(0)
 }
 
 /// Milliseconds since the Unix epoch.
--- /dev/null
+++ b/crates/base/tests/base.rs
@@ -0,0 +1,56 @@
+//! Digests, units and nearest names.
+
+use base::nearest::nearest;
+use base::units::{parse_bytes, parse_duration, show_bytes, show_duration};
+use base::{Digest, Outcome};
+use proptest::prelude::*;
+
+#[test]
+fn near_names_are_found_and_far_ones_are_not() {
+    assert_eq!(nearest("aply", ["get", "plan", "apply"]), Some("apply"));
+    assert_eq!(nearest("xyzzy", ["get", "plan", "apply"]), None);
+}
+
+#[test]
+fn units_are_needed() {
+    for bad in [
+        "",
+        "5",
+        "ms",
+        "5 parsecs",
+        "-1s",
+        "99999999999999999999s",
+        "999999999999999999h",
+    ] {
+        assert!(parse_duration(bad).is_err(), "{bad:?}");
+    }
+    for bad in ["", "5", "5KB", "99999999999GiB"] {
+        assert!(parse_bytes(bad).is_err(), "{bad:?}");
+    }
+}
+
+#[test]
+fn outcomes_are_read_as_they_are_written() {
+    for o in [Outcome::Done, Outcome::NotRun, Outcome::Unknown] {
+        assert_eq!(Outcome::parse(o.as_str()), Some(o));
+    }
+    assert_eq!(Outcome::parse("maybe"), None);
+}
+
+proptest! {
+    #![proptest_config(cases::cases(500))]
+
+    #[test]
+    fn durations_and_sizes_are_read_as_they_are_shown(n in 0u64..1 << 40) {
+        let d = std::time::Duration::from_millis(n);
+        prop_assert_eq!(parse_duration(&show_duration(d)).expect("a duration"), d);
+        prop_assert_eq!(parse_bytes(&show_bytes(n)).expect("a size"), n);
+    }
+
+    #[test]
+    fn no_text_is_read_as_a_digest_but_64_hex_digits(text in "\\PC{0,80}") {
+        if let Ok(digest) = text.parse::<Digest>() {
+            prop_assert_eq!(digest.to_string(), text.to_lowercase());
+        }
+    }
+}
