--- a/crates/agent/src/rollout.rs
+++ b/crates/agent/src/rollout.rs
@@ -3,8 +3,8 @@
 //! What is wanted follows from the edition in force; what is there follows from the state the
 //! engine reports. A version goes live only while the engine reports exactly its digest loaded. A
 //! version no longer wanted is taken out of the gate first, drained, and then dropped; a transfer
-//! no longer wanted is dropped at once. Before each order the state is read again, so an order
-//! that outlived a pause is not given by an agent that has lost the VM.
+//! no longer wanted is dropped at once. An order that outlived a pause is refused by the engine by
+//! its fencing number; where the engine ignores those, its state is read again before each order.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -279,9 +279,12 @@
     agent.engine.load(&order, agent.fence()).await
 }
 
-/// Reads the engine's state just before an order: engines that ignore fencing numbers still
-/// report them.
+/// Reads the state of an engine that ignores fencing numbers just before an order, since it would
+/// take one from an agent that has lost the VM. One that honours them refuses by itself.
 async fn check_fence(agent: &Agent) -> Result<(), EngineError> {
+    if agent.cfg.fencing {
+        return Ok(());
+    }
     let state = agent.engine.state().await?;
     match state.fence > agent.fence() {
         true => Err(EngineError::Fenced(state.fence)),
--- a/crates/cli/tests/weights.rs
+++ b/crates/cli/tests/weights.rs
@@ -414,6 +414,7 @@
     for honours_fences in [true, false] {
         let shape = Shape {
             engines: 1,
+            agent_lines: vec![format!("fencing: {honours_fences}")],
             behaviour: lab::standin::engine::Behaviour {
                 honours_fences,
                 ..Default::default()
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -132,7 +132,6 @@
         MaybeIp,
         "IP number that this VM's connections to others come from, where it has several.",
     ),
-    field("platform_members", Addr, "The platform's list of VMs."),
     field(
         "drain_timeout",
         Duration("60s", "0ms", "1h"),
@@ -172,6 +171,7 @@
 
 /// Fields of an entry.
 pub const ENTRY: &[Field] = &[
+    field("platform_members", Addr, "The platform's list of VMs."),
     field("listen", Addr, "Where callers come in."),
     field("control", Addr, "Where agents and other entries link to."),
     field(
