Measure what control costs against agents, entries, rows and edits

Change: driftnotch-lab control and scripts/capacity; processor time and memory of a process in its metrics.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -103,7 +103,11 @@
         .map_err(|e| AgentError::Listen(addr, e, field))
 }
 
-fn new_agent(cfg: AgentCfg, peers: mpsc::Sender<PeersJob>) -> Result<Arc<Agent>, AgentError> {
+/// An agent that has not been started; its questions to the entries go to `peers`.
+///
+/// # Errors
+/// `NoOrigin` where the settings name none.
+pub fn new_agent(cfg: AgentCfg, peers: mpsc::Sender<PeersJob>) -> Result<Arc<Agent>, AgentError> {
     let upkeep = &cfg.upkeep;
     let platform = &upkeep.platform;
     let origin = platform.origin.ok_or(AgentError::NoOrigin)?;
--- a/crates/cli/src/commands/process.rs
+++ b/crates/cli/src/commands/process.rs
@@ -9,7 +9,7 @@
 use tokio::sync::watch;
 
 use crate::error::{Error, FaultList};
-use crate::{logs, stop};
+use crate::{logs, stop, usage};
 
 /// Upper bounds of the buckets of times, in seconds; the objective's bounds are among them.
 const SECONDS: [f64; 16] = [
@@ -48,6 +48,9 @@
     Ok(Process {
         runtime,
         stop,
-        render: Arc::new(move || recorder.render()),
+        render: Arc::new(move || {
+            usage::measure();
+            recorder.render()
+        }),
     })
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod options;
 mod output;
 mod stop;
+mod usage;
 
 use std::process::ExitCode;
 
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! Tools, a file each.
 
+mod control;
 mod layout;
 mod ready;
 mod send;
@@ -21,6 +22,7 @@
             Some("service") => standins::service(args).await,
             Some("layout") => layout::run(args),
             Some("ready") => ready::run(args).await,
+            Some("control") => control::run(args).await,
             Some("send") => send::run(args).await,
             Some(other) => Err(LabError::Usage(format!("there is no tool {other:?}"))),
             None => Err(LabError::Usage("name a tool".into())),
@@ -34,7 +36,10 @@
     let entries = args.opt_value_from_str("--entries")?.unwrap_or(2);
     let engines = args.opt_value_from_str("--engines")?.unwrap_or(4);
     let services = args.opt_value_from_str("--services")?.unwrap_or(0);
-    Ok(Layout::cajueiro(net, 1, entries, engines, services))
+    let domains = args.opt_value_from_str("--domains")?.unwrap_or(3);
+    let mut layout = Layout::cajueiro(net, 1, entries, engines, services);
+    layout.domains.truncate(domains);
+    Ok(layout)
 }
 
 fn finish(args: Arguments) -> Result<(), LabError> {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -18,7 +18,8 @@
                                [--origin-copies fleet|domain]   writes settings for a deployment
        driftnotch-lab ready    --net N --version V --replicas N [--within DURATION] [--json]
        driftnotch-lab send     --net N [--seconds N] [--json]
-       driftnotch-lab control  [--entries N] [--agents N] [--edits R] [--rows N] [--seconds N] [--json]
+       driftnotch-lab control  --net N [--entries N] [--agents N] [--edits R] [--rows N] [--seconds N] [--json]
+                               (against running entries; scripts/capacity starts them)
 
 Every tool of one deployment is given the same --net: the second number of its loopback addresses.";
 
