--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -1,7 +1,8 @@
 //! Links to the entries of the failure domain.
 //!
-//! One task for each entry: it joins, sends heartbeats at the interval the entry asks for and at
-//! once when something changes, and takes editions as soon as the entry has them.
+//! An agent joins two entries, whatever their number; they tell the others of it. One task for
+//! each of them sends heartbeats at the interval the entry asks for and at once when something
+//! changes, and takes editions as soon as the entry has them.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -9,20 +10,30 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::Map;
+use base::{Digest, Map};
 use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
+use table::{Patch, Refused};
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
-use wire::{AgentInfo, Beat, BeatReply, Link, SeatLink, WireError};
+use wire::{AgentInfo, Beat, BeatReply, Holding, Link, SeatLink, WireError};
 
 use crate::{Agent, PeersJob};
 
 /// Log prefix of this part.
 const PART: &str = "links";
 
-/// First and longest pause before a broken link is made again.
-const BACKOFF: [Duration; 2] = [Duration::from_millis(100), Duration::from_secs(2)];
+/// Entries an agent joins.
+const HOMES: usize = 2;
+
+/// Time between two looks at which links are wanted.
+const REVIEW: Duration = Duration::from_millis(200);
+
+/// How long an entry whose link failed is tried after the others.
+const AVOID: Duration = Duration::from_secs(3);
+
+/// Pause after an edition that doesn't fit.
+const MISFIT_PAUSE: Duration = Duration::from_secs(5);
 
 /// An entry that can't be linked to for this long is forgotten, unless the settings name it.
 const FORGET: Duration = Duration::from_secs(60);
@@ -33,20 +44,12 @@
 /// Keeps links for as long as the process runs; call within a `LocalSet`.
 pub async fn keep(agent: Arc<Agent>, mut jobs: mpsc::Receiver<PeersJob>) {
     let live = Live::default();
-    let mut tasks: Map<SocketAddr, JoinHandle<()>> = Map::default();
-    let (learnt_tx, mut learnt) = mpsc::unbounded_channel();
-    let _ = learnt_tx.send(agent.cfg.entries.clone());
+    let mut homes = Homes::new(agent.clone(), live.clone());
+    let mut review = tokio::time::interval(REVIEW);
     loop {
         tokio::select! {
-            Some(addrs) = learnt.recv() => {
-                tasks.retain(|_, task| !task.is_finished());
-                for addr in addrs {
-                    tasks.entry(addr).or_insert_with(|| {
-                        let link = keep_link(agent.clone(), addr, live.clone(), learnt_tx.clone());
-                        tokio::task::spawn_local(link)
-                    });
-                }
-            }
+            _ = review.tick() => homes.review(),
+            Some(addrs) = homes.learnt.recv() => homes.learn(addrs),
             Some(job) = jobs.recv() => {
                 let seat = live.borrow().values().cloned().choose(&mut rand::rng());
                 tokio::task::spawn_local(ask_peers(seat, job));
@@ -55,6 +58,100 @@
     }
 }
 
+/// The entries an agent knows, and the few it keeps links to.
+///
+/// Those are the first by rendezvous hash among the entries that can be linked to, so agents
+/// spread evenly over entries, and only those of an entry that goes or comes move.
+struct Homes {
+    agent: Arc<Agent>,
+    live: Live,
+    known: Map<SocketAddr, Instant>,
+    failed: Rc<RefCell<Map<SocketAddr, Instant>>>,
+    tasks: Map<SocketAddr, JoinHandle<()>>,
+    learnt_tx: Learnt,
+    learnt: mpsc::UnboundedReceiver<Vec<SocketAddr>>,
+}
+
+impl Homes {
+    fn new(agent: Arc<Agent>, live: Live) -> Homes {
+        let (learnt_tx, learnt) = mpsc::unbounded_channel();
+        let now = Instant::now();
+        Homes {
+            known: agent.cfg.entries.iter().map(|addr| (*addr, now)).collect(),
+            agent,
+            live,
+            failed: Rc::default(),
+            tasks: Map::default(),
+            learnt_tx,
+            learnt,
+        }
+    }
+
+    fn learn(&mut self, addrs: Vec<SocketAddr>) {
+        let now = Instant::now();
+        self.known.extend(addrs.into_iter().map(|addr| (addr, now)));
+        self.review();
+    }
+
+    /// Starts links to the wanted entries, and ends others once the wanted ones are up.
+    fn review(&mut self) {
+        let wanted = self.wanted();
+        let up = wanted
+            .iter()
+            .filter(|a| self.live.borrow().contains_key(*a));
+        let all_up = up.count() == wanted.len();
+        self.tasks.retain(|addr, task| {
+            let keep = !task.is_finished() && (wanted.contains(addr) || !all_up);
+            if !keep {
+                task.abort();
+                self.live.borrow_mut().remove(addr);
+            }
+            keep
+        });
+        for addr in wanted {
+            self.tasks.entry(addr).or_insert_with(|| {
+                let (agent, live) = (self.agent.clone(), self.live.clone());
+                let (failed, learnt) = (self.failed.clone(), self.learnt_tx.clone());
+                tokio::task::spawn_local(async move {
+                    let linked = use_link(&agent, addr, &live, &learnt).await;
+                    live.borrow_mut().remove(&addr);
+                    failed.borrow_mut().insert(addr, Instant::now());
+                    if let Err(e) = linked {
+                        debug!(target: PART, "{PART}: link to entry {addr} ended: {e}");
+                    }
+                })
+            });
+        }
+    }
+
+    /// The first few by rendezvous hash, those that failed of late after the others.
+    fn wanted(&mut self) -> Vec<SocketAddr> {
+        let settings = &self.agent.cfg.entries;
+        let failed = self.failed.borrow();
+        self.known.retain(|addr, heard| {
+            let failing = failed.get(addr).is_some_and(|at| at > heard);
+            settings.contains(addr) || !failing || heard.elapsed() < FORGET
+        });
+        let vm = &self.agent.cfg.upkeep.vm;
+        let mut ranked: Vec<(bool, Digest, SocketAddr)> = self
+            .known
+            .keys()
+            .map(|addr| {
+                let failing = failed.get(addr).is_some_and(|at| at.elapsed() < AVOID);
+                let up = self.live.borrow().contains_key(addr);
+                (failing && !up, rank(vm, addr), *addr)
+            })
+            .collect();
+        ranked.sort_unstable();
+        let best = ranked.into_iter().map(|(_, _, addr)| addr);
+        best.take(HOMES).collect()
+    }
+}
+
+fn rank(vm: &str, addr: &SocketAddr) -> Digest {
+    Digest::of(format!("{vm} {addr}").as_bytes())
+}
+
 async fn ask_peers(seat: Option<Rc<SeatLink>>, job: PeersJob) {
     let Some(seat) = seat else {
         return;
@@ -64,25 +161,6 @@
     }
 }
 
-async fn keep_link(agent: Arc<Agent>, addr: SocketAddr, live: Live, learnt: Learnt) {
-    let [first, longest] = BACKOFF;
-    let mut pause = first;
-    let mut last_up = Instant::now();
-    while last_up.elapsed() < FORGET || agent.cfg.entries.contains(&addr) {
-        let linked = use_link(&agent, addr, &live, &learnt).await;
-        if live.borrow_mut().remove(&addr).is_some() {
-            last_up = Instant::now();
-            pause = first;
-        }
-        if let Err(e) = linked {
-            debug!(target: PART, "{PART}: link to entry {addr} ended: {e}");
-        }
-        let jitter = rand::random::<f64>() + 0.5;
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(longest);
-    }
-}
-
 /// Uses a link until it breaks.
 async fn use_link(
     agent: &Arc<Agent>,
@@ -99,8 +177,9 @@
     let mut holdings = agent.holdings.subscribe();
     let mut leaving = agent.watch_leaving();
     let mut seen = 0;
+    let mut told = None;
     loop {
-        let reply = beat(agent, &seat, seen).await?;
+        let reply = beat(agent, &seat, seen, &mut told).await?;
         let view = agent.force.view();
         if reply.fresh.revision < view.edition.revision {
             // The entry may have restarted: an edition lasts as long as any process has it.
@@ -120,14 +199,24 @@
     }
 }
 
-async fn beat(agent: &Agent, seat: &SeatLink, entries_seen: u64) -> Result<BeatReply, WireError> {
+/// Sends a heartbeat, with the versions if they are not those that were `told` last.
+async fn beat(
+    agent: &Agent,
+    seat: &SeatLink,
+    entries_seen: u64,
+    told: &mut Option<Vec<Holding>>,
+) -> Result<BeatReply, WireError> {
     let asked = Instant::now();
+    let holdings = agent.holdings.borrow().clone();
+    let same_holdings = told.as_ref() == Some(&holdings);
+    *told = Some(holdings.clone());
     let beat = Beat {
         revision: agent.force.revision(),
         running: agent.gate.running(),
         leaving: agent.leaving(),
-        holdings: agent.holdings.borrow().clone(),
+        holdings: if same_holdings { Vec::new() } else { holdings },
         entries_seen,
+        same_holdings,
     };
     let reply = seat.beat(&beat).await?;
     let age = reply.fresh.age;
@@ -143,18 +232,34 @@
 
 async fn watch(agent: &Agent, seat: &SeatLink) -> Result<(), WireError> {
     loop {
-        let edition = seat.watch(agent.force.revision()).await?;
-        let revision = edition.revision;
-        match agent.force.offer(edition) {
-            Ok(true) => info!(target: PART, "{PART}: revision {revision} is in force"),
-            Ok(false) => {}
-            Err(faults) => {
-                let first = faults.first().map(ToString::to_string).unwrap_or_default();
-                warn!(target: PART, "{PART}: revision {revision} doesn't fit ({first}); give all VMs the same domains");
-                tokio::time::sleep(BACKOFF[1]).await;
-            }
+        let patch = seat.watch(agent.force.revision()).await?;
+        if follow(agent, patch).await == Followed::NotFrom {
+            let whole = seat.watch(0).await?;
+            follow(agent, whole).await;
+        }
+    }
+}
+
+/// Whether an edition could be followed.
+#[derive(Debug, PartialEq, Eq)]
+enum Followed {
+    Yes,
+    NotFrom,
+}
+
+async fn follow(agent: &Agent, patch: Patch) -> Followed {
+    let revision = patch.revision;
+    match agent.force.follow(patch) {
+        Ok(true) => info!(target: PART, "{PART}: revision {revision} is in force"),
+        Ok(false) => {}
+        Err(Refused::Base) => return Followed::NotFrom,
+        Err(Refused::Faults(faults)) => {
+            let first = faults.first().map(ToString::to_string).unwrap_or_default();
+            warn!(target: PART, "{PART}: revision {revision} doesn't fit ({first}); give all VMs the same domains");
+            tokio::time::sleep(MISFIT_PAUSE).await;
         }
     }
+    Followed::Yes
 }
 
 fn info_of(agent: &Agent) -> AgentInfo {
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -370,7 +370,8 @@
                 let mut live = std::collections::BTreeSet::new();
                 let mut seen_by_all = true;
                 for e in self.running_entries() {
-                    let Some(status) = self.status(&e).await else {
+                    let open = tokio::net::TcpStream::connect(e.listen).await.is_ok();
+                    let Some(status) = self.status(&e).await.filter(|_| open) else {
                         return false;
                     };
                     let up = |h: &entry::admin::HoldingStatus| {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -114,11 +114,11 @@
         }
     }
 
-    /// Time between two heartbeats of an agent: longer the more agents there are, so that all of
-    /// them together stay within the control budget.
+    /// Time between two heartbeats of an agent: longer the more agents have joined here, so that
+    /// all of them together stay within half of the control budget.
     pub fn beat_interval(&self) -> Duration {
-        let agents = self.fleet.local().len() as u64;
-        let cost = Duration::from_millis(agents * BEAT_COST * 1000 / self.cfg.control_budget);
+        let agents = self.fleet.joined() as u64;
+        let cost = Duration::from_millis(agents * BEAT_COST * 2000 / self.cfg.control_budget);
         cost.max(self.cfg.heartbeat)
     }
 
--- a/crates/entry/src/membership/control.rs
+++ b/crates/entry/src/membership/control.rs
@@ -7,13 +7,13 @@
 use base::Revision;
 use capnp::Error;
 use log::{debug, info};
-use table::{Edition, Version};
+use table::{Patch, Version};
 use tokio::net::TcpListener;
 use wire::control_capnp::{entry as rpc, seat};
 use wire::{BeatReply, Freshness, Note, WireError, convert};
 
 use crate::Entry;
-use crate::membership::links::offer;
+use crate::membership::links::{self, follow};
 use crate::membership::upstream::Upstream;
 
 /// Log prefix of this part.
@@ -79,8 +79,11 @@
         self.entry
             .book
             .add(note.entries.iter().chain([&note.control]));
-        self.entry.fleet.heard(note, self.entry.lease());
-        convert::write_note(results.get().init_note(), &own_note(&self.entry, &to));
+        let from = note.control;
+        let interval = links::interval(&self.entry);
+        self.entry.fleet.heard(note, self.entry.lease(), interval);
+        let own = own_note(&self.entry, &to, Some(from));
+        convert::write_note(results.get().init_note(), &own);
         Ok(())
     }
 
@@ -89,8 +92,8 @@
         params: rpc::WatchParams,
         mut results: rpc::WatchResults,
     ) -> Result<(), Error> {
-        let edition = later_than(&self.entry, params.get()?.get_have()).await?;
-        convert::write_edition(results.get().init_edition(), &edition);
+        let patch = later_than(&self.entry, params.get()?.get_have()).await?;
+        convert::write_patch(results.get().init_edition(), &patch);
         Ok(())
     }
 
@@ -99,10 +102,8 @@
         params: rpc::OfferParams,
         _: rpc::OfferResults,
     ) -> Result<(), Error> {
-        offer(
-            &self.entry,
-            convert::read_edition(params.get()?.get_edition()?)?,
-        );
+        let patch = convert::read_patch(params.get()?.get_edition()?)?;
+        follow(&self.entry, patch);
         Ok(())
     }
 
@@ -143,7 +144,9 @@
     ) -> Result<(), Error> {
         let beat = convert::read_beat(params.get()?.get_beat()?)?;
         let seen = beat.entries_seen;
-        self.upstream.beat(beat, self.entry.lease());
+        self.entry
+            .fleet
+            .beat(&self.upstream, beat, self.entry.lease());
         let entries_seen = self.entry.fleet.entries_seen();
         let reply = BeatReply {
             fresh: freshness(&self.entry),
@@ -164,8 +167,8 @@
         params: seat::WatchParams,
         mut results: seat::WatchResults,
     ) -> Result<(), Error> {
-        let edition = later_than(&self.entry, params.get()?.get_have()).await?;
-        convert::write_edition(results.get().init_edition(), &edition);
+        let patch = later_than(&self.entry, params.get()?.get_have()).await?;
+        convert::write_patch(results.get().init_edition(), &patch);
         Ok(())
     }
 
@@ -174,10 +177,8 @@
         params: seat::OfferParams,
         _: seat::OfferResults,
     ) -> Result<(), Error> {
-        offer(
-            &self.entry,
-            convert::read_edition(params.get()?.get_edition()?)?,
-        );
+        let patch = convert::read_patch(params.get()?.get_edition()?)?;
+        follow(&self.entry, patch);
         Ok(())
     }
 
@@ -196,13 +197,13 @@
 }
 
 /// Waits for an edition later than the one the other side has.
-async fn later_than(entry: &Entry, have: Revision) -> Result<Edition, Error> {
+async fn later_than(entry: &Entry, have: Revision) -> Result<Patch, Error> {
     let mut views = entry.force.subscribe();
-    let view = views
+    views
         .wait_for(|view| view.edition.revision > have)
         .await
         .map_err(|e| Error::failed(e.to_string()))?;
-    Ok(view.edition.clone())
+    Ok(entry.force.patch(have))
 }
 
 /// What this entry serves by. An unconfirmed one has an age that no hold allows.
@@ -213,10 +214,13 @@
     }
 }
 
-/// What this entry tells an entry of a failure domain.
-pub fn own_note(entry: &Entry, to: &str) -> Note {
+/// What this entry tells an entry of a failure domain; `None` where it isn't known yet which.
+pub fn own_note(entry: &Entry, to: &str, addr: Option<SocketAddr>) -> Note {
     let upkeep = &entry.cfg.upkeep;
-    let abroad = to != upkeep.domain;
+    let fleet = &entry.fleet;
+    let sibling = to == upkeep.domain;
+    let state = fleet.state(to);
+    let told = addr.is_some_and(|addr| fleet.taken_by(addr) != state);
     Note {
         vm: upkeep.vm.clone(),
         domain: upkeep.domain.clone(),
@@ -224,16 +228,20 @@
         fresh: freshness(entry),
         leaving: entry.stopping(),
         entries: entry.book.sample(ENTRY_SAMPLE),
-        replicas: if abroad {
-            entry.fleet.replicas()
-        } else {
-            Vec::new()
-        },
-        rollouts: if abroad {
-            entry.fleet.rollouts()
-        } else {
-            Vec::new()
-        },
+        state,
+        seen: addr.map_or(0, |addr| fleet.applied(addr)),
+        told,
+        agents: only(told && sibling, || fleet.digests()),
+        replicas: only(told && !sibling, || fleet.replicas()),
+        rollouts: only(told && !sibling, || fleet.rollouts()),
+    }
+}
+
+/// The list if it is wanted, else none.
+fn only<T>(wanted: bool, list: impl Fn() -> Vec<T>) -> Vec<T> {
+    match wanted {
+        true => list(),
+        false => Vec::new(),
     }
 }
 
--- a/crates/entry/src/membership/links.rs
+++ b/crates/entry/src/membership/links.rs
@@ -1,8 +1,10 @@
 //! Links to other entries: all of the own failure domain, a few of each other one.
 //!
-//! Over a link an entry learns of editions as soon as the other has them, and at intervals the
-//! two exchange notes. Which entries of another domain are linked to is a rendezvous hash, so the
-//! links spread evenly and stay the same while nobody comes or goes.
+//! At intervals, and soon after something changes, the two ends exchange notes. Over a few of its
+//! links an entry learns of editions as soon as the other has them; over the others by the
+//! revision in the notes. Which entries of another domain are linked to, and which links bring
+//! editions, is a rendezvous hash, so both spread evenly and stay the same while nobody comes or
+//! goes.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -10,10 +12,10 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Digest, DomainName, Map, Set};
+use base::{Digest, DomainName, Map, Revision, Set};
 use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
-use table::Edition;
+use table::{Edition, Fault, Patch, Refused};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::JoinHandle;
 use wire::{Claim, Claimed, Link, WireError};
@@ -27,6 +29,12 @@
 /// Links kept to each other failure domain.
 const LINKS_ABROAD: usize = 2;
 
+/// Links on which editions are waited for.
+const WATCHED: usize = 6;
+
+/// Shortest time between two exchanges of notes on a link.
+const EXCHANGE_GAP: Duration = Duration::from_millis(100);
+
 /// Time between two looks at which links are wanted.
 const REVIEW: Duration = Duration::from_millis(500);
 
@@ -94,7 +102,10 @@
     let mut review = tokio::time::interval(REVIEW);
     loop {
         tokio::select! {
-            _ = review.tick() => set_links(&entry, &live, &mut tasks),
+            _ = review.tick() => {
+                entry.fleet.expire();
+                set_links(&entry, &live, &mut tasks);
+            }
             Some(job) = jobs.recv() => drop(tokio::task::spawn_local(forward(entry.clone(), live.clone(), job))),
         }
     }
@@ -168,46 +179,104 @@
 /// Uses a link until it breaks.
 async fn use_link(entry: &Arc<Entry>, addr: SocketAddr, live: &Live) -> Result<(), WireError> {
     let link = Rc::new(Link::connect(addr, entry.cfg.upkeep.source, &entry.traffic).await?);
-    let mut to = exchange(entry, &link, "").await?;
+    let to = exchange(entry, &link, None).await?;
     info!(target: PART, "{PART}: linked to entry {addr} in {to}");
     live.borrow_mut().insert(addr, link.clone());
     let watching = link.clone();
-    let watcher = watch(entry, &watching);
+    let watcher = watch(entry, &watching, addr);
     tokio::pin!(watcher);
+    let mut changes = match to == entry.cfg.upkeep.domain {
+        true => entry.fleet.watch_joined(),
+        false => entry.fleet.watch_domain(),
+    };
     loop {
-        let next = tokio::time::sleep(interval(entry));
+        let round = async {
+            exchange(entry, &link, Some((&to, addr))).await?;
+            tokio::time::sleep(EXCHANGE_GAP).await;
+            // Woken early or not, the next round tells what changed.
+            let _ = tokio::time::timeout(interval(entry), changes.changed()).await;
+            Ok::<_, WireError>(())
+        };
         tokio::select! {
             ended = &mut watcher => return ended,
-            _ = next => to = exchange(entry, &link, &to).await?,
+            done = round => done?,
         }
     }
 }
 
 /// Exchanges notes; returns the other's failure domain.
-async fn exchange(entry: &Arc<Entry>, link: &Link, to: &str) -> Result<DomainName, WireError> {
+async fn exchange(
+    entry: &Arc<Entry>,
+    link: &Link,
+    to: Option<(&DomainName, SocketAddr)>,
+) -> Result<DomainName, WireError> {
     let asked = Instant::now();
-    let note = link.exchange(&own_note(entry, to)).await?;
+    let own = match to {
+        Some((domain, addr)) => own_note(entry, domain, Some(addr)),
+        None => own_note(entry, "", None),
+    };
+    let note = link.exchange(&own).await?;
     entry.book.add(&note.entries);
+    let fresh = note.fresh;
     if let Some(confirmed) = asked
-        .checked_sub(note.fresh.age)
-        .filter(|_| note.fresh.age < wire::NEVER)
+        .checked_sub(fresh.age)
+        .filter(|_| fresh.age < wire::NEVER)
     {
-        entry.force.confirm(note.fresh.revision, confirmed);
+        entry.force.confirm(fresh.revision, confirmed);
     }
-    let (domain, behind) = (note.domain.clone(), note.fresh.revision);
-    entry.fleet.heard(note, entry.lease());
+    let domain = note.domain.clone();
+    entry.fleet.heard(note, entry.lease(), interval(entry));
     let view = entry.force.view();
-    if behind < view.edition.revision {
-        link.offer(&view.edition).await?;
+    match fresh.revision {
+        theirs if theirs < view.edition.revision => link.offer(&view.edition).await?,
+        theirs if theirs > view.edition.revision => fetch(entry, link).await?,
+        _ => {}
     }
     Ok(domain)
 }
 
-async fn watch(entry: &Arc<Entry>, link: &Link) -> Result<(), WireError> {
+/// Waits for editions, if the link is among the few on which that is done.
+async fn watch(entry: &Arc<Entry>, link: &Link, addr: SocketAddr) -> Result<(), WireError> {
     loop {
-        let edition = link.watch(entry.force.revision()).await?;
-        offer(entry, edition);
+        match watched(entry, addr) {
+            true => fetch(entry, link).await?,
+            false => tokio::time::sleep(REVIEW).await,
+        }
+    }
+}
+
+fn watched(entry: &Entry, addr: SocketAddr) -> bool {
+    let vm = &entry.cfg.upkeep.vm;
+    let own = rank(vm, &addr);
+    let others = entry.fleet.entries();
+    let before = others.iter().filter(|e| rank(vm, &e.note.control) < own);
+    before.count() < WATCHED
+}
+
+/// Takes the next edition from the other; all of it where what changed doesn't fit.
+async fn fetch(entry: &Arc<Entry>, link: &Link) -> Result<(), WireError> {
+    let patch = link.watch(entry.force.revision()).await?;
+    if !follow(entry, patch) {
+        follow(entry, link.watch(0).await?);
+    }
+    Ok(())
+}
+
+/// Takes an edition if it is newer, whoever brought it; `false` where its base isn't known here.
+pub fn follow(entry: &Entry, patch: Patch) -> bool {
+    let (revision, author) = (patch.revision, patch.author.clone());
+    match entry.force.follow(patch) {
+        Ok(true) => info!(target: PART, "{PART}: revision {revision} by {author} is in force"),
+        Ok(false) => {}
+        Err(Refused::Base) => return false,
+        Err(Refused::Faults(faults)) => misfit(revision, &faults),
     }
+    true
+}
+
+fn misfit(revision: Revision, faults: &[Fault]) {
+    let first = faults.first().map(ToString::to_string).unwrap_or_default();
+    warn!(target: PART, "{PART}: revision {revision} doesn't fit this deployment ({first}); give all VMs the same domains");
 }
 
 /// Takes an edition if it is newer, whoever brought it.
@@ -216,16 +285,15 @@
     match entry.force.offer(edition) {
         Ok(true) => info!(target: PART, "{PART}: revision {revision} by {author} is in force"),
         Ok(false) => {}
-        Err(faults) => {
-            let first = faults.first().map(ToString::to_string).unwrap_or_default();
-            warn!(target: PART, "{PART}: revision {revision} doesn't fit this deployment ({first}); give all VMs the same domains");
-        }
+        Err(faults) => misfit(revision, &faults),
     }
 }
 
-fn interval(entry: &Entry) -> Duration {
+/// Time between two exchanges of notes: longer the more links there are, so that all of them
+/// together stay within half of the control budget.
+pub fn interval(entry: &Entry) -> Duration {
     let links = entry.fleet.entries().len() as u64;
-    let cost = Duration::from_millis(links * NOTE_COST * 1000 / entry.cfg.control_budget);
+    let cost = Duration::from_millis(links * NOTE_COST * 2000 / entry.cfg.control_budget);
     cost.max(entry.cfg.heartbeat)
 }
 
--- a/crates/entry/src/membership/upstream.rs
+++ b/crates/entry/src/membership/upstream.rs
@@ -56,15 +56,28 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a heartbeat.
-    pub fn beat(&self, beat: Beat, lease: Duration) {
+    /// Takes a heartbeat; says whether versions, or whether it is leaving, changed.
+    pub fn beat(&self, beat: Beat, lease: Duration) -> bool {
         let mut c = self.condition();
         let now = Instant::now();
         c.lease_until = now + lease;
         c.reported = beat.running;
         c.revision = beat.revision;
+        let was_leaving = c.leaving;
         c.leaving |= beat.leaving;
-        let live: Vec<(Model, Version)> = beat
+        let leaves = c.leaving != was_leaving;
+        if beat.same_holdings {
+            return leaves;
+        }
+        let told = |holdings: &[Holding]| -> Vec<(Model, Version, bool)> {
+            let holdings = holdings.iter();
+            holdings
+                .map(|h| (h.model.clone(), h.version.clone(), h.live))
+                .collect()
+        };
+        let changed = told(&c.holdings) != told(&beat.holdings);
+        c.holdings = beat.holdings;
+        let live: Vec<(Model, Version)> = c
             .holdings
             .iter()
             .filter(|h| h.live)
@@ -74,7 +87,26 @@
         for key in live {
             c.live_since.entry(key).or_insert(now);
         }
-        c.holdings = beat.holdings;
+        changed || leaves
+    }
+
+    /// The last heartbeat, as a sibling is told of it.
+    pub fn last_beat(&self) -> Beat {
+        let c = self.condition();
+        Beat {
+            revision: c.revision,
+            running: c.reported,
+            leaving: c.leaving,
+            holdings: c.holdings.clone(),
+            entries_seen: 0,
+            same_holdings: false,
+        }
+    }
+
+    /// Notes that others still hear of it.
+    pub fn renew(&self, lease: Duration) {
+        let mut c = self.condition();
+        c.lease_until = c.lease_until.max(Instant::now() + lease);
     }
 
     /// Notes that another domain's entries tell of a version live there.
--- a/crates/table/src/force.rs
+++ b/crates/table/src/force.rs
@@ -4,13 +4,14 @@
 //! stands when the platform last confirmed, directly or through others, that nothing newer was in
 //! force; a row's hold runs from then.
 
+use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::{Domains, Revision};
 use tokio::sync::watch;
 
-use crate::{Edition, Fault, Row, Table};
+use crate::{Edition, Fault, Patch, Row, Table};
 
 /// An edition with its table read.
 #[derive(Debug)]
@@ -23,10 +24,23 @@
     pub since: Instant,
 }
 
+/// Why an edition that came as a patch was not taken.
+#[derive(Debug)]
+pub enum Refused {
+    /// The patch starts from an edition that isn't known here.
+    Base,
+    /// The table has faults, or doesn't fit this deployment.
+    Faults(Vec<Fault>),
+}
+
+/// Editions kept to make patches from and to follow them.
+const KEPT: usize = 64;
+
 /// Holder of the edition in force.
 #[derive(Debug)]
 pub struct Force {
     domains: Domains,
+    kept: Mutex<VecDeque<Arc<InForce>>>,
     current: watch::Sender<Arc<InForce>>,
     confirmed: Mutex<Option<Instant>>,
 }
@@ -41,6 +55,7 @@
         };
         Force {
             domains,
+            kept: Mutex::default(),
             current: watch::Sender::new(Arc::new(initial)),
             confirmed: Mutex::new(None),
         }
@@ -63,12 +78,49 @@
         Ok(self.current.send_if_modified(|current| {
             let newer = next.edition.revision > current.edition.revision;
             if newer {
+                self.keep(next.clone());
                 *current = next;
             }
             newer
         }))
     }
 
+    /// Takes an edition that came as a patch if it is newer; says whether it was.
+    pub fn follow(&self, patch: Patch) -> Result<bool, Refused> {
+        if patch.revision <= self.revision() {
+            return Ok(false);
+        }
+        let base = self.kept(patch.base);
+        let edition = patch
+            .follow(base.as_ref().map(|kept| &kept.edition))
+            .ok_or(Refused::Base)?;
+        self.offer(edition).map_err(Refused::Faults)
+    }
+
+    /// The edition in force as a patch for one who has a revision.
+    pub fn patch(&self, have: Revision) -> Patch {
+        let view = self.view();
+        match self.kept(have) {
+            Some(base) => Patch::between(&base.edition, &view.edition),
+            None => Patch::whole(&view.edition),
+        }
+    }
+
+    fn keep(&self, edition: Arc<InForce>) {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.push_back(edition);
+        if kept.len() > KEPT {
+            kept.pop_front();
+        }
+    }
+
+    fn kept(&self, revision: Revision) -> Option<Arc<InForce>> {
+        let kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        kept.iter()
+            .find(|k| k.edition.revision == revision)
+            .cloned()
+    }
+
     /// Notes that at `at` nothing newer than `revision` was in force.
     pub fn confirm(&self, revision: Revision, at: Instant) {
         if revision != self.revision() {
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -10,13 +10,15 @@
 pub mod force;
 pub mod limits;
 pub mod parse;
+pub mod patch;
 pub mod row;
 
 pub use diff::{Change, diff};
 pub use edition::Edition;
 pub use fault::Fault;
-pub use force::{Force, InForce};
+pub use force::{Force, InForce, Refused};
 pub use limits::Limits;
+pub use patch::Patch;
 pub use row::{Hold, Row, Version};
 
 use base::Domains;
--- a/crates/wire/schema/control.capnp
+++ b/crates/wire/schema/control.capnp
@@ -26,6 +26,8 @@
   leaving @2 :Bool;
   holdings @3 :List(Holding);
   entriesSeen @4 :UInt64;
+  sameHoldings @5 :Bool;
+  # The holdings are those of the last heartbeat on this link and are left out.
 }
 
 struct Freshness {
@@ -47,7 +49,13 @@
   edit @1 :Text;
   author @2 :Text;
   atMs @3 :UInt64;
-  csv @4 :Text;
+  # The table's text: so many lines from the head and the tail of the base revision's, and those
+  # between. All of it stands in the middle where the base is 0.
+  base @4 :UInt64;
+  head @5 :UInt32;
+  tail @6 :UInt32;
+  middle @7 :Text;
+  check @8 :UInt64;
 }
 
 struct Peer {
@@ -72,6 +80,12 @@
   peers @1 :List(Peer);
 }
 
+struct AgentDigest {
+  # An agent that has joined the entry that tells of it.
+  info @0 :AgentInfo;
+  beat @1 :Beat;
+}
+
 struct Note {
   vm @0 :Text;
   domain @1 :Text;
@@ -79,8 +93,16 @@
   fresh @3 :Freshness;
   leaving @4 :Bool;
   entries @5 :List(Text);
-  replicas @6 :List(Replica);
-  rollouts @7 :List(Rollout);
+  # State of what the sender tells, and the last state it has of the receiver's. What the receiver
+  # has already is left out.
+  state @6 :UInt64;
+  seen @7 :UInt64;
+  told @8 :Bool;
+  # Within a failure domain.
+  agents @9 :List(AgentDigest);
+  # Between failure domains.
+  replicas @10 :List(Replica);
+  rollouts @11 :List(Rollout);
 }
 
 struct Claim {
--- a/crates/wire/src/control_capnp.rs
+++ b/crates/wire/src/control_capnp.rs
@@ -1106,6 +1106,10 @@
         pub fn get_entries_seen(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_same_holdings(self) -> bool {
+            self.reader.get_bool_field(97)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1264,6 +1268,14 @@
         pub fn set_entries_seen(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_same_holdings(self) -> bool {
+            self.builder.get_bool_field(97)
+        }
+        #[inline]
+        pub fn set_same_holdings(&mut self, value: bool) {
+            self.builder.set_bool_field(97, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1278,7 +1290,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(156, 117, 127, 1, 27, 236, 88, 192),
             ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
@@ -1288,49 +1300,56 @@
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 66, 101),
             ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 96, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 97, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1378,6 +1397,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 97, 109, 101, 72, 111, 108, 100),
+            ::capnp::word(105, 110, 103, 115, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1386,6 +1414,7 @@
                 2 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::control_capnp::holding::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1404,9 +1433,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 2, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 3, 2, 0, 1, 5];
         pub(crate) const TYPE_ID: u64 = 0xc058_ec1b_017f_759c;
     }
 }
@@ -2313,16 +2342,32 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_csv(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_head(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn get_tail(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_middle(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(2),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_csv(&self) -> bool {
+        pub fn has_middle(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
+        #[inline]
+        pub fn get_check(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> {
@@ -2331,7 +2376,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 5,
                 pointers: 3,
             };
     }
@@ -2482,14 +2527,41 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_csv(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_head(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_head(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(6, value);
+        }
+        #[inline]
+        pub fn get_tail(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_tail(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_middle(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(2),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_csv(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+        pub fn set_middle(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(2),
                 value,
@@ -2498,13 +2570,21 @@
             .unwrap()
         }
         #[inline]
-        pub fn init_csv(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_middle(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(2).init_text(size)
         }
         #[inline]
-        pub fn has_csv(&self) -> bool {
+        pub fn has_middle(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
+        #[inline]
+        pub fn get_check(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_check(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline {
@@ -2519,59 +2599,87 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 153] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(170, 105, 69, 205, 58, 46, 250, 192),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(70, 2, 232, 201, 167, 245, 211, 177),
             ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 178, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 255, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 69, 100),
             ::capnp::word(105, 116, 105, 111, 110, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(253, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -2605,7 +2713,31 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 115, 118, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 97, 105, 108, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 105, 100, 100, 108, 101, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2613,6 +2745,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 101, 99, 107, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2620,7 +2760,11 @@
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2639,9 +2783,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 4, 1, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 2, 4, 8, 1, 5, 7, 0, 6];
         pub(crate) const TYPE_ID: u64 = 0xc0fa_2e3a_cd45_69aa;
     }
 }
@@ -3957,7 +4101,7 @@
     }
 }
 
-pub mod note {
+pub mod agent_digest {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -4061,92 +4205,27 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_info(self) -> ::capnp::Result<crate::control_capnp::agent_info::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_vm(&self) -> bool {
+        pub fn has_info(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_beat(self) -> ::capnp::Result<crate::control_capnp::beat::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_domain(&self) -> bool {
+        pub fn has_beat(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
-        #[inline]
-        pub fn get_control(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_control(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
-        pub fn get_fresh(self) -> ::capnp::Result<crate::control_capnp::freshness::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_fresh(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
-        }
-        #[inline]
-        pub fn get_leaving(self) -> bool {
-            self.reader.get_bool_field(0)
-        }
-        #[inline]
-        pub fn get_entries(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(4),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_entries(&self) -> bool {
-            !self.reader.get_pointer_field(4).is_null()
-        }
-        #[inline]
-        pub fn get_replicas(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::control_capnp::replica::Owned>>
-        {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(5),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_replicas(&self) -> bool {
-            !self.reader.get_pointer_field(5).is_null()
-        }
-        #[inline]
-        pub fn get_rollouts(
-            self,
-        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::control_capnp::rollout::Owned>>
-        {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(6),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_rollouts(&self) -> bool {
-            !self.reader.get_pointer_field(6).is_null()
-        }
     }
 
     pub struct Builder<'a> {
@@ -4155,8 +4234,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 7,
+                data: 0,
+                pointers: 2,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -4239,87 +4318,547 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_info(self) -> ::capnp::Result<crate::control_capnp::agent_info::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_vm(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+        pub fn set_info(
+            &mut self,
+            value: crate::control_capnp::agent_info::Reader<'_>,
+        ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
-            .unwrap()
         }
         #[inline]
-        pub fn init_vm(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_info(self) -> crate::control_capnp::agent_info::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_vm(&self) -> bool {
+        pub fn has_info(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_beat(self) -> ::capnp::Result<crate::control_capnp::beat::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_domain(
+        pub fn set_beat(
             &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
+            value: crate::control_capnp::beat::Reader<'_>,
+        ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
                 value,
                 false,
             )
-            .unwrap()
         }
         #[inline]
-        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn init_beat(self) -> crate::control_capnp::beat::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), 0)
         }
         #[inline]
-        pub fn has_domain(&self) -> bool {
+        pub fn has_beat(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
-        #[inline]
-        pub fn get_control(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_control(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(2),
-                value,
-                false,
-            )
-            .unwrap()
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
         }
-        #[inline]
-        pub fn init_control(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(2).init_text(size)
+    }
+    impl Pipeline {
+        pub fn get_info(&self) -> crate::control_capnp::agent_info::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
-        #[inline]
-        pub fn has_control(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
+        pub fn get_beat(&self) -> crate::control_capnp::beat::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(1))
         }
-        #[inline]
-        pub fn get_fresh(self) -> ::capnp::Result<crate::control_capnp::freshness::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(3),
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(117, 247, 44, 157, 100, 96, 127, 225),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(70, 2, 232, 201, 167, 245, 211, 177),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
+            ::capnp::word(99, 97, 112, 110, 112, 58, 65, 103),
+            ::capnp::word(101, 110, 116, 68, 105, 103, 101, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 102, 111, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(89, 221, 65, 23, 17, 7, 132, 134),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 97, 116, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 117, 127, 1, 27, 236, 88, 192),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::control_capnp::agent_info::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::control_capnp::beat::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xe17f_6064_9d2c_f775;
+    }
+}
+
+pub mod note {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_control(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_control(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_fresh(self) -> ::capnp::Result<crate::control_capnp::freshness::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_fresh(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_leaving(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_state(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_seen(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_told(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
+        #[inline]
+        pub fn get_agents(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::control_capnp::agent_digest::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_agents(&self) -> bool {
+            !self.reader.get_pointer_field(5).is_null()
+        }
+        #[inline]
+        pub fn get_replicas(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::control_capnp::replica::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_replicas(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_rollouts(
+            self,
+        ) -> ::capnp::Result<::capnp::struct_list::Reader<'a, crate::control_capnp::rollout::Owned>>
+        {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_rollouts(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 3,
+                pointers: 8,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_vm(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_vm(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_vm(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_vm(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_domain(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_domain(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_domain(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_domain(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_control(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_control(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_control(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_control(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_fresh(self) -> ::capnp::Result<crate::control_capnp::freshness::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
                 ::core::option::Option::None,
             )
         }
@@ -4380,12 +4919,72 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
+        pub fn get_state(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_state(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_seen(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_seen(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_told(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_told(&mut self, value: bool) {
+            self.builder.set_bool_field(1, value);
+        }
+        #[inline]
+        pub fn get_agents(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::control_capnp::agent_digest::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_agents(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::control_capnp::agent_digest::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_agents(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::control_capnp::agent_digest::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(5),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_agents(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
         pub fn get_replicas(
             self,
         ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::control_capnp::replica::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(5),
+                self.builder.get_pointer_field(6),
                 ::core::option::Option::None,
             )
         }
@@ -4395,7 +4994,7 @@
             value: ::capnp::struct_list::Reader<'_, crate::control_capnp::replica::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(5),
+                self.builder.reborrow().get_pointer_field(6),
                 value,
                 false,
             )
@@ -4406,13 +5005,13 @@
             size: u32,
         ) -> ::capnp::struct_list::Builder<'a, crate::control_capnp::replica::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(5),
+                self.builder.get_pointer_field(6),
                 size,
             )
         }
         #[inline]
         pub fn has_replicas(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
+            !self.builder.is_pointer_field_null(6)
         }
         #[inline]
         pub fn get_rollouts(
@@ -4420,7 +5019,7 @@
         ) -> ::capnp::Result<::capnp::struct_list::Builder<'a, crate::control_capnp::rollout::Owned>>
         {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(6),
+                self.builder.get_pointer_field(7),
                 ::core::option::Option::None,
             )
         }
@@ -4430,7 +5029,7 @@
             value: ::capnp::struct_list::Reader<'_, crate::control_capnp::rollout::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(6),
+                self.builder.reborrow().get_pointer_field(7),
                 value,
                 false,
             )
@@ -4441,13 +5040,13 @@
             size: u32,
         ) -> ::capnp::struct_list::Builder<'a, crate::control_capnp::rollout::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(6),
+                self.builder.get_pointer_field(7),
                 size,
             )
         }
         #[inline]
         pub fn has_rollouts(&self) -> bool {
-            !self.builder.is_pointer_field_null(6)
+            !self.builder.is_pointer_field_null(7)
         }
     }
 
@@ -4467,80 +5066,108 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 151] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 215] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(39, 30, 191, 78, 98, 97, 72, 228),
-            ::capnp::word(14, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(70, 2, 232, 201, 167, 245, 211, 177),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 154, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 199, 1, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 110, 116, 114, 111, 108, 46),
             ::capnp::word(99, 97, 112, 110, 112, 58, 78, 111),
             ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 26, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(7, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(161, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(118, 109, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -4593,6 +5220,42 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 108, 100, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 110, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 247, 44, 157, 100, 96, 127, 225),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 101, 112, 108, 105, 99, 97, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -4628,8 +5291,12 @@
                 3 => <crate::control_capnp::freshness::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <::capnp::struct_list::Owned<crate::control_capnp::replica::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::control_capnp::rollout::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::struct_list::Owned<crate::control_capnp::agent_digest::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::control_capnp::replica::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::control_capnp::rollout::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4648,9 +5315,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 1, 5, 3, 4, 6, 7, 0];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[9, 2, 1, 5, 3, 4, 10, 11, 7, 6, 8, 0];
         pub(crate) const TYPE_ID: u64 = 0xe448_6162_4ebf_1e27;
     }
 }
--- a/crates/wire/src/convert.rs
+++ b/crates/wire/src/convert.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use capnp::{struct_list, text, text_list};
-use table::{Edition, Version};
+use table::{Patch, Version};
 
 use crate::control_capnp as c;
 use crate::{
-    AgentInfo, Beat, BeatReply, Claim, Claimed, Freshness, Holding, Note, Peer, Replica, Rollout,
-    WireError,
+    AgentDigest, AgentInfo, Beat, BeatReply, Claim, Claimed, Freshness, Holding, Note, Peer,
+    Replica, Rollout, WireError,
 };
 
 type Read<T> = Result<T, WireError>;
@@ -81,6 +81,7 @@
         leaving: r.get_leaving(),
         holdings: holdings.collect::<Read<_>>()?,
         entries_seen: r.get_entries_seen(),
+        same_holdings: r.get_same_holdings(),
     })
 }
 
@@ -90,6 +91,7 @@
     b.set_running(beat.running);
     b.set_leaving(beat.leaving);
     b.set_entries_seen(beat.entries_seen);
+    b.set_same_holdings(beat.same_holdings);
     let mut list = b.init_holdings(beat.holdings.len() as u32);
     for (i, holding) in beat.holdings.iter().enumerate() {
         let mut h = list.reborrow().get(i as u32);
@@ -133,23 +135,31 @@
 }
 
 /// Reads an edition of the table.
-pub fn read_edition(r: c::edition::Reader) -> Read<Edition> {
-    Ok(Edition {
+pub fn read_patch(r: c::edition::Reader) -> Read<Patch> {
+    Ok(Patch {
         revision: r.get_revision(),
         edit: string(r.get_edit()?)?,
         author: string(r.get_author()?)?,
         at_ms: r.get_at_ms(),
-        csv: string(r.get_csv()?)?,
+        base: r.get_base(),
+        head: r.get_head(),
+        tail: r.get_tail(),
+        middle: string(r.get_middle()?)?,
+        check: r.get_check(),
     })
 }
 
 /// Writes an edition of the table.
-pub fn write_edition(mut b: c::edition::Builder, edition: &Edition) {
-    b.set_revision(edition.revision);
-    b.set_edit(edition.edit.as_str());
-    b.set_author(edition.author.as_str());
-    b.set_at_ms(edition.at_ms);
-    b.set_csv(edition.csv.as_str());
+pub fn write_patch(mut b: c::edition::Builder, patch: &Patch) {
+    b.set_revision(patch.revision);
+    b.set_edit(patch.edit.as_str());
+    b.set_author(patch.author.as_str());
+    b.set_at_ms(patch.at_ms);
+    b.set_base(patch.base);
+    b.set_head(patch.head);
+    b.set_tail(patch.tail);
+    b.set_middle(patch.middle.as_str());
+    b.set_check(patch.check);
 }
 
 /// Reads a list of peers.
@@ -201,6 +211,13 @@
     })
 }
 
+fn read_digest(r: c::agent_digest::Reader) -> Read<AgentDigest> {
+    Ok(AgentDigest {
+        info: read_info(r.get_info()?)?,
+        beat: read_beat(r.get_beat()?)?,
+    })
+}
+
 /// Reads a note between entries.
 pub fn read_note(r: c::note::Reader) -> Read<Note> {
     Ok(Note {
@@ -210,6 +227,14 @@
         fresh: read_fresh(r.get_fresh()?),
         leaving: r.get_leaving(),
         entries: addrs(r.get_entries()?)?,
+        state: r.get_state(),
+        seen: r.get_seen(),
+        told: r.get_told(),
+        agents: r
+            .get_agents()?
+            .iter()
+            .map(read_digest)
+            .collect::<Read<_>>()?,
         replicas: r
             .get_replicas()?
             .iter()
@@ -232,6 +257,15 @@
     b.set_leaving(note.leaving);
     let entries = b.reborrow().init_entries(note.entries.len() as u32);
     write_addrs(entries, &note.entries);
+    b.set_state(note.state);
+    b.set_seen(note.seen);
+    b.set_told(note.told);
+    let mut agents = b.reborrow().init_agents(note.agents.len() as u32);
+    for (i, digest) in note.agents.iter().enumerate() {
+        let mut b = agents.reborrow().get(i as u32);
+        write_info(b.reborrow().init_info(), &digest.info);
+        write_beat(b.init_beat(), &digest.beat);
+    }
     let mut replicas = b.reborrow().init_replicas(note.replicas.len() as u32);
     for (i, replica) in note.replicas.iter().enumerate() {
         write_replica(replicas.reborrow().get(i as u32), replica);
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -6,7 +6,7 @@
 use capnp::message::ReaderOptions;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::{RpcSystem, twoparty};
-use table::Edition;
+use table::{Edition, Patch};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::task::JoinHandle;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
@@ -115,17 +115,17 @@
     }
 
     /// Waits, for as long as it takes, until the entry has a later revision than `have`.
-    pub async fn watch(&self, have: base::Revision) -> Result<Edition, WireError> {
+    pub async fn watch(&self, have: base::Revision) -> Result<Patch, WireError> {
         let mut req = self.entry.watch_request();
         req.get().set_have(have);
         let res = req.send().promise.await?;
-        convert::read_edition(res.get()?.get_edition()?)
+        convert::read_patch(res.get()?.get_edition()?)
     }
 
     /// Hands the entry an edition that it has not.
     pub async fn offer(&self, edition: &Edition) -> Result<(), WireError> {
         let mut req = self.entry.offer_request();
-        convert::write_edition(req.get().init_edition(), edition);
+        convert::write_patch(req.get().init_edition(), &Patch::whole(edition));
         timely(req.send().promise).await.map(drop)
     }
 
--- a/crates/wire/src/msg.rs
+++ b/crates/wire/src/msg.rs
@@ -54,6 +54,17 @@
     pub holdings: Vec<Holding>,
     /// State of the entry's list of entries the agent has seen.
     pub entries_seen: u64,
+    /// Whether the holdings are those of the last heartbeat on the link, and left out.
+    pub same_holdings: bool,
+}
+
+/// An agent that has joined the entry that tells of it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AgentDigest {
+    /// Who it is.
+    pub info: AgentInfo,
+    /// Its last heartbeat.
+    pub beat: Beat,
 }
 
 /// What revision a process serves by, and how long ago the platform confirmed it.
@@ -132,9 +143,17 @@
     pub leaving: bool,
     /// Control addresses of the entries it knows.
     pub entries: Vec<SocketAddr>,
-    /// A bounded sample of its domain's live replicas; empty towards its own domain.
+    /// State of what the sender tells.
+    pub state: u64,
+    /// The last state the sender has of the receiver's.
+    pub seen: u64,
+    /// Whether the lists below are told; else the receiver has them already.
+    pub told: bool,
+    /// Within a failure domain: agents that have joined the sender.
+    pub agents: Vec<AgentDigest>,
+    /// Between failure domains: a bounded sample of live replicas.
     pub replicas: Vec<Replica>,
-    /// Its domain's rollouts; empty towards its own domain.
+    /// Between failure domains: rollouts.
     pub rollouts: Vec<Rollout>,
 }
 
--- a/crates/wire/src/seat.rs
+++ b/crates/wire/src/seat.rs
@@ -1,6 +1,6 @@
 //! An agent's seat at an entry: what it may call once it has joined.
 
-use table::{Edition, Version};
+use table::{Edition, Patch, Version};
 
 use crate::control_capnp::seat;
 use crate::convert;
@@ -32,17 +32,17 @@
     }
 
     /// Waits, for as long as it takes, until the entry has a later revision than `have`.
-    pub async fn watch(&self, have: base::Revision) -> Result<Edition, WireError> {
+    pub async fn watch(&self, have: base::Revision) -> Result<Patch, WireError> {
         let mut req = self.seat.watch_request();
         req.get().set_have(have);
         let res = req.send().promise.await?;
-        convert::read_edition(res.get()?.get_edition()?)
+        convert::read_patch(res.get()?.get_edition()?)
     }
 
     /// Hands the entry an edition that it has not.
     pub async fn offer(&self, edition: &Edition) -> Result<(), WireError> {
         let mut req = self.seat.offer_request();
-        convert::write_edition(req.get().init_edition(), edition);
+        convert::write_patch(req.get().init_edition(), &Patch::whole(edition));
         timely(req.send().promise).await.map(drop)
     }
 
