--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -30,6 +30,9 @@
 /// Time between two questions to the entries.
 const ASK: Duration = Duration::from_millis(500);
 
+/// Time in which all agents learn who else wants a version, before any draws from the origin.
+const SETTLE: Duration = Duration::from_millis(150);
+
 /// Agents of the own failure domain, and of others, looked at at once.
 const LOOK_AT: [usize; 2] = [16, 8];
 
@@ -76,7 +79,7 @@
     let now = Instant::now();
     let missing = (0..manifest.chunks.len()).filter(|i| !staged.contains(&(*i as u32)));
     let mut fetch = Fetch {
-        rule: rule(&agent),
+        rule: rule(&agent, version),
         swarm: Swarm::default(),
         wanted_since: missing.map(|i| (i, now)).collect(),
         in_flight: Set::default(),
@@ -91,10 +94,16 @@
     fetch.manifest
 }
 
-fn rule(agent: &Agent) -> Rule {
+fn rule(agent: &Agent, version: Digest) -> Rule {
+    let (view, domains) = (agent.force.view(), agent.force.domains());
+    let version = Version::Weights(version);
+    let permits = |domain: &&String| view.table.may_hold(&version, domain, domains);
+    let permitted = domains.names().filter(permits).cloned().collect();
     Rule {
         vm: agent.cfg.upkeep.vm.clone(),
         domain: agent.cfg.upkeep.domain.clone(),
+        permitted,
+        settle: SETTLE,
         per_domain: agent.cfg.origin_copies == "domain",
         patience: agent.cfg.origin_patience,
         bad_chunks: agent.cfg.bad_chunks,
@@ -255,6 +264,7 @@
     source: Source,
 ) -> Result<Bytes, ChunkError> {
     let (first, end) = manifest.range(i);
+    agent.down.weights((end - first) as usize).await;
     match source {
         Source::Origin => {
             let buf = agent
--- a/crates/agent/src/handle.rs
+++ b/crates/agent/src/handle.rs
@@ -18,6 +18,7 @@
 use crate::ask::Ask;
 use crate::gate::{Closed, Pass};
 use crate::ledger::Recorded;
+use crate::pace::Pacer;
 
 /// Log prefix of this part.
 const PART: &str = "handle";
@@ -74,6 +75,7 @@
         Ok(body) => body,
         Err(_) => return refuse(&agent, Closed::Malformed),
     };
+    agent.down.request(body.len());
     if ask.once && !agent.ledger.begin(&ask.id) {
         return refuse(&agent, Closed::Sealed);
     }
@@ -112,7 +114,12 @@
         match self.send().await {
             Taken::Answered(res) => {
                 let (head, body) = res.into_parts();
-                let mut res = hyper::Response::new(pass_through(body, self.pass, self.deadline));
+                let mut res = hyper::Response::new(pass_through(
+                    body,
+                    self.pass,
+                    self.deadline,
+                    self.agent.up.clone(),
+                ));
                 *res.status_mut() = head.status;
                 *res.headers_mut() = returned(&head.headers);
                 stamp(&self.agent, &self.ask, res.headers_mut());
@@ -168,6 +175,7 @@
                     return;
                 }
             };
+            self.agent.up.request(data.len());
             kept.extend_from_slice(&data);
             listens = listens && frames_tx.send(Ok(data)).await.is_ok();
         }
@@ -305,11 +313,14 @@
 }
 
 /// Passes a body on until the deadline, counting its request as running until the last byte.
-fn pass_through(body: Incoming, pass: Pass, deadline: Instant) -> Body {
-    let frames = stream::unfold(Some((body, pass)), move |state| async move {
-        let (mut body, pass) = state?;
+fn pass_through(body: Incoming, pass: Pass, deadline: Instant, up: Arc<Pacer>) -> Body {
+    let frames = stream::unfold(Some((body, pass, up)), move |state| async move {
+        let (mut body, pass, up) = state?;
         match tokio::time::timeout_at(deadline.into(), body.frame()).await {
-            Ok(Some(Ok(frame))) => Some((Ok(frame), Some((body, pass)))),
+            Ok(Some(Ok(frame))) => {
+                up.request(frame.data_ref().map_or(0, Bytes::len));
+                Some((Ok(frame), Some((body, pass, up))))
+            }
             Ok(Some(Err(e))) => Some((Err(BodyError::Broken(e)), None)),
             Ok(None) => None,
             Err(_) => Some((Err(BodyError::Slow(Duration::ZERO)), None)),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,7 +3,7 @@
 //! A request's way: [`ask`] reads what an entry sent, [`gate`] lets it in or refuses it for
 //! certain, [`handle`] runs it at the upstream, and [`ledger`] remembers unsafe ones. Weights:
 //! [`rollout`] compares the table with what the engine has, [`fetch`] brings a version's chunks
-//! in from the sources that [`swarm`] ranks, [`peer`] passes them on, and [`engine`] gives orders.
+//! in from the sources that [`swarm`] ranks, [`peer`] passes them on at the [`pace`] that requests leave, and [`engine`] gives orders.
 //! [`links`] keeps links to the entries of the failure domain.
 
 pub mod admin;
@@ -14,6 +14,7 @@
 pub mod handle;
 pub mod ledger;
 pub mod links;
+pub mod pace;
 pub mod peer;
 pub mod rollout;
 pub mod run;
@@ -68,6 +69,10 @@
     pub traffic: Traffic,
     /// Bytes of chunks taken from peers and from the origin.
     pub drawn: Drawn,
+    /// Pace of weights sent.
+    pub up: Arc<pace::Pacer>,
+    /// Pace of weights fetched.
+    pub down: Arc<pace::Pacer>,
     /// What the entries are told of versions.
     pub holdings: watch::Sender<Vec<Holding>>,
     chunks: Mutex<ChunkStore>,
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -9,10 +9,11 @@
 use base::{Digest, header};
 use bytes::Bytes;
 use table::Version;
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use web::{Request, Response};
 
 use crate::Agent;
+use crate::pace::paced;
 
 /// A held chunk in the answer to `/have`.
 pub const HELD: u8 = b'1';
@@ -39,8 +40,8 @@
     match (what, chunk) {
         ("manifest", None) => manifest(&agent, version),
         ("have", None) => have(&agent, version),
-        ("chunk", Some(i)) => match serves.try_acquire() {
-            Ok(_slot) => chunk_of(&agent, version, i),
+        ("chunk", Some(i)) => match serves.try_acquire_owned() {
+            Ok(slot) => chunk_of(&agent, version, i, slot),
             Err(_) => web::text(429, "too many chunks are being sent; ask again\n"),
         },
         _ => web::text(404, "use /manifest, /have or /chunk\n"),
@@ -81,13 +82,15 @@
     res
 }
 
-fn chunk_of(agent: &Agent, version: Digest, i: usize) -> Response {
+/// Sends a chunk at the pace of the link; its slot is taken until its last byte.
+fn chunk_of(agent: &Arc<Agent>, version: Digest, i: usize, slot: OwnedSemaphorePermit) -> Response {
     match held(agent, version, i) {
         Some(buf) => {
             metrics::counter!("driftnotch_chunk_bytes_total", "direction" => "sent")
                 .increment(buf.len() as u64);
             let mut res = web::text(200, "");
-            *res.body_mut() = web::full(buf);
+            web::set_header(res.headers_mut(), "content-length", &buf.len().to_string());
+            *res.body_mut() = paced(buf, slot, agent.up.clone());
             res
         }
         None => web::text(404, "the chunk is not held here\n"),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -20,6 +20,7 @@
 use crate::engine::Engine;
 use crate::gate::Gate;
 use crate::ledger::Ledger;
+use crate::pace::Pacer;
 use crate::{Agent, Drawn, PeersJob, admin, handle, links, peer, rollout};
 
 /// Log prefix of this part.
@@ -134,6 +135,8 @@
         peers,
         traffic: Traffic::default(),
         drawn: Drawn::default(),
+        up: Arc::new(Pacer::new(cfg.link_rate, cfg.weight_share)),
+        down: Arc::new(Pacer::new(cfg.link_rate, cfg.weight_share)),
         holdings: watch::Sender::new(Vec::new()),
         chunks: Mutex::new(ChunkStore::new(cfg.chunk_memory as usize)),
         manifests: Mutex::new(Map::default()),
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -28,6 +28,10 @@
     pub vm: VmId,
     /// Failure domain.
     pub domain: DomainName,
+    /// Failure domains in which the version is permitted.
+    pub permitted: Vec<DomainName>,
+    /// Time after the version was first wanted in which nobody draws, so that all know all.
+    pub settle: Duration,
     /// One copy for each failure domain, not for the whole fleet.
     pub per_domain: bool,
     /// Wait before a chunk that is nowhere is drawn by one that wasn't chosen.
@@ -105,14 +109,23 @@
         if let Some(addr) = pick(&near) {
             return Some(Source::Peer(addr));
         }
+        if waited < rule.settle {
+            return None;
+        }
         let (draws, carries) = self.duty(chunk, rule);
         if draws {
             return Some(Source::Origin);
         }
         let far = self.holders(i, rule, |p| p.domain != rule.domain);
+        // Where the chosen one is gone, the one that carries into a domain draws before others.
+        let patience = if carries {
+            rule.patience
+        } else {
+            rule.patience * 2
+        };
         match pick(&far) {
             Some(addr) if carries || waited > rule.patience / 2 => Some(Source::Peer(addr)),
-            _ => (waited > rule.patience).then_some(Source::Origin),
+            _ => (waited > patience).then_some(Source::Origin),
         }
     }
 
@@ -125,11 +138,10 @@
             .filter(|p| p.domain == rule.domain && !p.leaving)
             .all(|p| rank(chunk, &p.vm) < rank(chunk, &rule.vm));
         let own_domain_first = rule.per_domain
-            || self
-                .peers
+            || rule
+                .permitted
                 .iter()
-                .filter(|p| !p.leaving)
-                .all(|p| rank(chunk, &p.domain) <= rank(chunk, &rule.domain));
+                .all(|domain| rank(chunk, domain) <= rank(chunk, &rule.domain));
         (first_here && own_domain_first, first_here)
     }
 
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -38,7 +38,7 @@
 /// Bytes that one heartbeat with its answer costs on the link, acknowledgements included.
 ///
 /// Measured by `driftnotch-lab control`; docs/CAPACITY.md has the figures.
-const BEAT_COST: u64 = 900;
+const BEAT_COST: u64 = 600;
 
 /// Time in which all agents of the failure domain have tried to join a new entry.
 const JOIN_TIME: Duration = Duration::from_secs(4);
--- a/crates/entry/src/membership/control.rs
+++ b/crates/entry/src/membership/control.rs
@@ -20,7 +20,7 @@
 const PART: &str = "control";
 
 /// Entries named to another process at once.
-const ENTRY_SAMPLE: usize = 16;
+const ENTRY_SAMPLE: usize = 4;
 
 /// Accepts links for as long as the process runs; call within a `LocalSet`.
 pub async fn listen(entry: Arc<Entry>, listener: TcpListener) {
--- a/crates/entry/src/membership/upstream.rs
+++ b/crates/entry/src/membership/upstream.rs
@@ -185,6 +185,11 @@
         self.running().max(self.condition().reported)
     }
 
+    /// Load as it was last reported.
+    pub fn reported(&self) -> u32 {
+        self.condition().reported
+    }
+
     /// Versions it fetches, holds or has live.
     pub fn holdings(&self) -> Vec<Holding> {
         self.condition().holdings.clone()
--- a/crates/entry/src/route/pick.rs
+++ b/crates/entry/src/route/pick.rs
@@ -5,8 +5,13 @@
 //! rendezvous hash) while that one's load is within a bound of the mean; else the less loaded of
 //! two random ones is taken. Loads lag, so the entry's own count of running requests is part of
 //! them. Upstreams that fail are left alone, unless all do.
+//!
+//! That is the policy `prefix`. The others are there to be compared with it on the bench: `two`
+//! (the same without prefixes), `random`, `round-robin`, and `least-reported` (the lowest load
+//! that was reported, however old).
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use base::Digest;
@@ -72,7 +77,13 @@
     if free.is_empty() {
         return Pick::Busy;
     }
-    let chosen = preferred(&free, call, cfg).unwrap_or_else(|| of_two(&free, cfg));
+    let chosen = match cfg.policy.as_str() {
+        "two" => of_two(&free, cfg),
+        "random" => free[rand::rng().random_range(0..free.len())].clone(),
+        "round-robin" => in_turn(free.clone()),
+        "least-reported" => least_reported(&free),
+        _ => preferred(&free, call, cfg).unwrap_or_else(|| of_two(&free, cfg)),
+    };
     match Slot::take(&chosen.upstream, limit) {
         Some(slot) => Pick::Chosen(slot),
         None => Pick::Busy,
@@ -128,6 +139,20 @@
     (best.weight(cfg.slow_start) <= bound.max(2.0)).then(|| best.clone())
 }
 
+/// The next in the order of VMs.
+fn in_turn(mut free: Vec<Candidate>) -> Candidate {
+    static TURN: AtomicUsize = AtomicUsize::new(0);
+    free.sort_by(|a, b| a.upstream.vm().cmp(b.upstream.vm()));
+    let turn = TURN.fetch_add(1, Ordering::Relaxed) % free.len();
+    free.swap_remove(turn)
+}
+
+/// The one with the lowest load as reported.
+fn least_reported(free: &[Candidate]) -> Candidate {
+    let least = free.iter().min_by_key(|c| c.upstream.reported());
+    least.unwrap_or(&free[0]).clone()
+}
+
 fn of_two(free: &[Candidate], cfg: &EntryCfg) -> Candidate {
     let mut rng = rand::rng();
     let a = rng.random_range(0..free.len());
--- /dev/null
+++ b/crates/lab/src/commands/claims.rs
@@ -0,0 +1,170 @@
+//! Compares ways to claim idempotency keys: each alone, gathered by each entry, gathered by one
+//! entry of the failure domain.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use base::{Digest, new_request_id};
+use entry::claim::{Claims, Gather, Record, Written, key_of};
+use lab::layout::Layout;
+use lab::standin::fault::Faults;
+use lab::standin::platform::Platform;
+use pico_args::Arguments;
+use platform::Kv;
+use serde::Serialize;
+use tokio::sync::watch;
+use web::Dial;
+
+use super::finish;
+use crate::LabError;
+
+/// Entries of the failure domain.
+const ENTRIES: usize = 6;
+
+/// Rates of claims, a second.
+const RATES: [u32; 4] = [100, 300, 1000, 3000];
+
+/// Time of one measurement.
+const SPAN: Duration = Duration::from_secs(3);
+
+/// Writes a second the platform takes.
+const MAX_WRITES: u32 = 400;
+
+/// Time the platform takes for a write.
+const WRITE_MS: u64 = 5;
+
+/// Time over which claims are gathered.
+const INTERVAL: Duration = Duration::from_millis(20);
+
+#[derive(Serialize)]
+struct Row {
+    way: &'static str,
+    claims_s: u32,
+    writes_s: f64,
+    refused_percent: f64,
+    p50_ms: f64,
+    p99_ms: f64,
+}
+
+pub async fn run(mut args: Arguments) -> Result<(), LabError> {
+    let json = args.contains("--json");
+    let net = args.opt_value_from_str("--net")?.unwrap_or(79);
+    finish(args)?;
+    let layout = Layout::cajueiro(net, 1, 1, 1, 0);
+    let (_tx, stop) = watch::channel(false);
+    let platform = Platform::start(layout.platform(), None, stop).await?;
+    platform.table.faults.set(Faults {
+        delay_ms: WRITE_MS,
+        max_writes_s: MAX_WRITES,
+        ..Faults::default()
+    });
+    let kv = Kv::new(
+        layout.platform().table,
+        Dial::within(Duration::from_secs(2)),
+    );
+    let mut rows = Vec::new();
+    for rate in RATES {
+        for way in ["alone", "by entry", "by claimer"] {
+            rows.push(measure(&platform, &kv, way, rate).await);
+        }
+    }
+    match json {
+        true => println!("{}", serde_json::to_string(&rows).expect("plain data")),
+        false => print(&rows),
+    }
+    Ok(())
+}
+
+/// Entries that claim in one of the ways.
+fn entries(kv: &Kv, way: &'static str) -> Vec<Claims> {
+    let batch = if way == "alone" { 1 } else { 100 };
+    let gather = Gather {
+        interval: INTERVAL,
+        batch,
+        retention: Duration::from_secs(3600),
+    };
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    let first = Claims::start(kv.clone(), gather, || None, |_, _| async { Vec::new() });
+    let mut all = vec![first.clone()];
+    for _ in 1..ENTRIES {
+        let claimer = first.clone();
+        let forward = move |_, claims| {
+            let claimer = claimer.clone();
+            async move { claimer.write_for(claims).await }
+        };
+        let to = (way == "by claimer").then_some(nowhere);
+        all.push(Claims::start(kv.clone(), gather, move || to, forward));
+    }
+    all
+}
+
+async fn measure(platform: &Platform, kv: &Kv, way: &'static str, rate: u32) -> Row {
+    // A second of its own, so that one measurement's writes don't count against the next.
+    tokio::time::sleep(Duration::from_millis(1100)).await;
+    let entries = entries(kv, way);
+    let writes_before = platform.table.store.counts().1;
+    let refused = Arc::new(AtomicU32::new(0));
+    let n = rate * SPAN.as_secs() as u32;
+    let begun = Instant::now();
+    let mut tasks = Vec::new();
+    for i in 0..n {
+        let at = begun + SPAN.mul_f64(f64::from(i) / f64::from(n));
+        let claims = entries[i as usize % ENTRIES].clone();
+        let refused = refused.clone();
+        tasks.push(tokio::spawn(async move {
+            tokio::time::sleep_until(at.into()).await;
+            let asked = Instant::now();
+            let record = record();
+            let written = claims.claim(key_of("lab", &record.request), &record).await;
+            if written != Written::Won {
+                refused.fetch_add(1, Ordering::Relaxed);
+                return None;
+            }
+            Some(asked.elapsed())
+        }));
+    }
+    let mut took = Vec::new();
+    for task in tasks {
+        took.extend(task.await.ok().flatten());
+    }
+    took.sort_unstable();
+    let span = begun.elapsed().as_secs_f64();
+    let at = |q: f64| {
+        let i = (took.len().max(1) - 1) as f64 * q;
+        took.get(i as usize)
+            .map_or(f64::NAN, |d| d.as_secs_f64() * 1e3)
+    };
+    Row {
+        way,
+        claims_s: rate,
+        writes_s: (platform.table.store.counts().1 - writes_before) as f64 / span,
+        refused_percent: f64::from(refused.load(Ordering::Relaxed)) * 100.0 / f64::from(n),
+        p50_ms: at(0.5),
+        p99_ms: at(0.99),
+    }
+}
+
+fn record() -> Record {
+    Record {
+        request: new_request_id(),
+        content: Digest::of(b"lab"),
+        vm: "recife-model-1".into(),
+        listen: SocketAddr::from(([127, 0, 0, 1], 8180)),
+        incarnation: 1,
+        domain: "recife".into(),
+        released: false,
+    }
+}
+
+fn print(rows: &[Row]) {
+    println!("| way | claims/s | writes/s | refused | p50 ms | p99 ms |");
+    println!("|---|---|---|---|---|---|");
+    for r in rows {
+        println!(
+            "| {} | {} | {:.0} | {:.1}% | {:.1} | {:.1} |",
+            r.way, r.claims_s, r.writes_s, r.refused_percent, r.p50_ms, r.p99_ms
+        );
+    }
+}
--- a/crates/lab/src/commands/control.rs
+++ b/crates/lab/src/commands/control.rs
@@ -164,11 +164,12 @@
     Ok(current.map_or(0, |c| c.edition.revision))
 }
 
-/// Puts a table of so many rows in force, different by `n`.
+/// Puts a table of so many rows in force as it is after `n` edits of one row each.
 async fn apply(tables: &Tables, rows: usize, n: usize) -> Result<u64, LabError> {
     let mut csv = "model,version,places,share,limits,priority,hold\n".to_owned();
     for i in 0..rows {
-        let priority = (n + i) % 10;
+        let edits_of_it = (n + rows - 1 - i) / rows;
+        let priority = edits_of_it % 10;
         csv += &format!("row{i},service,recife,100,rps=100;workspace-rps=10,{priority},30s\n");
     }
     let failed = |e: platform::PlatformError| LabError::Failed(e.to_string());
--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -1,8 +1,11 @@
 //! Tools, a file each.
 
+mod claims;
 mod control;
 mod layout;
 mod ready;
+mod rollout;
+mod route;
 mod send;
 mod standins;
 
@@ -22,7 +25,10 @@
             Some("service") => standins::service(args).await,
             Some("layout") => layout::run(args),
             Some("ready") => ready::run(args).await,
+            Some("claims") => claims::run(args).await,
             Some("control") => control::run(args).await,
+            Some("rollout") => rollout::run(args).await,
+            Some("route") => route::run(args).await,
             Some("send") => send::run(args).await,
             Some(other) => Err(LabError::Usage(format!("there is no tool {other:?}"))),
             None => Err(LabError::Usage("name a tool".into())),
--- /dev/null
+++ b/crates/lab/src/deployment.rs
@@ -0,0 +1,239 @@
+//! A deployment in this process: real entries' and agents' code, stand-ins, and relays on all
+//! links.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::Digest;
+use bytes::Bytes;
+use displaydoc::Display;
+use platform::{Kv, Tables};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use settings::Settings;
+use tokio::sync::watch;
+use web::{Client, Dial};
+use weights::Manifest;
+
+use crate::caller::{Ask, send};
+use crate::layout::{Layout, UpstreamVm};
+use crate::standin::engine::{Behaviour, Engine};
+use crate::standin::platform::Platform;
+use crate::standin::relay::Switchboard;
+
+/// Longest wait for anything.
+pub const PATIENCE: Duration = Duration::from_secs(300);
+
+/// Why a deployment failed.
+#[derive(Debug, Display)]
+pub enum DeployError {
+    /// {0}
+    Io(std::io::Error),
+    /// {0}
+    Failed(String),
+}
+
+impl std::error::Error for DeployError {}
+
+impl From<std::io::Error> for DeployError {
+    fn from(e: std::io::Error) -> DeployError {
+        DeployError::Io(e)
+    }
+}
+
+fn failed(e: impl std::fmt::Display) -> DeployError {
+    DeployError::Failed(e.to_string())
+}
+
+/// What a deployment looks like.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Second number of its addresses.
+    pub net: u8,
+    /// Failure domains.
+    pub domains: usize,
+    /// Entries in each.
+    pub entries: u8,
+    /// Upstream VMs in all.
+    pub vms: usize,
+    /// Lines of the entries' settings.
+    pub entry_lines: Vec<String>,
+    /// Lines of the agents' settings.
+    pub agent_lines: Vec<String>,
+    /// Behaviour of engines.
+    pub behaviour: Behaviour,
+    /// Rates of the VMs' links and of the origin's, in bytes a second.
+    pub rates: Option<(u64, u64)>,
+}
+
+/// An upstream VM with its engine.
+#[derive(Debug, Clone)]
+pub struct EngineVm {
+    /// VM.
+    pub vm: UpstreamVm,
+    /// Engine.
+    pub engine: Engine,
+}
+
+impl EngineVm {
+    /// Its address.
+    pub fn ip(&self) -> IpAddr {
+        self.vm.listen.ip()
+    }
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    /// Addresses.
+    pub layout: Layout,
+    /// Platform.
+    pub platform: Platform,
+    /// Links.
+    pub board: Switchboard,
+    /// Upstream VMs.
+    pub engines: Vec<EngineVm>,
+    _stop: watch::Sender<bool>,
+}
+
+impl Deployment {
+    /// Starts everything.
+    pub async fn start(plan: &Plan) -> Result<Deployment, DeployError> {
+        let per_domain = plan.vms.div_ceil(plan.domains) as u8;
+        let mut layout = Layout::cajueiro(plan.net, 1, plan.entries, per_domain, 0);
+        layout.domains.truncate(plan.domains);
+        layout.relayed = true;
+        let (stop_tx, stop) = watch::channel(false);
+        let platform = Platform::start(layout.platform_bound(), None, stop.clone()).await?;
+        platform.set_members(&layout.members());
+        let board = Switchboard::default();
+        let p = layout.platform();
+        for addr in [p.table, p.objects, p.members, p.origin] {
+            board.relay(addr, layout.bound(addr)).await?;
+        }
+        if let Some((_, origin)) = plan.rates {
+            board.pace(p.origin.ip(), origin, origin);
+        }
+        let mut deployment = Deployment {
+            layout,
+            platform,
+            board,
+            engines: Vec::new(),
+            _stop: stop_tx,
+        };
+        deployment.start_entries(plan, &stop).await?;
+        deployment.start_agents(plan, &stop).await?;
+        Ok(deployment)
+    }
+
+    async fn start_entries(&self, plan: &Plan, stop: &web::Stop) -> Result<(), DeployError> {
+        for e in self.layout.entry_vms() {
+            let bound = self.layout.bound(e.control);
+            self.board.relay(e.control, bound).await?;
+            let text = self.layout.entry_settings(&e, &plan.entry_lines);
+            match settings::check(&text) {
+                Ok(Settings::Entry(cfg)) => {
+                    tokio::spawn(entry::run(*cfg, stop.clone(), Arc::new(String::new)));
+                }
+                other => return Err(failed(format!("the entry's settings: {other:?}"))),
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_agents(&mut self, plan: &Plan, stop: &web::Stop) -> Result<(), DeployError> {
+        for vm in self.layout.upstream_vms().into_iter().take(plan.vms) {
+            if let Some((rate, _)) = plan.rates {
+                self.board.pace(vm.listen.ip(), rate, rate);
+            }
+            for addr in [vm.listen, vm.peer] {
+                self.board.relay(addr, self.layout.bound(addr)).await?;
+            }
+            let engine = Engine::start(vm.upstream, plan.behaviour, stop.clone()).await?;
+            let text = self.layout.agent_settings(&vm, &plan.agent_lines);
+            match settings::check(&text) {
+                Ok(Settings::Agent(cfg)) => {
+                    tokio::spawn(agent::run(*cfg, stop.clone(), Arc::new(String::new)));
+                }
+                other => return Err(failed(format!("the agent's settings: {other:?}"))),
+            }
+            self.engines.push(EngineVm { vm, engine });
+        }
+        Ok(())
+    }
+
+    /// Publishes weights made from a seed.
+    pub fn publish(&self, seed: u64, size: usize, chunk: u32) -> Result<Digest, DeployError> {
+        let mut weights = vec![0u8; size];
+        StdRng::seed_from_u64(seed).fill(&mut weights[..]);
+        let manifest = Manifest::of(weights.as_slice(), chunk).map_err(failed)?;
+        let version = manifest.digest();
+        let key = format!("objects/manifest/{version}");
+        let buf = Bytes::from(manifest.encode());
+        self.platform.objects.store.put(&key, buf, None);
+        self.platform.origin.weights.put(version, 0, &weights);
+        Ok(version)
+    }
+
+    /// Puts rows in force, each permitted everywhere.
+    pub async fn apply(&self, rows: &[(&str, Digest)]) -> Result<(), DeployError> {
+        let table = self.layout.platform_bound().table;
+        let tables = Tables::new(Kv::new(table, Dial::within(Duration::from_secs(2))));
+        let places: Vec<String> = self.layout.domains.iter().map(|(d, _)| d.clone()).collect();
+        let places = places.join(";");
+        let mut csv = "model,version,places,share,limits,priority,hold\n".to_owned();
+        for (model, version) in rows {
+            csv += &format!("{model},{version},{places},100,,5,serve\n");
+        }
+        let current = tables.current(None).await.map_err(failed)?;
+        let current = current.ok_or_else(|| failed("no table"))?;
+        tables.apply(&current, csv, "lab").await.map_err(failed)?;
+        Ok(())
+    }
+
+    /// Waits until a version is loaded on all VMs but those lost; the times, sorted.
+    pub async fn loaded(
+        &self,
+        version: Digest,
+        lost: &[IpAddr],
+    ) -> Result<Vec<Duration>, DeployError> {
+        let begun = Instant::now();
+        let mut left: Vec<&EngineVm> = self.engines.iter().collect();
+        left.retain(|e| !lost.contains(&e.ip()));
+        let mut times = Vec::new();
+        while !left.is_empty() {
+            left.retain(|e| {
+                let loaded = e.engine.has_loaded(&version);
+                if loaded {
+                    times.push(begun.elapsed());
+                }
+                !loaded
+            });
+            if begun.elapsed() > PATIENCE {
+                return Err(failed(format!("{} VMs are not ready", left.len())));
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        Ok(times)
+    }
+
+    /// Waits until all entries serve a model.
+    pub async fn until_live(&self, model: &str) -> Result<(), DeployError> {
+        let client = Client::new(Dial::within(Duration::from_secs(1)));
+        let begun = Instant::now();
+        for e in self.layout.entry_vms() {
+            while send(&client, e.listen, &Ask::completion(model, "probe"))
+                .await
+                .status
+                != 200
+            {
+                if begun.elapsed() > PATIENCE {
+                    return Err(failed(format!("{} doesn't serve", e.vm)));
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -20,6 +20,12 @@
        driftnotch-lab send     --net N [--seconds N] [--json]
        driftnotch-lab control  --net N [--entries N] [--agents N] [--edits R] [--rows N] [--seconds N] [--json]
                                (against running entries; scripts/capacity starts them)
+       driftnotch-lab rollout  [--vms N] [--domains D] [--size BYTES] [--chunk BYTES] [--span DURATION]
+                               [--origin-copies fleet|domain] [--set 'FIELD: VALUE']... [--seed S]
+                               [--fault none|kill|stall|corrupt|cut|origin-down|newer] [--no-naive] [--json]
+       driftnotch-lab route    [--policy NAME|all] [--load F] [--fault none|slow|dead|lag|flap|cut]
+                               [--span DURATION] [--seed S] [--json]
+       driftnotch-lab claims   [--net N] [--json]   ways to claim idempotency keys, compared
 
 Every tool of one deployment is given the same --net: the second number of its loopback addresses.";
 
--- a/crates/lab/src/standin/engine.rs
+++ b/crates/lab/src/standin/engine.rs
@@ -33,6 +33,12 @@
 /// Prompt prefixes the cache holds.
 const CACHE: usize = 32;
 
+/// Tokens' worth of time that a prompt takes whose prefix isn't cached.
+const PREFILL: f64 = 10.0;
+
+/// Part of a token's time that each further running request adds.
+const BATCH_COST: f64 = 0.05;
+
 /// How an engine behaves.
 #[derive(Debug, Clone, Copy)]
 pub struct Behaviour {
@@ -80,6 +86,7 @@
     ledger: Vec<Run>,
     cache: Vec<u64>,
     cache_hits: u64,
+    slowdown: Option<f64>,
 }
 
 /// An engine.
@@ -133,11 +140,34 @@
         inner.cache.clear();
     }
 
+    /// Makes every token take so many times as long.
+    pub fn slow_down(&self, factor: f64) {
+        self.inner().slowdown = Some(factor);
+    }
+
+    /// Requests whose prompt's prefix was cached.
+    pub fn cache_hits(&self) -> u64 {
+        self.inner().cache_hits
+    }
+
     /// What it ran.
     pub fn ledger(&self) -> Vec<Run> {
         self.inner().ledger.clone()
     }
 
+    /// Whether a version is loaded.
+    pub fn has_loaded(&self, version: &Digest) -> bool {
+        self.inner().loaded.contains(version)
+    }
+
+    /// Chunks staged of a version.
+    pub fn staged_chunks(&self, version: &Digest) -> usize {
+        self.inner()
+            .staged
+            .get(version)
+            .map_or(0, |chunks| chunks.len())
+    }
+
     /// Its state.
     pub fn state(&self) -> EngineState {
         let inner = self.inner();
@@ -252,15 +282,19 @@
             inner.cache.remove(0);
         }
         inner.cache_hits += u64::from(hit);
-        self.behaviour.token * if hit { 1 } else { 4 }
+        let tokens = if hit { 1.0 } else { PREFILL };
+        self.behaviour
+            .token
+            .mul_f64(tokens * inner.slowdown.unwrap_or(1.0))
     }
 
     /// Time of one token at the present batch.
     fn token(&self) -> Duration {
-        let running = self.inner().running.max(1);
+        let inner = self.inner();
+        let batch = 1.0 + f64::from(inner.running.max(1) - 1) * BATCH_COST;
         self.behaviour
             .token
-            .mul_f64(1.0 + f64::from(running - 1) * 0.05)
+            .mul_f64(batch * inner.slowdown.unwrap_or(1.0))
     }
 }
 
--- a/crates/lab/src/standin/fault.rs
+++ b/crates/lab/src/standin/fault.rs
@@ -1,7 +1,7 @@
 //! Faults of a stand-in, set by `PUT /fault` or in process.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::Frame;
@@ -22,6 +22,8 @@
     pub lose_writes: u32,
     /// The next so many writes are lost before they take effect.
     pub drop_writes: u32,
+    /// It takes so many writes a second and answers 429 to the others; 0 is no bound.
+    pub max_writes_s: u32,
     /// The next so many bodies have a byte changed.
     pub corrupt: u32,
     /// The next so many bodies are cut short.
@@ -32,6 +34,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct FaultBox {
     faults: Arc<Mutex<Faults>>,
+    writes: Arc<Mutex<Option<(Instant, u32)>>>,
 }
 
 impl FaultBox {
@@ -57,6 +60,21 @@
         some
     }
 
+    /// Counts a write; `false` where it is one too many in this second.
+    pub fn allow_write(&self) -> bool {
+        let limit = self.get().max_writes_s;
+        let mut writes = self.writes.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let (since, n) = match *writes {
+            Some((since, n)) if now.duration_since(since) < Duration::from_secs(1) => {
+                (since, n + 1)
+            }
+            _ => (now, 1),
+        };
+        *writes = Some((since, n));
+        limit == 0 || n <= limit
+    }
+
     /// Delays, hangs or refuses; `None` where the request goes on.
     pub async fn meet(&self) -> Option<Response> {
         let faults = self.get();
--- a/crates/lab/src/standin/platform.rs
+++ b/crates/lab/src/standin/platform.rs
@@ -155,6 +155,9 @@
 }
 
 fn write(service: &Service, key: &str, head: &hyper::http::request::Parts, buf: Bytes) -> Response {
+    if !service.faults.allow_write() {
+        return web::text(429, "too many writes\n");
+    }
     if service.faults.take(|f| &mut f.drop_writes) {
         return broken();
     }
--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -1,20 +1,26 @@
 //! Relays on TCP links, and a switchboard that cuts, stalls or slows them.
 //!
-//! Every VM's connections come from its own address, so a relay knows which side calls: a failure
-//! domain or the platform. The third number of an address is its side.
+//! Every VM's connections come from its own address, so a relay knows which VM calls, and which
+//! side: a failure domain or the platform. The third number of an address is its side. A VM's link
+//! can be given a rate; all that the VM sends, and all that it gets, then share it.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use base::Map;
+use base::{Map, Set};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-/// Bytes read at once.
-const BUF: usize = 16 << 10;
+use super::origin::PacedLink;
+
+/// Bytes read at once; small, so that streams on one link take turns.
+const BUF: usize = 8 << 10;
+
+/// Reads up to this size are heads and small answers.
+const SMALL: usize = 2 << 10;
 
 /// A failure domain or the platform, by the third number of its addresses.
 pub type Side = u8;
@@ -30,24 +36,38 @@
     Stalled,
     /// Each read is passed on after a pause.
     Slow(Duration),
+    /// Every larger read that comes back has a byte changed.
+    Corrupt,
 }
 
 #[derive(Debug, Clone, Default)]
 struct States {
     between: Map<(Side, Side), LinkState>,
     towards: Map<SocketAddr, LinkState>,
+    gone: Set<IpAddr>,
+}
+
+/// The link of one VM, both ways.
+#[derive(Debug, Clone)]
+struct VmLink {
+    up: Arc<PacedLink>,
+    down: Arc<PacedLink>,
 }
 
+type VmLinks = Arc<Mutex<Map<IpAddr, VmLink>>>;
+
 /// State of the links between sides.
 #[derive(Debug, Clone)]
 pub struct Switchboard {
     states: Arc<watch::Sender<States>>,
+    links: VmLinks,
 }
 
 impl Default for Switchboard {
     fn default() -> Switchboard {
         Switchboard {
             states: Arc::new(watch::Sender::new(States::default())),
+            links: VmLinks::default(),
         }
     }
 }
@@ -68,6 +88,28 @@
         });
     }
 
+    /// Gives a VM's link a rate in bytes a second, each way.
+    pub fn pace(&self, vm: IpAddr, up: u64, down: u64) {
+        let link = VmLink {
+            up: Arc::new(PacedLink::new(Some(up))),
+            down: Arc::new(PacedLink::new(Some(down))),
+        };
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.insert(vm, link);
+    }
+
+    fn vm_link(&self, vm: IpAddr) -> Option<VmLink> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.get(&vm).cloned()
+    }
+
+    /// Takes a VM off the network for good.
+    pub fn lose(&self, vm: IpAddr) {
+        self.states.send_modify(|states| {
+            states.gone.insert(vm);
+        });
+    }
+
     /// Brings all links up.
     pub fn heal(&self) {
         self.states
@@ -82,11 +124,12 @@
             while let Ok((near, caller)) = listener.accept().await {
                 let link = Link {
                     states: board.states.subscribe(),
-                    between: (side(caller.ip()), side(from.ip())),
+                    caller: caller.ip(),
                     to: from,
                 };
+                let ends = [board.vm_link(caller.ip()), board.vm_link(from.ip())];
                 if link.state() != LinkState::Cut {
-                    tokio::spawn(carry(near, to, link));
+                    tokio::spawn(carry(near, to, link, ends));
                 }
             }
         });
@@ -105,15 +148,19 @@
 #[derive(Debug, Clone)]
 struct Link {
     states: watch::Receiver<States>,
-    between: (Side, Side),
+    caller: IpAddr,
     to: SocketAddr,
 }
 
 impl Link {
     fn state(&self) -> LinkState {
         let states = self.states.borrow();
-        let between = states.between.get(&self.between);
-        let state = states.towards.get(&self.to).or(between);
+        if states.gone.contains(&self.caller) || states.gone.contains(&self.to.ip()) {
+            return LinkState::Cut;
+        }
+        let sides = (side(self.caller), side(self.to.ip()));
+        let state = states.towards.get(&self.to);
+        let state = state.or(states.between.get(&sides));
         state.copied().unwrap_or(LinkState::Up)
     }
 
@@ -127,32 +174,56 @@
     }
 }
 
-async fn carry(near: TcpStream, to: SocketAddr, link: Link) {
+/// What bytes one way have to pass.
+struct Way {
+    link: Link,
+    /// The sender's link up and the receiver's link down.
+    over: [Option<Arc<PacedLink>>; 2],
+    /// Whether these are answers.
+    back: bool,
+}
+
+async fn carry(near: TcpStream, to: SocketAddr, link: Link, ends: [Option<VmLink>; 2]) {
     let Ok(far) = TcpStream::connect(to).await else {
         return;
     };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (near_rx, near_tx) = near.into_split();
     let (far_rx, far_tx) = far.into_split();
-    let mut cut = link.clone();
-    let there = pump(near_rx, far_tx, link.clone());
-    let back = pump(far_rx, near_tx, link);
+    let up = |end: usize| ends[end].as_ref().map(|l| l.up.clone());
+    let down = |end: usize| ends[end].as_ref().map(|l| l.down.clone());
+    let there = Way {
+        link: link.clone(),
+        over: [up(0), down(1)],
+        back: false,
+    };
+    let back = Way {
+        link: link.clone(),
+        over: [up(1), down(0)],
+        back: true,
+    };
+    let mut cut = link;
     tokio::select! {
         _ = cut.until(|s| s == LinkState::Cut) => {}
-        _ = async { tokio::join!(there, back) } => {}
+        _ = async { tokio::join!(pump(near_rx, far_tx, there), pump(far_rx, near_tx, back)) } => {}
     }
 }
 
-async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut link: Link) {
+async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut way: Way) {
     let mut buf = vec![0; BUF];
     while let Ok(n) = rx.read(&mut buf).await {
         if n == 0 {
             break;
         }
-        if let LinkState::Slow(pause) = link.state() {
-            tokio::time::sleep(pause).await;
+        match way.link.state() {
+            LinkState::Slow(pause) => tokio::time::sleep(pause).await,
+            LinkState::Corrupt if way.back && n > SMALL => buf[n - 1] ^= 1,
+            _ => {}
+        }
+        way.link.until(|s| s != LinkState::Stalled).await;
+        for link in way.over.iter().flatten() {
+            link.carry(n).await;
         }
-        link.until(|s| s != LinkState::Stalled).await;
         if tx.write_all(&buf[..n]).await.is_err() {
             break;
         }
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -274,6 +274,14 @@
         Duration("24h", "1m", "720h"),
         "Time a claimed key is remembered; a resend after it may run again.",
     ),
+    field(
+        "policy",
+        Choice(
+            &["prefix", "two", "random", "round-robin", "least-reported"],
+            "prefix",
+        ),
+        "How an upstream is chosen. Keep the default; the others are there to be compared with it.",
+    ),
     field(
         "eject_failures",
         Count(3, 1, 100),
@@ -391,6 +399,16 @@
         Bytes("128MiB", "1MiB", "1024GiB"),
         "Bytes of chunks kept to pass on. Keep it above the largest version for the fewest bytes from the origin.",
     ),
+    field(
+        "link_rate",
+        Bytes("0B", "0B", "1024GiB"),
+        "Bytes a second of this VM's link, each way. Weight traffic is paced by it; 0B paces nothing.",
+    ),
+    field(
+        "weight_share",
+        Count(92, 1, 100),
+        "Percent of the link that weights may take while requests leave it free. Lower it where live requests are slow during rollouts.",
+    ),
     field("fetches", Count(4, 1, 256), "Chunks fetched at once."),
     field(
         "serves",
