--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -8,6 +8,7 @@
 use base::{Digest, Map, Set, header};
 use bytes::Bytes;
 use displaydoc::Display;
+use hyper::HeaderMap;
 use log::{debug, info, warn};
 use platform::PlatformError;
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -18,6 +19,7 @@
 use weights::{Manifest, StoreError};
 use wire::Peer;
 
+use crate::peer::read_short_map;
 use crate::swarm::{Rule, Source, Swarm};
 use crate::{Agent, PeersJob};
 
@@ -25,16 +27,20 @@
 const PART: &str = "fetch";
 
 /// Time between two looks at who has what.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK: Duration = Duration::from_millis(40);
+
+/// Chunks drawn from the origin at once; more would wait in its queue and hold up fetches from
+/// peers.
+const ORIGIN_FETCHES: usize = 1;
 
 /// Time between two questions to the entries.
 const ASK: Duration = Duration::from_millis(500);
 
 /// Time in which all agents learn who else wants a version, before any draws from the origin.
-const SETTLE: Duration = Duration::from_millis(150);
+const SETTLE: Duration = Duration::from_millis(80);
 
 /// Agents of the own failure domain, and of others, looked at at once.
-const LOOK_AT: [usize; 2] = [16, 8];
+const LOOK_AT: [usize; 2] = [6, 3];
 
 /// Pause before a manifest that nobody has is looked for again.
 const MANIFEST_PAUSE: Duration = Duration::from_millis(500);
@@ -64,9 +70,20 @@
     swarm: Swarm,
     wanted_since: Map<usize, Instant>,
     in_flight: Set<usize>,
+    from_origin: usize,
+    /// When a chunk last came.
+    progress: Instant,
     permille: Arc<AtomicU64>,
 }
 
+/// A chunk that came, or did not.
+struct Fetched {
+    i: usize,
+    source: Source,
+    from_origin: bool,
+    result: Result<Option<Vec<bool>>, ChunkError>,
+}
+
 /// Brings all chunks of a version to the engine. `permille` follows the progress.
 pub async fn fetch(
     agent: Arc<Agent>,
@@ -83,6 +100,8 @@
         swarm: Swarm::default(),
         wanted_since: missing.map(|i| (i, now)).collect(),
         in_flight: Set::default(),
+        from_origin: 0,
+        progress: now,
         permille,
         agent,
         version,
@@ -113,7 +132,7 @@
 
 impl Fetch {
     async fn run(&mut self) {
-        let mut fetching: JoinSet<(usize, Source, Result<(), ChunkError>)> = JoinSet::new();
+        let mut fetching: JoinSet<Fetched> = JoinSet::new();
         let mut asked: Option<Instant> = None;
         let mut look = tokio::time::interval(LOOK);
         look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -127,7 +146,7 @@
                     self.look_at_peers().await;
                 }
                 Some(done) = fetching.join_next() => match done {
-                    Ok((i, source, result)) => self.took(i, source, result),
+                    Ok(fetched) => self.took(fetched),
                     Err(e) => warn!(target: PART, "{PART}: a fetch failed: {e}"),
                 },
             }
@@ -170,45 +189,78 @@
         addrs.sample(&mut rand::rng(), n).copied().collect()
     }
 
-    /// Starts as many fetches as the settings allow, in random order of chunks.
-    fn start(&mut self, fetching: &mut JoinSet<(usize, Source, Result<(), ChunkError>)>) {
-        let mut wanted: Vec<usize> = self
-            .wanted_since
-            .keys()
-            .filter(|i| !self.in_flight.contains(*i))
-            .copied()
-            .collect();
-        wanted.shuffle(&mut rand::rng());
-        for i in wanted {
+    /// Starts as many fetches as the settings allow, the most urgent chunks first.
+    fn start(&mut self, fetching: &mut JoinSet<Fetched>) {
+        if self.in_flight.len() >= self.agent.cfg.fetches as usize {
+            return;
+        }
+        for (i, source, held) in self.most_urgent() {
+            let from_origin = source == Source::Origin && held.is_none();
             if self.in_flight.len() >= self.agent.cfg.fetches as usize {
                 return;
             }
-            let waited = self.wanted_since[&i].elapsed();
-            let held = self.agent.chunks().get(&self.manifest.chunks[i]);
-            let chosen = match held {
-                Some(_) => Some(Source::Origin),
-                None => self
-                    .swarm
-                    .choose(i, &self.manifest.chunks[i], &self.rule, waited),
-            };
-            let Some(source) = chosen else {
+            if from_origin && self.from_origin >= ORIGIN_FETCHES {
                 continue;
-            };
+            }
+            self.from_origin += usize::from(from_origin);
+            if let Source::Peer(addr) = source {
+                self.swarm.begun(addr);
+            }
             self.in_flight.insert(i);
             let (agent, version, manifest) =
                 (self.agent.clone(), self.version, self.manifest.clone());
             fetching.spawn(async move {
                 let result = bring(&agent, version, &manifest, i, held, source).await;
-                (i, source, result)
+                Fetched {
+                    i,
+                    source,
+                    from_origin,
+                    result,
+                }
             });
         }
     }
 
-    fn took(&mut self, i: usize, source: Source, result: Result<(), ChunkError>) {
+    /// Chunks that can be taken now, each with its source, or its bytes where they are held from
+    /// another version.
+    fn most_urgent(&self) -> Vec<(usize, Source, Option<Bytes>)> {
+        let mut ready: Vec<_> = self
+            .wanted_since
+            .iter()
+            .filter(|(i, _)| !self.in_flight.contains(*i))
+            .filter_map(|(i, since)| {
+                let chunk = &self.manifest.chunks[*i];
+                if let Some(buf) = self.agent.chunks().get(chunk) {
+                    return Some(((0, 0), *i, Source::Origin, Some(buf)));
+                }
+                let waited = since.elapsed();
+                let stalled = self.progress.elapsed();
+                let choice = self.swarm.choose(*i, chunk, &self.rule, waited, stalled)?;
+                Some((choice.urgency, *i, choice.source, None))
+            })
+            .collect();
+        ready.shuffle(&mut rand::rng());
+        ready.sort_by_key(|(urgency, ..)| *urgency);
+        ready
+            .into_iter()
+            .map(|(_, i, source, held)| (i, source, held))
+            .collect()
+    }
+
+    fn took(&mut self, fetched: Fetched) {
+        let Fetched { i, source, .. } = fetched;
         self.in_flight.remove(&i);
-        match (result, source) {
-            (Ok(()), _) => {
+        self.from_origin -= usize::from(fetched.from_origin);
+        if let Source::Peer(addr) = source {
+            self.swarm.ended(addr);
+        }
+        match (fetched.result, source) {
+            (Ok(have), _) => {
+                if let (Some(have), Source::Peer(addr)) = (have, source) {
+                    self.swarm.set_have(addr, have);
+                }
                 self.wanted_since.remove(&i);
+                self.progress = Instant::now();
                 let all = self.manifest.chunks.len();
                 let permille = (all - self.wanted_since.len()) * 1000 / all;
                 self.permille.store(permille as u64, Ordering::Relaxed);
@@ -231,7 +283,8 @@
     }
 }
 
-/// Takes one chunk from its source, checks and keeps it, and stages it at the engine.
+/// Takes one chunk from its source, checks and keeps it, and stages it at the engine. Gives back
+/// what the source says it has, where it says so.
 async fn bring(
     agent: &Agent,
     version: Digest,
@@ -239,21 +292,18 @@
     i: usize,
     held: Option<Bytes>,
     source: Source,
-) -> Result<(), ChunkError> {
-    let buf = match held {
-        Some(buf) => buf,
+) -> Result<Option<Vec<bool>>, ChunkError> {
+    let (buf, have) = match held {
+        Some(buf) => (buf, None),
         None => {
-            let buf = take(agent, version, manifest, i, source).await?;
+            let (buf, have) = take(agent, version, manifest, i, source).await?;
             let kept = agent.chunks().put(manifest.chunks[i], buf.clone());
             kept.map_err(ChunkError::Bad)?;
-            buf
+            (buf, have)
         }
     };
-    agent
-        .engine
-        .stage(version, i, buf, agent.fence())
-        .await
-        .map_err(ChunkError::Engine)
+    let staged = agent.engine.stage(version, i, buf, agent.fence()).await;
+    staged.map(|()| have).map_err(ChunkError::Engine)
 }
 
 async fn take(
@@ -262,7 +312,7 @@
     manifest: &Manifest,
     i: usize,
     source: Source,
-) -> Result<Bytes, ChunkError> {
+) -> Result<(Bytes, Option<Vec<bool>>), ChunkError> {
     let (first, end) = manifest.range(i);
     agent.down.weights((end - first) as usize).await;
     match source {
@@ -273,13 +323,14 @@
                 .await
                 .map_err(|e| ChunkError::Source(e.to_string()))?;
             count(&agent.drawn.origin, "origin", buf.len());
-            Ok(buf)
+            Ok((buf, None))
         }
         Source::Peer(addr) => {
             let path = format!("/chunk/{version}/{i}");
-            let buf = get(agent, addr, &path, (end - first) as usize).await?;
+            let (buf, headers) = get(agent, addr, &path, (end - first) as usize).await?;
             count(&agent.drawn.peers, "peer", buf.len());
-            Ok(buf)
+            let have = web::header(&headers, header::HAVE).map(read_short_map);
+            Ok((buf, have))
         }
     }
 }
@@ -294,7 +345,7 @@
     addr: SocketAddr,
     path: &str,
     limit: usize,
-) -> Result<Bytes, ChunkError> {
+) -> Result<(Bytes, HeaderMap), ChunkError> {
     let within = agent.cfg.chunk_timeout;
     let req = hyper::Request::builder()
         .uri(path)
@@ -306,9 +357,11 @@
         .send(addr, req, within)
         .await
         .map_err(|e| ChunkError::Source(e.to_string()))?;
-    match res.status().as_u16() {
-        200 => read_body(res.into_body(), limit, within)
+    let (head, body) = res.into_parts();
+    match head.status.as_u16() {
+        200 => read_body(body, limit, within)
             .await
+            .map(|buf| (buf, head.headers))
             .map_err(|e| ChunkError::Source(e.to_string())),
         429 => Err(ChunkError::Busy),
         status => Err(ChunkError::Source(format!("it answered {status}"))),
@@ -317,7 +370,7 @@
 
 async fn have(agent: &Agent, addr: SocketAddr, version: Digest) -> Option<Vec<bool>> {
     let path = format!("/have/{version}");
-    let buf = get(agent, addr, &path, weights::manifest::MAX_CHUNKS)
+    let (buf, _) = get(agent, addr, &path, weights::manifest::MAX_CHUNKS)
         .await
         .ok()?;
     Some(buf.iter().map(|b| *b == crate::peer::HELD).collect())
@@ -359,6 +412,6 @@
     let others: Vec<Peer> = peers.into_iter().filter(|p| p.vm != *own).collect();
     let peer = others.choose(&mut rand::rng())?;
     let path = format!("/manifest/{version}");
-    let buf = get(agent, peer.addr, &path, MAX_MANIFEST).await.ok()?;
+    let (buf, _) = get(agent, peer.addr, &path, MAX_MANIFEST).await.ok()?;
     Manifest::decode(&buf, version).ok()
 }
--- a/crates/agent/src/pace.rs
+++ b/crates/agent/src/pace.rs
@@ -13,7 +13,7 @@
 use web::Body;
 
 /// Bytes of weights sent at once; small, so that an answer waits behind little.
-pub const FRAME: usize = 8 << 10;
+pub const FRAME: usize = 4 << 10;
 
 /// Time that unused pace is kept for.
 const SLACK: Duration = Duration::from_millis(20);
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -1,7 +1,7 @@
 //! Passes chunks on to other agents, over HTTP.
 //!
 //! `GET /have/VERSION` tells which chunks are held, one character each; `GET /chunk/VERSION/I`
-//! gives one; `GET /manifest/VERSION` the manifest. Weights go only to agents of places that a row
+//! gives one, and in a header says which are held by now; `GET /manifest/VERSION` the manifest. Weights go only to agents of places that a row
 //! permits. Asked beyond its bound, an agent says so at once and is asked again later.
 
 use std::sync::Arc;
@@ -21,6 +21,9 @@
 /// A chunk that is not held.
 pub const NOT_HELD: u8 = b'0';
 
+/// Most chunks whose map goes into a header.
+const SHORT_MAP: usize = 16 << 10;
+
 /// Answers another agent.
 pub async fn handle(agent: Arc<Agent>, serves: Arc<Semaphore>, req: Request) -> Response {
     let path = req.uri().path().to_owned();
@@ -67,19 +70,43 @@
 }
 
 fn have(agent: &Agent, version: Digest) -> Response {
-    let Some(manifest) = agent.manifests().get(&version).cloned() else {
-        return web::text(404, "nothing of the version is held here\n");
-    };
+    match held_map(agent, version) {
+        Some(map) => {
+            let mut res = web::text(200, "");
+            *res.body_mut() = web::full(map);
+            res
+        }
+        None => web::text(404, "nothing of the version is held here\n"),
+    }
+}
+
+/// Which chunks are held, one character each.
+fn held_map(agent: &Agent, version: Digest) -> Option<Vec<u8>> {
+    let manifest = agent.manifests().get(&version).cloned()?;
     let chunks = agent.chunks();
-    let map: Vec<u8> = manifest
-        .chunks
-        .iter()
-        .map(|c| if chunks.has(c) { HELD } else { NOT_HELD })
-        .collect();
-    drop(chunks);
-    let mut res = web::text(200, "");
-    *res.body_mut() = web::full(map);
-    res
+    let held = |c| if chunks.has(c) { HELD } else { NOT_HELD };
+    Some(manifest.chunks.iter().map(held).collect())
+}
+
+/// Which chunks are held, four to a hex digit, for a header.
+fn short_map(map: &[u8]) -> String {
+    map.chunks(4)
+        .map(|four| {
+            let bits = four
+                .iter()
+                .enumerate()
+                .map(|(i, c)| u32::from(*c == HELD) << i);
+            char::from_digit(bits.sum(), 16).unwrap_or('0')
+        })
+        .collect()
+}
+
+/// Reads what [`short_map`] wrote.
+pub fn read_short_map(text: &str) -> Vec<bool> {
+    text.chars()
+        .filter_map(|c| c.to_digit(16))
+        .flat_map(|digit| (0..4).map(move |i| digit >> i & 1 == 1))
+        .collect()
 }
 
 /// Sends a chunk at the pace of the link; its slot is taken until its last byte.
@@ -90,6 +117,10 @@
                 .increment(buf.len() as u64);
             let mut res = web::text(200, "");
             web::set_header(res.headers_mut(), "content-length", &buf.len().to_string());
+            let map = held_map(agent, version).filter(|map| map.len() <= SHORT_MAP);
+            if let Some(map) = map {
+                web::set_header(res.headers_mut(), header::HAVE, &short_map(&map));
+            }
             *res.body_mut() = paced(buf, slot, agent.up.clone());
             res
         }
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -7,9 +7,11 @@
 //! origin after a bounded wait.
 
 use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::{Digest, DomainName, Map, Set, VmId};
+use rand::seq::IndexedRandom;
 use wire::Peer;
 
 /// Where a chunk is taken from.
@@ -42,23 +44,48 @@
     pub bad_time: Duration,
 }
 
+/// A chunk to take now: where from, and how urgent it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Choice {
+    /// Source.
+    pub source: Source,
+    /// Order: chunks that only this agent brings in go first, then those that fewest hold.
+    pub urgency: (u8, usize),
+}
+
 /// What is known of other agents with a version.
 #[derive(Debug, Default)]
 pub struct Swarm {
+    duties: Mutex<Map<Digest, Duty>>,
+    active: Map<SocketAddr, u32>,
     peers: Vec<Peer>,
     have: Map<SocketAddr, Vec<bool>>,
     bad: Map<SocketAddr, (u64, Instant)>,
     busy: Map<SocketAddr, Instant>,
 }
 
+/// What falls to this agent for a chunk.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Duty {
+    /// It draws the chunk from the origin.
+    draws: bool,
+    /// It carries the chunk into its failure domain.
+    carries: bool,
+}
+
 /// How long an agent that was busy is not asked.
 const BUSY_TIME: Duration = Duration::from_millis(20);
 
 impl Swarm {
     /// Takes the list of agents that fetch or hold the version; the own VM is left out.
     pub fn set_peers(&mut self, own: &str, peers: Vec<Peer>) {
+        let mut peers = peers;
+        peers.retain(|p| p.vm != own);
+        if peers == self.peers {
+            return;
+        }
         self.peers = peers;
-        self.peers.retain(|p| p.vm != own);
+        self.duties = Mutex::default();
         let known: Set<SocketAddr> = self.peers.iter().map(|p| p.addr).collect();
         self.have.retain(|addr, _| known.contains(addr));
     }
@@ -96,53 +123,100 @@
             .is_some_and(|(n, at)| *n >= rule.bad_chunks && at.elapsed() < rule.bad_time)
     }
 
+    /// Notes that a chunk is being taken from an agent.
+    pub fn begun(&mut self, addr: SocketAddr) {
+        *self.active.entry(addr).or_default() += 1;
+    }
+
+    /// Notes that it came, or did not.
+    pub fn ended(&mut self, addr: SocketAddr) {
+        if let Some(n) = self.active.get_mut(&addr) {
+            *n = n.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an agent has one more chunk.
+    pub fn has(&mut self, addr: SocketAddr, i: usize) {
+        if let Some(have) = self.have.get_mut(&addr).and_then(|have| have.get_mut(i)) {
+            *have = true;
+        }
+    }
+
     /// Where to take a chunk from now; `None` where it is better to wait. `waited` is how long
-    /// the chunk has been wanted.
+    /// the chunk has been wanted, `stalled` how long none has come.
     pub fn choose(
         &self,
         i: usize,
         chunk: &Digest,
         rule: &Rule,
         waited: Duration,
-    ) -> Option<Source> {
+        stalled: Duration,
+    ) -> Option<Choice> {
         let near = self.holders(i, rule, |p| p.domain == rule.domain);
-        if let Some(addr) = pick(&near) {
-            return Some(Source::Peer(addr));
+        if let Some(addr) = self.pick(&near) {
+            return Some(Choice {
+                source: Source::Peer(addr),
+                urgency: (2, near.len()),
+            });
         }
         if waited < rule.settle {
             return None;
         }
-        let (draws, carries) = self.duty(chunk, rule);
+        let Duty { draws, carries } = self.duty(chunk, rule);
+        let first = |source| Choice {
+            source,
+            urgency: (0, 0),
+        };
         if draws {
-            return Some(Source::Origin);
+            return Some(first(Source::Origin));
         }
         let far = self.holders(i, rule, |p| p.domain != rule.domain);
         // Where the chosen one is gone, the one that carries into a domain draws before others.
-        let patience = if carries {
-            rule.patience
-        } else {
-            rule.patience * 2
+        let patience = match carries {
+            true => rule.patience,
+            false => rule.patience * 2,
         };
-        match pick(&far) {
-            Some(addr) if carries || waited > rule.patience / 2 => Some(Source::Peer(addr)),
-            _ => (waited > patience).then_some(Source::Origin),
+        match self.pick(&far) {
+            Some(addr) if carries || stalled > rule.patience / 2 => Some(Choice {
+                source: Source::Peer(addr),
+                urgency: (1, far.len()),
+            }),
+            _ => (stalled > patience).then_some(first(Source::Origin)),
         }
     }
 
-    /// Whether this agent draws the chunk from the origin, and whether it carries it into its
-    /// failure domain.
-    fn duty(&self, chunk: &Digest, rule: &Rule) -> (bool, bool) {
-        let first_here = self
+    /// What falls to this agent for a chunk; worked out once for a list of agents.
+    fn duty(&self, chunk: &Digest, rule: &Rule) -> Duty {
+        let mut duties = self.duties.lock().unwrap_or_else(PoisonError::into_inner);
+        *duties
+            .entry(*chunk)
+            .or_insert_with(|| self.rank_duty(chunk, rule))
+    }
+
+    fn rank_duty(&self, chunk: &Digest, rule: &Rule) -> Duty {
+        let mut near = self
             .peers
             .iter()
-            .filter(|p| p.domain == rule.domain && !p.leaving)
-            .all(|p| rank(chunk, &p.vm) < rank(chunk, &rule.vm));
+            .filter(|p| p.domain == rule.domain && !p.leaving);
+        let own = rank(chunk, &rule.vm);
+        let first_here = near.all(|p| rank(chunk, &p.vm) < own);
         let own_domain_first = rule.per_domain
             || rule
                 .permitted
                 .iter()
                 .all(|domain| rank(chunk, domain) <= rank(chunk, &rule.domain));
-        (first_here && own_domain_first, first_here)
+        Duty {
+            draws: first_here && own_domain_first,
+            carries: first_here,
+        }
+    }
+
+    /// One of those that fewest chunks are being taken from.
+    fn pick(&self, addrs: &[SocketAddr]) -> Option<SocketAddr> {
+        let active = |addr: &&SocketAddr| self.active.get(*addr).copied().unwrap_or(0);
+        let least = addrs.iter().map(|addr| active(&addr)).min()?;
+        let idle: Vec<&SocketAddr> = addrs.iter().filter(|a| active(a) == least).collect();
+        idle.choose(&mut rand::rng()).map(|addr| **addr)
     }
 
     fn holders(&self, i: usize, rule: &Rule, of: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
@@ -161,11 +235,6 @@
     }
 }
 
-fn pick(addrs: &[SocketAddr]) -> Option<SocketAddr> {
-    use rand::seq::IndexedRandom;
-    addrs.choose(&mut rand::rng()).copied()
-}
-
 fn rank(chunk: &Digest, name: &str) -> Digest {
     let mut buf = chunk.as_bytes().to_vec();
     buf.extend_from_slice(name.as_bytes());
--- a/crates/base/src/header.rs
+++ b/crates/base/src/header.rs
@@ -47,3 +47,5 @@
 pub const SETTLED: &str = "driftnotch-settled";
 /// Failure domain that sends.
 pub const DOMAIN: &str = "driftnotch-domain";
+/// Chunks a peer holds of the version, as hex digits of four chunks each; on its answers.
+pub const HAVE: &str = "driftnotch-have";
--- a/crates/lab/src/commands/rollout.rs
+++ b/crates/lab/src/commands/rollout.rs
@@ -100,7 +100,7 @@
         vms: args.opt_value_from_str("--vms")?.unwrap_or(12),
         domains: args.opt_value_from_str("--domains")?.unwrap_or(3),
         size: args.opt_value_from_str("--size")?.unwrap_or(32 << 20),
-        chunk: args.opt_value_from_str("--chunk")?.unwrap_or(256 << 10),
+        chunk: args.opt_value_from_str("--chunk")?.unwrap_or(128 << 10),
         span: duration(&mut args, "--span")?.unwrap_or(Duration::from_secs(16)),
         copies: args
             .opt_value_from_str("--origin-copies")?
--- a/crates/lab/src/standin/origin.rs
+++ b/crates/lab/src/standin/origin.rs
@@ -7,6 +7,9 @@
 use bytes::Bytes;
 use serde::Serialize;
 
+/// How late a relay may wake without the link losing its time.
+const LATE: Duration = Duration::from_millis(4);
+
 /// A link that carries so many bytes a second.
 #[derive(Debug)]
 pub struct PacedLink {
@@ -31,7 +34,9 @@
         let took = Duration::from_secs_f64(bytes as f64 / rate as f64);
         let done = {
             let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
-            *free_at = (*free_at).max(Instant::now()) + took;
+            let now = Instant::now();
+            // A link goes on sending what has queued while the relay was late to wake.
+            *free_at = (*free_at).max(now.checked_sub(LATE).unwrap_or(now)) + took;
             *free_at
         };
         tokio::time::sleep_until(done.into()).await;
--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -12,12 +12,15 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 
 use super::origin::PacedLink;
 
 /// Bytes read at once; small, so that streams on one link take turns.
-const BUF: usize = 8 << 10;
+const BUF: usize = 4 << 10;
+
+/// Reads on their way between the two ends' links.
+const BETWEEN: usize = 2;
 
 /// Reads up to this size are heads and small answers.
 const SMALL: usize = 2 << 10;
@@ -209,7 +212,19 @@
     }
 }
 
-async fn pump(mut rx: OwnedReadHalf, mut tx: OwnedWriteHalf, mut way: Way) {
+/// Carries bytes one way: over the sender's link, then over the receiver's, both at once.
+async fn pump(rx: OwnedReadHalf, tx: OwnedWriteHalf, way: Way) {
+    let [up, down] = way.over.clone();
+    let (near, far) = mpsc::channel(BETWEEN);
+    tokio::join!(send(rx, near, way, up), receive(far, tx, down));
+}
+
+async fn send(
+    mut rx: OwnedReadHalf,
+    near: mpsc::Sender<Vec<u8>>,
+    mut way: Way,
+    up: Option<Arc<PacedLink>>,
+) {
     let mut buf = vec![0; BUF];
     while let Ok(n) = rx.read(&mut buf).await {
         if n == 0 {
@@ -221,12 +236,27 @@
             _ => {}
         }
         way.link.until(|s| s != LinkState::Stalled).await;
-        for link in way.over.iter().flatten() {
-            link.carry(n).await;
+        if let Some(up) = &up {
+            up.carry(n).await;
         }
-        if tx.write_all(&buf[..n]).await.is_err() {
+        if near.send(buf[..n].to_vec()).await.is_err() {
             break;
         }
     }
+}
+
+async fn receive(
+    mut far: mpsc::Receiver<Vec<u8>>,
+    mut tx: OwnedWriteHalf,
+    down: Option<Arc<PacedLink>>,
+) {
+    while let Some(buf) = far.recv().await {
+        if let Some(down) = &down {
+            down.carry(buf.len()).await;
+        }
+        if tx.write_all(&buf).await.is_err() {
+            return;
+        }
+    }
     let _ = tx.shutdown().await;
 }
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -406,13 +406,13 @@
     ),
     field(
         "weight_share",
-        Count(92, 1, 100),
+        Count(97, 1, 100),
         "Percent of the link that weights may take while requests leave it free. Lower it where live requests are slow during rollouts.",
     ),
-    field("fetches", Count(4, 1, 256), "Chunks fetched at once."),
+    field("fetches", Count(6, 1, 256), "Chunks fetched at once."),
     field(
         "serves",
-        Count(8, 1, 256),
+        Count(6, 1, 256),
         "Chunks sent to peers at once; more are refused and asked for again.",
     ),
     field(
@@ -428,7 +428,7 @@
     field(
         "origin_patience",
         Duration("5s", "0ms", "10m"),
-        "Time a chunk may be with no peer before an agent that wasn't chosen for it goes to the origin.",
+        "Time without any chunk after which an agent that wasn't chosen to draw goes to the origin for those no peer has.",
     ),
     field(
         "bad_chunks",
