Go on drawing from the origin out of turn while no peer brings chunks

An agent that drew a chunk out of turn took that as progress and waited 5 s again before the next. Ruled out: the cut itself (the origin was reached, one chunk every 5 s).

Change: only chunks that come from peers count as progress. The test sets origin_patience to 1 s.

--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -71,7 +71,7 @@
     wanted_since: Map<usize, Instant>,
     in_flight: Set<usize>,
     from_origin: usize,
-    /// When a chunk last came.
+    /// When a chunk last came from a peer.
     progress: Instant,
     permille: Arc<AtomicU64>,
 }
@@ -260,7 +260,10 @@
                     self.swarm.set_have(addr, have);
                 }
                 self.wanted_since.remove(&i);
-                self.progress = Instant::now();
+                if !fetched.from_origin {
+                    // What is drawn out of turn is no sign that others bring chunks again.
+                    self.progress = Instant::now();
+                }
                 let all = self.manifest.chunks.len();
                 let permille = (all - self.wanted_since.len()) * 1000 / all;
                 self.permille.store(permille as u64, Ordering::Relaxed);
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -143,7 +143,7 @@
     }
 
     /// Where to take a chunk from now; `None` where it is better to wait. `waited` is how long
-    /// the chunk has been wanted, `stalled` how long none has come.
+    /// the chunk has been wanted, `stalled` how long none has come from a peer.
     pub fn choose(
         &self,
         i: usize,
--- a/crates/cli/tests/weights.rs
+++ b/crates/cli/tests/weights.rs
@@ -379,6 +379,7 @@
     let world = World::start(Shape {
         domains: 2,
         engines: 2,
+        agent_lines: vec!["origin_patience: 1s".to_owned()],
         ..Shape::default()
     })
     .await;
