--- a/crates/cli/tests/outcomes.rs
+++ b/crates/cli/tests/outcomes.rs
@@ -2,10 +2,9 @@
 
 mod common;
 
-use std::time::Duration;
-
 use base::Outcome;
 use common::{Sent, Shape, World, row, until};
+use http_body_util::BodyExt;
 use lab::caller::Ask;
 use lab::standin::fault::Faults;
 use lab::standin::relay::LinkState;
@@ -263,30 +262,75 @@
     world.check(&sent);
 }
 
+/// Begins a long stream, and gives the rest of its body once the first events have come.
+async fn begun_stream(world: &World, marker: &str) -> hyper::body::Incoming {
+    let body = format!(
+        "{{\"model\":\"{MODEL}\",\"prompt\":\"{marker}\",\"stream\":true,\"max_tokens\":2000}}"
+    );
+    let req = hyper::Request::builder()
+        .method("POST")
+        .uri("/v1/completions")
+        .header(base::header::DEADLINE, "2000")
+        .body(web::full(body))
+        .expect("a request");
+    let to = world.entry(0).listen;
+    let res = world
+        .client
+        .send(to, req, common::PATIENCE)
+        .await
+        .expect("a head");
+    assert_eq!(
+        web::header(res.headers(), base::header::OUTCOME),
+        Some("unknown")
+    );
+    let mut body = res.into_body();
+    let first = body.frame().await.expect("a frame").expect("whole");
+    assert!(first.into_data().expect("data").starts_with(b"data: "));
+    body
+}
+
+/// What a caller that is cut off in mid stream must read: whole events, no `[DONE]`, and last of
+/// all an outcome that says unknown.
+async fn ends_unknown(body: hyper::body::Incoming) {
+    let rest = web::read_body(body, 1 << 20, common::PATIENCE)
+        .await
+        .expect("an end");
+    let text = String::from_utf8_lossy(&rest).into_owned();
+    assert!(!text.contains("[DONE]"), "{text}");
+    let mut events: Vec<&str> = text.trim_end().split("\n\n").collect();
+    let last = events.pop().expect("a last event");
+    assert!(
+        last.starts_with("event: outcome\ndata: {\"outcome\":\"unknown\""),
+        "{last}"
+    );
+    let whole = |event: &&str| event.starts_with("data: {") && event.ends_with('}');
+    assert!(events.iter().all(whole), "{events:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_link_that_stalls_in_mid_stream_is_never_passed_off_as_a_whole_answer() {
-    let shape = Shape {
-        domains: 1,
+    let world = ready_world(Shape {
         engines: 1,
         ..Shape::default()
-    };
-    let world = ready_world(shape).await;
-    let ask = Ask {
-        stream: true,
-        tokens: 400,
-        deadline: Duration::from_secs(2),
-        ..Ask::completion(MODEL, "stalled")
-    };
-    let (client, entry, a) = (world.client.clone(), world.entry(0), ask.clone());
-    let task = tokio::spawn(async move { lab::caller::send(&client, entry.listen, &a).await });
-    runs_at(&world, "stalled").await;
+    })
+    .await;
+    let body = begun_stream(&world, "stalled").await;
     world
         .board
         .set(world.side(0), world.side(0), LinkState::Stalled);
-    let reply = task.await.expect("answered");
-    assert_eq!(reply.outcome, Some(Outcome::Unknown), "{reply:?}");
-    assert!(!reply.body.contains("[DONE]"));
-    world.check(&[Sent { ask, reply }]);
+    ends_unknown(body).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_agent_killed_in_mid_stream_is_never_passed_off_as_a_whole_answer() {
+    let mut world = ready_world(Shape {
+        engines: 1,
+        ..Shape::default()
+    })
+    .await;
+    let body = begun_stream(&world, "killed").await;
+    world.kill(&world.upstream(0).vm);
+    ends_unknown(body).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/src/membership/control.rs
+++ b/crates/entry/src/membership/control.rs
@@ -1,8 +1,10 @@
 //! Answers agents and other entries on control links.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use base::Revision;
 use capnp::Error;
@@ -19,6 +21,10 @@
 /// Log prefix of this part.
 const PART: &str = "control";
 
+/// Editions that may be pushed over a link at once, and time after which one more may.
+const PUSH_BURST: f64 = 20.0;
+const PUSH_GAP: Duration = Duration::from_secs(2);
+
 /// Entries named to another process at once.
 const ENTRY_SAMPLE: usize = 4;
 
@@ -26,7 +32,7 @@
 pub async fn listen(entry: Arc<Entry>, listener: TcpListener) {
     loop {
         let Ok((stream, from)) = listener.accept().await else {
-            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+            tokio::time::sleep(Duration::from_millis(50)).await;
             continue;
         };
         let server: rpc::Client = capnp_rpc::new_client(EntryServer {
@@ -64,6 +70,7 @@
         let server = SeatServer {
             entry: self.entry.clone(),
             upstream,
+            pushes: RefCell::new(Pushes::new()),
         };
         results.get().set_seat(capnp_rpc::new_client(server));
         Ok(())
@@ -127,6 +134,31 @@
 struct SeatServer {
     entry: Arc<Entry>,
     upstream: Arc<Upstream>,
+    pushes: RefCell<Pushes>,
+}
+
+/// Editions sent over one link of late. A burst of edits is gathered once the allowance is used up,
+/// so that it costs a link one push in a while and not one for each edit.
+struct Pushes {
+    allowance: f64,
+    filled: Instant,
+}
+
+impl Pushes {
+    fn new() -> Pushes {
+        Pushes {
+            allowance: PUSH_BURST,
+            filled: Instant::now(),
+        }
+    }
+
+    /// Takes one push; how long to wait before it.
+    fn take(&mut self) -> Duration {
+        let earned = self.filled.elapsed().as_secs_f64() / PUSH_GAP.as_secs_f64();
+        self.filled = Instant::now();
+        self.allowance = (self.allowance + earned).min(PUSH_BURST) - 1.0;
+        PUSH_GAP.mul_f64((-self.allowance).max(0.0))
+    }
 }
 
 impl Drop for SeatServer {
@@ -167,7 +199,11 @@
         params: seat::WatchParams,
         mut results: seat::WatchResults,
     ) -> Result<(), Error> {
-        let patch = later_than(&self.entry, params.get()?.get_have()).await?;
+        let have = params.get()?.get_have();
+        later_than(&self.entry, have).await?;
+        let wait = self.pushes.borrow_mut().take();
+        tokio::time::sleep(wait).await;
+        let patch = self.entry.force.patch(have);
         convert::write_patch(results.get().init_edition(), &patch);
         Ok(())
     }
