Make three tests bite; bring chunks again after a restart; don't wait for a silent peer

Cause: with mechanisms taken out on a scratch copy, three tests still passed: rolling restarts without a drain (streams were shorter than the notice), both place guards off (the other place's entry was not listening yet, so its refusal was the caller's own), and each of the two checks against older editions alone (they stand for each other; with both out the test fails). And the rollout tool with a peer that stalls did not end within 300 s: a look at what peers have waited 10 s for the silent one each time, and held up all fetches.

Change: streams of 400 tokens; the test waits until the other place knows the replicas and listens, and expects the code of the guard that is left. A request pays for a retry when an upstream is chosen and not before. An agent that restarts in mid transfer brings all chunks again: peers waited 10 s for chunks that its engine had staged and that it could no longer pass on. A look waits 250 ms, and a silent peer is left alone for 2 s.

--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -33,6 +33,9 @@
 /// peers.
 const ORIGIN_FETCHES: usize = 1;
 
+/// Longest wait for what a peer has; one that is silent must not hold up the others.
+const LOOK_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time between two questions to the entries.
 const ASK: Duration = Duration::from_millis(500);
 
@@ -85,20 +88,17 @@
 }
 
 /// Brings all chunks of a version to the engine. `permille` follows the progress.
-pub async fn fetch(
-    agent: Arc<Agent>,
-    version: Digest,
-    staged: Set<u32>,
-    permille: Arc<AtomicU64>,
-) -> Arc<Manifest> {
+///
+/// Chunks that the engine has staged for an earlier process are brought again: peers may wait for
+/// this VM to draw them, and what the engine has can't be read back.
+pub async fn fetch(agent: Arc<Agent>, version: Digest, permille: Arc<AtomicU64>) -> Arc<Manifest> {
     let manifest = find_manifest(&agent, version).await;
     agent.manifests().insert(version, manifest.clone());
     let now = Instant::now();
-    let missing = (0..manifest.chunks.len()).filter(|i| !staged.contains(&(*i as u32)));
     let mut fetch = Fetch {
         rule: rule(&agent, version),
         swarm: Swarm::default(),
-        wanted_since: missing.map(|i| (i, now)).collect(),
+        wanted_since: (0..manifest.chunks.len()).map(|i| (i, now)).collect(),
         in_flight: Set::default(),
         from_origin: 0,
         progress: now,
@@ -172,7 +172,7 @@
         while let Some(looked) = looks.join_next().await {
             match looked {
                 Ok((addr, Some(have))) => self.swarm.set_have(addr, have),
-                Ok((addr, None)) => self.swarm.lost(addr),
+                Ok((addr, None)) => self.swarm.silent(addr),
                 Err(_) => {}
             }
         }
@@ -183,7 +183,7 @@
             .swarm
             .peers()
             .iter()
-            .filter(|p| of(p) && !self.swarm.banned(p.addr, &self.rule))
+            .filter(|p| of(p) && self.swarm.may_ask(p.addr, &self.rule))
             .map(|p| p.addr)
             .collect();
         addrs.sample(&mut rand::rng(), n).copied().collect()
@@ -279,7 +279,7 @@
             }
             (Err(ChunkError::Source(why)), Source::Peer(addr)) => {
                 debug!(target: PART, "{PART}: {addr} gave no chunk {i}: {why}");
-                self.swarm.lost(addr);
+                self.swarm.silent(addr);
             }
             (Err(e), source) => debug!(target: PART, "{PART}: no chunk {i} from {source:?}: {e}"),
         }
@@ -330,7 +330,14 @@
         }
         Source::Peer(addr) => {
             let path = format!("/chunk/{version}/{i}");
-            let (buf, headers) = get(agent, addr, &path, (end - first) as usize).await?;
+            let (buf, headers) = get(
+                agent,
+                addr,
+                &path,
+                (end - first) as usize,
+                agent.cfg.chunk_timeout,
+            )
+            .await?;
             count(&agent.drawn.peers, "peer", buf.len());
             let have = web::header(&headers, header::HAVE).map(read_short_map);
             Ok((buf, have))
@@ -348,8 +355,8 @@
     addr: SocketAddr,
     path: &str,
     limit: usize,
+    within: Duration,
 ) -> Result<(Bytes, HeaderMap), ChunkError> {
-    let within = agent.cfg.chunk_timeout;
     let req = hyper::Request::builder()
         .uri(path)
         .header(header::DOMAIN, &agent.cfg.upkeep.domain)
@@ -373,9 +380,15 @@
 
 async fn have(agent: &Agent, addr: SocketAddr, version: Digest) -> Option<Vec<bool>> {
     let path = format!("/have/{version}");
-    let (buf, _) = get(agent, addr, &path, weights::manifest::MAX_CHUNKS)
-        .await
-        .ok()?;
+    let (buf, _) = get(
+        agent,
+        addr,
+        &path,
+        weights::manifest::MAX_CHUNKS,
+        LOOK_TIMEOUT,
+    )
+    .await
+    .ok()?;
     Some(buf.iter().map(|b| *b == crate::peer::HELD).collect())
 }
 
@@ -415,6 +428,14 @@
     let others: Vec<Peer> = peers.into_iter().filter(|p| p.vm != *own).collect();
     let peer = others.choose(&mut rand::rng())?;
     let path = format!("/manifest/{version}");
-    let (buf, _) = get(agent, peer.addr, &path, MAX_MANIFEST).await.ok()?;
+    let (buf, _) = get(
+        agent,
+        peer.addr,
+        &path,
+        MAX_MANIFEST,
+        agent.cfg.chunk_timeout,
+    )
+    .await
+    .ok()?;
     Manifest::decode(&buf, version).ok()
 }
--- a/crates/agent/src/rollout.rs
+++ b/crates/agent/src/rollout.rs
@@ -167,27 +167,13 @@
             if self.transfers.contains_key(&version) || !room {
                 continue;
             }
-            let staged = self.staged(version);
             let permille = Arc::new(AtomicU64::new(0));
-            let task = tokio::spawn(bring_in(
-                self.agent.clone(),
-                version,
-                staged,
-                permille.clone(),
-            ));
+            let task = tokio::spawn(bring_in(self.agent.clone(), version, permille.clone()));
             info!(target: PART, "{PART}: {} {} is wanted; fetching it", w.model, version.short());
             self.transfers.insert(version, Transfer { task, permille });
         }
     }
 
-    fn staged(&self, version: Digest) -> Set<u32> {
-        let staged = self.state.iter().flat_map(|s| &s.staged);
-        staged
-            .filter(|s| s.version == version)
-            .flat_map(|s| s.chunks.iter().copied())
-            .collect()
-    }
-
     fn retire(&mut self, wanted: &Set<Digest>, loaded: &Set<Digest>) {
         for version in loaded.difference(wanted) {
             if !self.retiring.contains_key(version) {
@@ -246,8 +232,8 @@
 }
 
 /// Fetches a version and has the engine load it.
-async fn bring_in(agent: Arc<Agent>, version: Digest, staged: Set<u32>, permille: Arc<AtomicU64>) {
-    let manifest = fetch(agent.clone(), version, staged, permille).await;
+async fn bring_in(agent: Arc<Agent>, version: Digest, permille: Arc<AtomicU64>) {
+    let manifest = fetch(agent.clone(), version, permille).await;
     loop {
         match load(&agent, version, &manifest).await {
             Ok(()) => {
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -73,6 +73,9 @@
     carries: bool,
 }
 
+/// How long an agent that gave no answer is not asked.
+const SILENT_TIME: Duration = Duration::from_secs(2);
+
 /// How long an agent that was busy is not asked.
 const BUSY_TIME: Duration = Duration::from_millis(20);
 
@@ -100,9 +103,18 @@
         self.have.insert(addr, have);
     }
 
-    /// Forgets what an agent said it has.
-    pub fn lost(&mut self, addr: SocketAddr) {
+    /// Notes that an agent gave no answer: what it has is forgotten, and it is left alone for a
+    /// while.
+    pub fn silent(&mut self, addr: SocketAddr) {
         self.have.remove(&addr);
+        self.busy.insert(addr, Instant::now() + SILENT_TIME);
+    }
+
+    /// Whether an agent may be asked now.
+    pub fn may_ask(&self, addr: SocketAddr, rule: &Rule) -> bool {
+        let now = Instant::now();
+        let busy = self.busy.get(&addr).is_some_and(|until| *until > now);
+        !busy && !self.banned(addr, rule)
     }
 
     /// Notes that an agent has too many to serve just now.
@@ -220,12 +232,10 @@
     }
 
     fn holders(&self, i: usize, rule: &Rule, of: impl Fn(&Peer) -> bool) -> Vec<SocketAddr> {
-        let now = Instant::now();
         self.peers
             .iter()
-            .filter(|p| of(p) && !self.banned(p.addr, rule))
+            .filter(|p| of(p) && self.may_ask(p.addr, rule))
             .map(|p| p.addr)
-            .filter(|addr| self.busy.get(addr).is_none_or(|until| *until <= now))
             .filter(|addr| {
                 self.have
                     .get(addr)
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -30,6 +30,9 @@
 /// Longest wait for anything that must happen.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Lines of each log that a failing test shows.
+const LOG_LINES: usize = 12;
+
 /// Third numbers of addresses that one deployment takes.
 const SIDES: u8 = 8;
 
@@ -52,9 +55,25 @@
     *net
 }
 
+/// Addresses for the next deployment. Those still held by processes that outlived a test run that
+/// was killed are passed over.
 fn next_base() -> u8 {
     static NEXT: AtomicU8 = AtomicU8::new(0);
-    1 + SIDES * (NEXT.fetch_add(1, Ordering::Relaxed) % 30)
+    let free = |base: &u8| {
+        (0..SIDES).all(|side| {
+            let vms = [11, 12, 13, 101, 102, 103].map(|host| (host, [18081, 18180, 8082, 8182]));
+            vms.into_iter().all(|(host, ports)| {
+                let ip = std::net::Ipv4Addr::new(127, net(), base + side, host);
+                ports
+                    .into_iter()
+                    .all(|port| std::net::TcpStream::connect((ip, port)).is_err())
+            })
+        })
+    };
+    (0..60)
+        .map(|_| 1 + SIDES * (NEXT.fetch_add(1, Ordering::Relaxed) % 30))
+        .find(free)
+        .expect("free addresses")
 }
 
 /// What a deployment looks like.
@@ -364,31 +383,46 @@
     /// Waits until a model's version is live on so many upstreams, the same number in each failure
     /// domain, as every entry of that domain sees it.
     pub async fn ready(&self, model: &str, version: &str, replicas: usize) {
-        until(
-            &format!("{replicas} replicas of {model} {version}"),
-            async || {
-                let mut live = std::collections::BTreeSet::new();
-                let mut seen_by_all = true;
-                for e in self.running_entries() {
-                    let open = tokio::net::TcpStream::connect(e.listen).await.is_ok();
-                    let Some(status) = self.status(&e).await.filter(|_| open) else {
-                        return false;
-                    };
-                    let up = |h: &entry::admin::HoldingStatus| {
-                        h.live && h.model == model && h.version == version
-                    };
-                    let upstreams = status.upstreams.into_iter().filter(|u| !u.leaving);
-                    let here: Vec<String> = upstreams
-                        .filter(|u| u.holdings.iter().any(up))
-                        .map(|u| u.vm)
-                        .collect();
-                    seen_by_all &= here.len() == replicas / self.shape.domains;
-                    live.extend(here);
-                }
-                seen_by_all && live.len() == replicas
-            },
-        )
-        .await;
+        let all_ready = async || {
+            let mut live = std::collections::BTreeSet::new();
+            let mut seen_by_all = true;
+            for e in self.running_entries() {
+                let open = tokio::net::TcpStream::connect(e.listen).await.is_ok();
+                let Some(status) = self.status(&e).await.filter(|_| open) else {
+                    return false;
+                };
+                let up = |h: &entry::admin::HoldingStatus| {
+                    h.live && h.model == model && h.version == version
+                };
+                let upstreams = status.upstreams.into_iter().filter(|u| !u.leaving);
+                let here: Vec<String> = upstreams
+                    .filter(|u| u.holdings.iter().any(up))
+                    .map(|u| u.vm)
+                    .collect();
+                seen_by_all &= here.len() == replicas / self.shape.domains;
+                live.extend(here);
+            }
+            seen_by_all && live.len() == replicas
+        };
+        if !comes(all_ready).await {
+            let logs = self.last_logs();
+            panic!("waited in vain for {replicas} replicas of {model} {version}{logs}");
+        }
+    }
+
+    /// What all VMs have logged last, for a test that fails.
+    pub fn last_logs(&self) -> String {
+        let entries = self.layout.entry_vms().into_iter().map(|e| e.vm);
+        let upstreams = self.layout.upstream_vms().into_iter().map(|u| u.vm);
+        entries
+            .chain(upstreams)
+            .map(|vm| {
+                let log = self.log(&vm);
+                let lines: Vec<&str> = log.lines().collect();
+                let last = lines[lines.len().saturating_sub(LOG_LINES)..].join("\n");
+                format!("\n--- {vm}\n{last}")
+            })
+            .collect()
     }
 
     /// Entries whose process was started and not killed.
@@ -501,9 +535,17 @@
 
 /// Waits until something is so.
 pub async fn until(what: &str, is: impl AsyncFn() -> bool) {
+    assert!(comes(is).await, "waited in vain for {what}");
+}
+
+/// Whether something comes to be so within the patience.
+async fn comes(is: impl AsyncFn() -> bool) -> bool {
     let begun = Instant::now();
     while !is().await {
-        assert!(begun.elapsed() < PATIENCE, "waited in vain for {what}");
+        if begun.elapsed() > PATIENCE {
+            return false;
+        }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    true
 }
--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -154,12 +154,12 @@
                     let ask = match i % 3 {
                         0 => Ask {
                             stream: true,
-                            tokens: 40,
+                            tokens: 400,
                             ..plain
                         },
                         1 => Ask {
                             mark_unsafe: true,
-                            tokens: 20,
+                            tokens: 300,
                             ..plain
                         },
                         _ => Ask {
--- a/crates/cli/tests/weights.rs
+++ b/crates/cli/tests/weights.rs
@@ -299,11 +299,11 @@
     engines.map(|(_, e)| e.ledger().len()).sum()
 }
 
-/// With one of the two guards off, the other holds.
-async fn one_guard_holds(entry_line: &str, agent_line: &str) {
+/// With one of the two guards off, the other holds, and says so by its own code.
+async fn one_guard_holds(entry_line: &str, agent_line: &str, code: &str) {
     let shape = Shape {
         domains: 2,
-        entry_lines: vec![entry_line.to_owned()],
+        entry_lines: vec![entry_line.to_owned(), "retry_budget: 100".to_owned()],
         agent_lines: vec![agent_line.to_owned()],
         ..Shape::default()
     };
@@ -319,11 +319,20 @@
             == Some(Outcome::Done)
     };
     until("the permitted place to serve", ready).await;
+    let known = async || {
+        let status = world.status(&world.entry(2)).await;
+        let open = tokio::net::TcpStream::connect(world.entry(2).listen)
+            .await
+            .is_ok();
+        open && status.is_some_and(|s| s.remote.len() == 2)
+    };
+    until("the other place to know of its replicas", known).await;
     for i in 0..10 {
         let s = world
             .send(2, &Ask::completion(MODEL, &format!("outside{i}")))
             .await;
         assert_eq!(s.reply.outcome, Some(Outcome::NotRun), "{s:?}");
+        assert_eq!(s.reply.code, code, "{s:?}");
         assert_eq!(world.runs(&s.ask.marker), 0);
     }
     assert_eq!(versions_and_runs(&world, "fortaleza"), 0);
@@ -331,12 +340,12 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn with_the_entries_guard_off_the_agents_keep_requests_in_their_place() {
-    one_guard_holds("check_places: false", "check_places: true").await;
+    one_guard_holds("check_places: false", "check_places: true", "all_refused").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn with_the_agents_guard_off_the_entries_keep_requests_in_their_place() {
-    one_guard_holds("check_places: true", "check_places: false").await;
+    one_guard_holds("check_places: true", "check_places: false", "outside_place").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -26,6 +26,8 @@
     pub entries: Vec<String>,
     /// Upstreams of the failure domain.
     pub upstreams: Vec<UpstreamStatus>,
+    /// Upstreams known from other failure domains.
+    pub remote: Vec<String>,
     /// Requests that wait.
     pub waiting: usize,
     /// Control bytes received and sent.
@@ -123,6 +125,12 @@
         age_ms: entry.force.age().map(|age| age.as_millis() as u64),
         entries: others.map(|e| e.note.vm).collect(),
         upstreams,
+        remote: entry
+            .fleet
+            .remote()
+            .iter()
+            .map(|u| u.vm().clone())
+            .collect(),
         waiting: entry.queue.len(),
         control_bytes: entry.traffic.bytes(),
     }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -105,6 +105,7 @@
         let any_live = || {
             let local = self.fleet.local();
             local.iter().any(|u| u.holdings().iter().any(|h| h.live))
+                || !self.fleet.remote().is_empty()
         };
         match self.force.age() {
             _ if self.stopping() => Readiness::Stopping,
--- a/crates/entry/src/route/dispatch.rs
+++ b/crates/entry/src/route/dispatch.rs
@@ -201,8 +201,8 @@
 
     /// Waits for an upstream with a free slot.
     async fn next_upstream(&mut self) -> Result<Running, Refusal> {
-        if !self.tried.is_empty() {
-            self.check_retry()?;
+        if self.tried.len() as u64 >= self.entry.cfg.max_attempts {
+            return Err(self.nobody());
         }
         let mut ticket = None;
         loop {
@@ -213,7 +213,10 @@
                 &self.entry.cfg,
                 &self.tried,
             ) {
-                Pick::Chosen(slot) => return Ok(Running::new(self.entry, slot)),
+                Pick::Chosen(slot) => {
+                    self.pay_retry()?;
+                    return Ok(Running::new(self.entry, slot));
+                }
                 Pick::Nobody => return Err(self.nobody()),
                 Pick::Busy => {}
             }
@@ -230,9 +233,10 @@
         }
     }
 
-    fn check_retry(&mut self) -> Result<(), Refusal> {
-        if self.tried.len() as u64 >= self.entry.cfg.max_attempts {
-            return Err(self.nobody());
+    /// Pays for an attempt after the first.
+    fn pay_retry(&self) -> Result<(), Refusal> {
+        if self.tried.is_empty() {
+            return Ok(());
         }
         if !self.entry.retries.spend() {
             return Err(Refusal::NoRetries(self.entry.queue.retry_after().max(SOON)));
