--- a/crates/agent/src/bring.rs
+++ b/crates/agent/src/bring.rs
@@ -41,6 +41,8 @@
     Source(String),
     /// the source is busy
     Busy,
+    /// the source has it not
+    Absent,
     /// {0}
     Bad(StoreError),
     /// the engine did not take the chunk ({0})
@@ -134,24 +136,22 @@
             .await
             .map(|buf| (buf, head.headers))
             .map_err(|e| ChunkError::Source(e.to_string())),
+        404 => Err(ChunkError::Absent),
         429 => Err(ChunkError::Busy),
         status => Err(ChunkError::Source(format!("it answered {status}"))),
     }
 }
 
-/// Which chunks a peer says it has; `None` where it doesn't answer soon.
+/// Which chunks a peer says it has; none of a version it doesn't know. `None` where it doesn't
+/// answer soon.
 pub async fn have(agent: &Agent, addr: SocketAddr, version: Digest) -> Option<Vec<bool>> {
     let path = format!("/have/{version}");
-    let (buf, _) = get(
-        agent,
-        addr,
-        &path,
-        weights::manifest::MAX_CHUNKS,
-        LOOK_TIMEOUT,
-    )
-    .await
-    .ok()?;
-    Some(buf.iter().map(|b| *b == crate::peer::HELD).collect())
+    let limit = weights::manifest::MAX_CHUNKS;
+    match get(agent, addr, &path, limit, LOOK_TIMEOUT).await {
+        Ok((buf, _)) => Some(buf.iter().map(|b| *b == crate::peer::HELD).collect()),
+        Err(ChunkError::Absent) => Some(Vec::new()),
+        Err(_) => None,
+    }
 }
 
 /// Agents that fetch or hold a version, by an entry; `None` where none can be asked.
--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -242,6 +242,7 @@
                 self.permille.store(permille as u64, Ordering::Relaxed);
             }
             (Err(ChunkError::Busy), Source::Peer(addr)) => self.swarm.busy(addr),
+            (Err(ChunkError::Absent), Source::Peer(addr)) => self.swarm.lacks(addr),
             (Err(ChunkError::Bad(e)), source) => {
                 warn!(target: PART, "{PART}: a bad chunk came from {source:?}: {e}");
                 self.agent.drawn.bad.fetch_add(1, Ordering::Relaxed);
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -109,6 +109,11 @@
         self.have.insert(addr, have);
     }
 
+    /// Notes that an agent has not what it was asked for.
+    pub fn lacks(&mut self, addr: SocketAddr) {
+        self.have.remove(&addr);
+    }
+
     /// Notes that an agent gave no answer: what it has is forgotten, and it is left alone for a
     /// while.
     pub fn silent(&mut self, addr: SocketAddr) {
@@ -168,13 +173,6 @@
         }
     }
 
-    /// Notes that an agent has one more chunk.
-    pub fn has(&mut self, addr: SocketAddr, i: usize) {
-        if let Some(have) = self.have.get_mut(&addr).and_then(|have| have.get_mut(i)) {
-            *have = true;
-        }
-    }
-
     /// Where to take a chunk from now; `None` where it is better to wait. `waited` is how long
     /// the chunk has been wanted, `stalled` how long none has come from a peer.
     pub fn choose(
--- a/crates/cli/src/commands/table.rs
+++ b/crates/cli/src/commands/table.rs
@@ -170,8 +170,8 @@
         if domains.iter().all(|d| d.in_force) {
             if !json {
                 output::line(format!(
-                    "in force in all failure domains after {:?}",
-                    begun.elapsed()
+                    "in force in all failure domains after {} ms",
+                    begun.elapsed().as_millis()
                 ))?;
             }
             return Ok(domains);
