--- a/crates/lab/src/commands/mod.rs
+++ b/crates/lab/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod route;
 mod send;
 mod standins;
+mod wire;
 
 use lab::layout::Layout;
 use pico_args::Arguments;
@@ -29,6 +30,7 @@
             Some("control") => control::run(args).await,
             Some("rollout") => rollout::run(args).await,
             Some("route") => route::run(args).await,
+            Some("wire") => wire::run(args).await,
             Some("send") => send::run(args).await,
             Some(other) => Err(LabError::Usage(format!("there is no tool {other:?}"))),
             None => Err(LabError::Usage("name a tool".into())),
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -25,6 +25,7 @@
                                [--fault none|kill|stall|corrupt|cut|origin-down|newer] [--no-naive] [--json]
        driftnotch-lab route    [--policy NAME|all] [--load F] [--fault none|slow|dead|lag|flap|cut]
                                [--span DURATION] [--seed S] [--json]
+       driftnotch-lab wire     [--net N]   capnp-rpc and HTTP, compared
        driftnotch-lab claims   [--net N] [--json]   ways to claim idempotency keys, compared
 
 Every tool of one deployment is given the same --net: the second number of its loopback addresses.";
