Rank by one rendezvous hash; drop a time kept for each chunk, and dead code

Change: base::rendezvous::rank serves all five, over the same bytes as before, so the ranks are the same; the fetch keeps a set and one moment; the dead code is gone. Behaviour and tests are unchanged. scripts/test passes.

--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use base::{Digest, Map, Set};
+use base::{Digest, Set};
 use bytes::Bytes;
 use log::{debug, info, warn};
 use rand::seq::{IndexedRandom, SliceRandom};
@@ -44,7 +44,8 @@
     manifest: Arc<Manifest>,
     rule: Rule,
     swarm: Swarm,
-    wanted_since: Map<usize, Instant>,
+    wanted: Set<usize>,
+    begun: Instant,
     in_flight: Set<usize>,
     from_origin: usize,
     /// When a chunk last came from a peer.
@@ -71,7 +72,8 @@
     let mut fetch = Fetch {
         rule: rule(&agent, version),
         swarm: Swarm::default(),
-        wanted_since: (0..manifest.chunks.len()).map(|i| (i, now)).collect(),
+        wanted: (0..manifest.chunks.len()).collect(),
+        begun: now,
         in_flight: Set::default(),
         from_origin: 0,
         progress: now,
@@ -109,7 +111,7 @@
         let mut asked: Option<Instant> = None;
         let mut look = tokio::time::interval(LOOK);
         look.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-        while !self.wanted_since.is_empty() {
+        while !self.wanted.is_empty() {
             tokio::select! {
                 _ = look.tick() => {
                     if asked.is_none_or(|at| at.elapsed() > ASK) {
@@ -197,17 +199,15 @@
     /// Chunks that can be taken now, each with its source, or its bytes where they are held from
     /// another version.
     fn most_urgent(&self) -> Vec<(usize, Source, Option<Bytes>)> {
+        let (waited, stalled) = (self.begun.elapsed(), self.progress.elapsed());
         let mut ready: Vec<_> = self
-            .wanted_since
-            .iter()
-            .filter(|(i, _)| !self.in_flight.contains(*i))
-            .filter_map(|(i, since)| {
+            .wanted
+            .difference(&self.in_flight)
+            .filter_map(|i| {
                 let chunk = &self.manifest.chunks[*i];
                 if let Some(buf) = self.agent.chunks().get(chunk) {
                     return Some(((0, 0), *i, Source::Origin, Some(buf)));
                 }
-                let waited = since.elapsed();
-                let stalled = self.progress.elapsed();
                 let choice = self.swarm.choose(*i, chunk, &self.rule, waited, stalled)?;
                 Some((choice.urgency, *i, choice.source, None))
             })
@@ -232,13 +232,13 @@
                 if let (Some(have), Source::Peer(addr)) = (have, source) {
                     self.swarm.set_have(addr, have);
                 }
-                self.wanted_since.remove(&i);
+                self.wanted.remove(&i);
                 if !fetched.from_origin {
-                    // What is drawn out of turn is no sign that others bring chunks again.
+                    // What this agent draws is no sign that others bring chunks.
                     self.progress = Instant::now();
                 }
                 let all = self.manifest.chunks.len();
-                let permille = (all - self.wanted_since.len()) * 1000 / all;
+                let permille = (all - self.wanted.len()) * 1000 / all;
                 self.permille.store(permille as u64, Ordering::Relaxed);
             }
             (Err(ChunkError::Busy), Source::Peer(addr)) => self.swarm.busy(addr),
--- a/crates/agent/src/gate.rs
+++ b/crates/agent/src/gate.rs
@@ -107,11 +107,6 @@
         self.state().live.remove(version);
     }
 
-    /// Whether a version is live.
-    pub fn is_live(&self, version: &Version) -> bool {
-        self.state().live.contains(version)
-    }
-
     /// Requests running.
     pub fn running(&self) -> u32 {
         self.state().running.values().sum()
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request's way: [`ask`] reads what an entry sent, [`gate`] lets it in or refuses it for
 //! certain, [`handle`] runs it at the upstream, and [`ledger`] remembers unsafe ones. Weights:
 //! [`rollout`] compares the table with what the engine has, [`fetch`] brings a version's chunks
-//! in from the sources that [`swarm`] ranks, [`peer`] passes them on at the [`pace`] that requests leave, and [`engine`] gives orders.
+//! in, one by one ([`bring`]), from the sources that [`swarm`] ranks, [`peer`] passes them on at
+//! the [`pace`] that requests leave, and [`engine`] gives orders.
 //! [`links`] keeps links to the entries of the failure domain.
 
 pub mod admin;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use base::{Digest, Map};
+use base::{Digest, Map, rendezvous};
 use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
 use table::{Patch, Refused};
@@ -149,7 +149,7 @@
 }
 
 fn rank(vm: &str, addr: &SocketAddr) -> Digest {
-    Digest::of(format!("{vm} {addr}").as_bytes())
+    rendezvous::rank(format!("{vm} ").as_bytes(), &addr.to_string())
 }
 
 async fn ask_peers(seat: Option<Rc<SeatLink>>, job: PeersJob) {
--- a/crates/agent/src/peer.rs
+++ b/crates/agent/src/peer.rs
@@ -1,8 +1,9 @@
 //! Passes chunks on to other agents, over HTTP.
 //!
 //! `GET /have/VERSION` tells which chunks are held, one character each; `GET /chunk/VERSION/I`
-//! gives one, and in a header says which are held by now; `GET /manifest/VERSION` the manifest. Weights go only to agents of places that a row
-//! permits. Asked beyond its bound, an agent says so at once and is asked again later.
+//! gives one, and in a header says which are held by now; `GET /manifest/VERSION` the manifest.
+//! Weights go only to agents of places that a row permits. Asked beyond its bound, an agent says so
+//! at once and is asked again later.
 
 use std::sync::Arc;
 
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -10,6 +10,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use base::rendezvous::rank;
 use base::{Digest, DomainName, Map, Set, VmId};
 use rand::seq::IndexedRandom;
 use wire::Peer;
@@ -230,13 +231,12 @@
             .iter()
             .filter(|p| p.domain == rule.domain && !p.leaving)
             .filter(|p| !self.shunned.contains(&p.addr));
-        let own = rank(chunk, &rule.vm);
-        let first_here = near.all(|p| rank(chunk, &p.vm) < own);
+        let own = rank(chunk.as_bytes(), &rule.vm);
+        let first_here = near.all(|p| rank(chunk.as_bytes(), &p.vm) < own);
         let own_domain_first = rule.per_domain
-            || rule
-                .permitted
-                .iter()
-                .all(|domain| rank(chunk, domain) <= rank(chunk, &rule.domain));
+            || rule.permitted.iter().all(|domain| {
+                rank(chunk.as_bytes(), domain) <= rank(chunk.as_bytes(), &rule.domain)
+            });
         Duty {
             draws: first_here && own_domain_first,
             carries: first_here,
@@ -264,9 +264,3 @@
             .collect()
     }
 }
-
-fn rank(chunk: &Digest, name: &str) -> Digest {
-    let mut buf = chunk.as_bytes().to_vec();
-    buf.extend_from_slice(name.as_bytes());
-    Digest::of(&buf)
-}
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod nearest;
 pub mod outcome;
 pub mod place;
+pub mod rendezvous;
 pub mod settled;
 pub mod units;
 
--- a/crates/entry/src/membership/links.rs
+++ b/crates/entry/src/membership/links.rs
@@ -12,7 +12,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Digest, DomainName, Map, Revision, Set};
+use base::{Digest, DomainName, Map, Revision, Set, rendezvous};
 use log::{debug, info, warn};
 use rand::seq::IteratorRandom;
 use table::{Edition, Fault, Patch, Refused};
@@ -155,7 +155,7 @@
 }
 
 fn rank(vm: &str, addr: &SocketAddr) -> Digest {
-    Digest::of(format!("{vm} {addr}").as_bytes())
+    rendezvous::rank(format!("{vm} ").as_bytes(), &addr.to_string())
 }
 
 async fn keep_link(entry: Arc<Entry>, addr: SocketAddr, live: Live) {
--- a/crates/entry/src/route/pick.rs
+++ b/crates/entry/src/route/pick.rs
@@ -14,7 +14,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
-use base::Digest;
+use base::rendezvous::rank;
 use rand::RngExt;
 use settings::EntryCfg;
 use table::Row;
@@ -133,7 +133,7 @@
     }
     let best = free
         .iter()
-        .max_by_key(|c| rendezvous(call.prefix, c.upstream.vm()))?;
+        .max_by_key(|c| rank(&call.prefix.to_le_bytes(), c.upstream.vm()))?;
     let sum: f64 = free.iter().map(|c| c.weight(cfg.slow_start)).sum();
     let bound = sum / free.len() as f64 * cfg.prefix_load as f64 / 100.0;
     (best.weight(cfg.slow_start) <= bound.max(2.0)).then(|| best.clone())
@@ -163,10 +163,3 @@
     };
     free[lighter].clone()
 }
-
-/// Rank of a VM for a key; the highest wins.
-fn rendezvous(key: u64, vm: &str) -> Digest {
-    let mut buf = key.to_le_bytes().to_vec();
-    buf.extend_from_slice(vm.as_bytes());
-    Digest::of(&buf)
-}
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::{Duration, Instant};
 
-use base::Digest;
+use base::rendezvous::rank;
 use displaydoc::Display;
 use log::info;
 use platform::{Kv, Members, Tables};
@@ -161,21 +161,17 @@
 
 /// The entry of the failure domain that writes claims for all; `None` where this one does.
 fn claimer(entry: &Entry) -> Option<SocketAddr> {
-    let own = (rank(&entry.cfg.upkeep.vm), None);
+    let own = (rank(&[], &entry.cfg.upkeep.vm), None);
     entry
         .fleet
         .siblings()
         .into_iter()
-        .map(|e| (rank(&e.note.vm), Some(e.note.control)))
+        .map(|e| (rank(&[], &e.note.vm), Some(e.note.control)))
         .chain([own])
         .max_by_key(|(rank, _)| *rank)
         .and_then(|(_, control)| control)
 }
 
-fn rank(vm: &str) -> Digest {
-    Digest::of(vm.as_bytes())
-}
-
 fn start_control(
     entry: &Arc<Entry>,
     listener: TcpListener,
