--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -62,9 +62,9 @@
     /// Client towards the upstream and peers.
     pub client: web::Client,
     /// Object store of manifests.
-    pub objects: platform::Objects,
+    pub objects: store::Objects,
     /// Origin of weights.
-    pub origin: platform::Origin,
+    pub origin: store::Origin,
     /// Questions to the entries.
     pub peers: mpsc::Sender<PeersJob>,
     /// Bytes of control links.
--- /dev/null
+++ b/crates/beacon/src/lib.rs
@@ -0,0 +1,14 @@
+//! Datagrams between processes: what an engine holds and how loaded it is, which chunks a loader
+//! has, and what each gateway has in flight.
+//!
+//! Every datagram states the whole of its subject, so one that is lost costs time only: the next
+//! one says it again. Nothing is acknowledged. Numbers that order them grow within one life of a
+//! sender; a new life has a larger [`Incarnation`].
+
+mod member;
+mod msg;
+mod socket;
+
+pub use member::{Member, Role};
+pub use msg::{ChunkMap, EngineNote, Holding, Load, LoadNote, Msg};
+pub use socket::{Beacon, MAX_DATAGRAM};
--- /dev/null
+++ b/crates/beacon/src/msg.rs
@@ -0,0 +1,114 @@
+//! Messages.
+
+use std::net::SocketAddr;
+
+use base::{Incarnation, Model, Revision, VmId};
+use serde::{Deserialize, Serialize};
+
+/// What an engine holds of one model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Model.
+    pub model: Model,
+    /// Version of all of its layers; `None` while it holds a part or a mixture.
+    pub version: Option<u64>,
+}
+
+/// State of an engine, told by the loader beside it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineNote {
+    /// Incarnation of the loader.
+    pub incarnation: Incarnation,
+    /// Grows with each note of that incarnation.
+    pub number: u64,
+    /// Address of the engine.
+    pub upstream: SocketAddr,
+    /// Whether it takes no new requests while it changes weights.
+    pub switching: bool,
+    /// What it holds.
+    pub holdings: Vec<Holding>,
+    /// Requests it runs.
+    pub running: u32,
+    /// Requests it has queued.
+    pub queued: u32,
+    /// Revision of the configuration that the loader acts on.
+    pub configuration: Revision,
+}
+
+/// One gateway's part of what an upstream runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Address of the upstream.
+    pub upstream: SocketAddr,
+    /// Requests in flight.
+    pub requests: u16,
+    /// Prompt tokens of requests that have had no event yet.
+    pub unread: u32,
+}
+
+/// What a gateway has in flight at all upstreams; those left out have nothing.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadNote {
+    /// VM of the gateway.
+    pub from: VmId,
+    /// Incarnation of the gateway.
+    pub incarnation: Incarnation,
+    /// Grows with each note of that incarnation.
+    pub number: u64,
+    /// Revision of the configuration it holds.
+    pub configuration: Revision,
+    /// Where it passes its copies of documents on.
+    pub copies_at: SocketAddr,
+    /// Loads.
+    pub loads: Vec<Load>,
+}
+
+/// Chunks of a version that a loader has.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChunkMap {
+    /// Where the loader serves chunks.
+    pub from: SocketAddr,
+    /// Model.
+    pub model: Model,
+    /// Version.
+    pub version: u64,
+    /// A bit for each chunk, the lowest bit of each byte first.
+    pub bits: Vec<u8>,
+    /// Whether it asks the receiver to say what it has in turn.
+    pub asks: bool,
+}
+
+impl ChunkMap {
+    /// Packs flags into bits.
+    pub fn pack(have: &[bool]) -> Vec<u8> {
+        let byte = |flags: &[bool]| {
+            let bit = |(i, has): (usize, &bool)| u8::from(*has) << i;
+            flags.iter().enumerate().map(bit).sum()
+        };
+        have.chunks(8).map(byte).collect()
+    }
+
+    /// The flags of the first `n` chunks.
+    pub fn unpack(&self, n: usize) -> Vec<bool> {
+        let flag = |i: usize| self.bits.get(i / 8).is_some_and(|b| b >> (i % 8) & 1 == 1);
+        (0..n).map(flag).collect()
+    }
+}
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Msg {
+    /// From a loader to gateways.
+    Engine(EngineNote),
+    /// From a gateway to gateways.
+    Load(LoadNote),
+    /// From a loader to loaders.
+    Chunks(ChunkMap),
+    /// From a gateway to a loader whose configuration is older than the gateway's.
+    Newer {
+        /// Revision that the gateway holds.
+        configuration: Revision,
+        /// Where it passes its copies of documents on.
+        copies_at: SocketAddr,
+    },
+}
--- /dev/null
+++ b/crates/beacon/src/socket.rs
@@ -0,0 +1,78 @@
+//! The socket that datagrams travel by.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use log::debug;
+use tokio::net::UdpSocket;
+
+use crate::Msg;
+
+/// Log prefix of this part.
+const PART: &str = "beacon";
+
+/// Largest datagram sent, in bytes; below what one packet carries on common links.
+pub const MAX_DATAGRAM: usize = 1400;
+
+/// Largest datagram taken, in bytes.
+const RECEIVE_BUFFER: usize = 2048;
+
+/// Sends and takes datagrams.
+#[derive(Debug, Clone)]
+pub struct Beacon {
+    socket: Arc<UdpSocket>,
+}
+
+impl Beacon {
+    /// Binds the socket.
+    pub async fn bind(addr: SocketAddr) -> std::io::Result<Beacon> {
+        let socket = Arc::new(UdpSocket::bind(addr).await?);
+        Ok(Beacon { socket })
+    }
+
+    /// Address it is bound to.
+    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Sends a message to each receiver; one that can't be sent is dropped, for the next one
+    /// states the same.
+    pub fn send(&self, msg: &Msg, to: impl IntoIterator<Item = SocketAddr>) {
+        let buf = match postcard::to_stdvec(msg) {
+            Ok(buf) if buf.len() <= MAX_DATAGRAM => buf,
+            Ok(buf) => {
+                debug!(target: PART, "{PART}: event=dropped why=too_large bytes={}", buf.len());
+                return;
+            }
+            Err(e) => {
+                debug!(target: PART, "{PART}: event=dropped why=\"{e}\"");
+                return;
+            }
+        };
+        for addr in to {
+            if let Err(e) = self.socket.try_send_to(&buf, addr) {
+                debug!(target: PART, "{PART}: event=dropped to={addr} why=\"{e}\"");
+            }
+        }
+    }
+
+    /// The next message, and who sent it; passes over what is no message.
+    pub async fn next(&self) -> (Msg, SocketAddr) {
+        let mut buf = [0; RECEIVE_BUFFER];
+        loop {
+            let (n, from) = match self.socket.recv_from(&mut buf).await {
+                Ok(received) => received,
+                Err(e) => {
+                    // An earlier datagram met a closed port; the socket itself is sound.
+                    debug!(target: PART, "{PART}: event=receive_failed why=\"{e}\"");
+                    tokio::task::yield_now().await;
+                    continue;
+                }
+            };
+            match postcard::from_bytes(&buf[..n]) {
+                Ok(msg) => return (msg, from),
+                Err(e) => debug!(target: PART, "{PART}: event=dropped from={from} why=\"{e}\""),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/catalog/src/engine.rs
@@ -0,0 +1,52 @@
+//! What is configured of model engines and of the origin of their weights.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base::Model;
+
+/// How the upstreams of a service run models.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    /// Models.
+    pub models: Vec<Model>,
+    /// Requests in a batch.
+    pub slots: u32,
+    /// Tokens that fit into memory.
+    pub kv_tokens: u64,
+    /// Layers of a model.
+    pub layers: u32,
+    /// Chunks that the weights consist of.
+    pub chunks: u32,
+    /// Size of a chunk, in bytes.
+    pub chunk_bytes: u32,
+    /// Time an engine takes to put staged weights into use.
+    pub warm_time: Duration,
+    /// Time of one token step of a batch.
+    pub step: Duration,
+    /// Prompt tokens read in a second.
+    pub prompt_rate: f64,
+    /// Mean size of an answer, in tokens.
+    pub usual_answer: u32,
+}
+
+impl Engine {
+    /// Whether a model is run.
+    pub fn runs(&self, model: &str) -> bool {
+        self.models.iter().any(|m| m == model)
+    }
+
+    /// Time to read a prompt while nothing else is read.
+    pub fn prompt_time(&self, tokens: u64) -> Duration {
+        Duration::from_secs_f64(tokens as f64 / self.prompt_rate.max(1.0))
+    }
+}
+
+/// Where weights are drawn from.
+#[derive(Debug, Clone)]
+pub struct Origin {
+    /// Address.
+    pub addr: SocketAddr,
+    /// Connections it takes.
+    pub max_connections: u32,
+}
--- /dev/null
+++ b/crates/catalog/src/lib.rs
@@ -0,0 +1,144 @@
+//! What operators have configured: routes, services, workspaces and request limits.
+//!
+//! A [`Catalog`] is one revision of that, immutable and shared. A process replaces it as a whole by
+//! a newer one and never goes back, so a request sees one revision from its head to its answer.
+
+mod engine;
+mod route;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base::{Map, Model, Revision, Workspace};
+
+pub use engine::{Engine, Origin};
+pub use route::{Kind, Route, Share};
+
+/// Name of a service that routes lead to.
+pub type ServiceName = String;
+
+/// Secret that callers send to show which workspace they belong to.
+pub type ApiKey = String;
+
+/// Version of a model's weights; grows with each release.
+pub type WeightsVersion = u64;
+
+/// Version that engines hold from their start where none was released.
+pub const FIRST_VERSION: WeightsVersion = 1;
+
+/// Bounds of what a caller may send, and how slowly.
+#[derive(Debug, Clone, Copy)]
+pub struct RequestLimits {
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a whole head.
+    pub head_time: Duration,
+    /// Longest rest of an open connection.
+    pub idle_time: Duration,
+}
+
+/// A service that routes lead to.
+#[derive(Debug, Clone)]
+pub struct Service {
+    /// Name.
+    pub name: ServiceName,
+    /// Connections that each of its upstreams takes from all callers together.
+    pub max_connections: u32,
+    /// How its upstreams run models; `None` for a plain service.
+    pub engine: Option<Engine>,
+    /// Where its weights are drawn from; `None` where it isn't an origin.
+    pub origin: Option<Origin>,
+}
+
+/// A caller's workspace.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Tenant {
+    /// Name that upstreams are told.
+    pub workspace: Workspace,
+    /// Rank of its requests in place of the route's, 0 being the most urgent.
+    pub priority: Option<u8>,
+}
+
+/// Who may call.
+#[derive(Debug, Clone)]
+pub enum Access {
+    /// No workspaces are configured; nobody needs a key.
+    Open,
+    /// Callers show one of these keys, but on public routes.
+    Keys(Map<ApiKey, Arc<Tenant>>),
+}
+
+/// One revision of the configuration.
+#[derive(Debug)]
+pub struct Catalog {
+    /// Revision; larger ones are newer.
+    pub revision: Revision,
+    /// Limits.
+    pub limits: RequestLimits,
+    /// Who may call.
+    pub access: Access,
+    by_host: Map<String, Vec<Arc<Route>>>,
+    services: Map<ServiceName, Arc<Service>>,
+}
+
+impl Catalog {
+    /// A catalog of routes and services.
+    pub fn new(
+        revision: Revision,
+        routes: Vec<Route>,
+        services: Vec<Service>,
+        access: Access,
+        limits: RequestLimits,
+    ) -> Catalog {
+        let mut by_host: Map<String, Vec<Arc<Route>>> = Map::default();
+        for route in routes {
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(Arc::new(route));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
+        }
+        let services = services
+            .into_iter()
+            .map(|s| (s.name.clone(), Arc::new(s)))
+            .collect();
+        Catalog {
+            revision,
+            limits,
+            access,
+            by_host,
+            services,
+        }
+    }
+
+    /// The route with the longest prefix that begins the path; `None` where there is none.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = self.by_host.get(&name.to_ascii_lowercase())?;
+        routes.iter().find(|r| path.starts_with(&r.prefix))
+    }
+
+    /// A service by name.
+    pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// The service with engines that runs a model.
+    pub fn service_of(&self, model: &str) -> Option<&Arc<Service>> {
+        let runs = |s: &&Arc<Service>| s.engine.as_ref().is_some_and(|e| e.runs(model));
+        self.services.values().find(runs)
+    }
+
+    /// The origin of weights.
+    pub fn origin(&self) -> Option<&Origin> {
+        self.services.values().find_map(|s| s.origin.as_ref())
+    }
+
+    /// Models that the upstreams of a service run.
+    pub fn models(&self, service: &str) -> &[Model] {
+        let engine = self.service(service).and_then(|s| s.engine.as_ref());
+        engine.map_or(&[], |e| &e.models)
+    }
+}
--- a/crates/cli/src/commands/check.rs
+++ b/crates/cli/src/commands/check.rs
@@ -39,7 +39,7 @@
     for file in settings {
         let faults = match settings::load(file) {
             Ok(settings) => {
-                domains.get_or_insert(domains_of(settings));
+                domains = domains.or_else(|| domains_of(settings));
                 Vec::new()
             }
             Err(faults) => faults,
@@ -52,11 +52,12 @@
     report(options, results)
 }
 
-fn domains_of(settings: Settings) -> Domains {
+fn domains_of(settings: Settings) -> Option<Domains> {
     match settings {
-        Settings::Entry(cfg) => cfg.upkeep.domains,
-        Settings::Agent(cfg) => cfg.upkeep.domains,
-        Settings::Operator(cfg) => cfg.domains,
+        Settings::Entry(cfg) => Some(cfg.upkeep.domains),
+        Settings::Agent(cfg) => Some(cfg.upkeep.domains),
+        Settings::Operator(cfg) => Some(cfg.domains),
+        Settings::Gateway(_) | Settings::Loader(_) => None,
     }
 }
 
@@ -110,8 +111,11 @@
         "entry" => Role::Entry,
         "agent" => Role::Agent,
         "operator" => Role::Operator,
+        "gateway" => Role::Gateway,
+        "loader" => Role::Loader,
         other => {
-            let remedy = format!("--fields {other}: write entry, agent or operator");
+            let remedy =
+                format!("--fields {other}: write entry, agent, operator, gateway or loader");
             return Err(Error::Usage(remedy));
         }
     };
--- /dev/null
+++ b/crates/cli/src/commands/gateway.rs
@@ -0,0 +1,20 @@
+//! `driftnotch gateway`
+
+use std::path::Path;
+
+use settings::Settings;
+
+use super::process;
+use crate::error::Error;
+
+/// Runs a gateway until it is stopped.
+pub fn run(settings: &Path) -> Result<(), Error> {
+    let Settings::Gateway(cfg) = process::load(settings)? else {
+        return Err(Error::WrongRole(settings.to_owned(), "a gateway"));
+    };
+    let process = process::start_node(settings, &cfg.node)?;
+    process
+        .runtime
+        .block_on(platform::gateway::run(*cfg, process.stop))
+        .map_err(Error::Node)
+}
--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -4,6 +4,8 @@
 pub mod burn;
 pub mod check;
 pub mod entry;
+pub mod gateway;
+pub mod loader;
 pub mod operator;
 pub mod process;
 pub mod publish;
--- a/crates/cli/src/commands/operator.rs
+++ b/crates/cli/src/commands/operator.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use entry::admin::Status;
-use platform::{Kv, Tables};
 use serde::de::DeserializeOwned;
 use settings::{OperatorCfg, Settings};
+use store::{Kv, Tables};
 use tokio::runtime::{Builder, Runtime};
 use web::{Client, Dial, read_body};
 
--- a/crates/cli/src/commands/process.rs
+++ b/crates/cli/src/commands/process.rs
@@ -4,9 +4,11 @@
 use std::sync::Arc;
 
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
-use settings::{LogCfg, Settings};
-use tokio::runtime::Runtime;
+use settings::{LogCfg, NodeCfg, Settings};
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
+use web::Bounds;
 
 use crate::error::{Error, FaultList};
 use crate::{logs, stop, usage};
@@ -36,14 +38,44 @@
 
 /// Starts logs, metrics, the runtime and the signal handlers.
 pub fn start(settings: &Path, log: &LogCfg) -> Result<Process, Error> {
-    let handle = logs::start(log)?;
+    let runtime = Runtime::new().map_err(Error::Start)?;
+    start_on(runtime, logs::Target::Errors, settings, log)
+}
+
+/// The same on one thread, with logs on standard output, and metrics served at an address.
+pub fn start_node(settings: &Path, node: &NodeCfg) -> Result<Process, Error> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(Error::Start)?;
+    let process = start_on(runtime, logs::Target::Output, settings, &node.log)?;
+    let (render, stop) = (process.render.clone(), process.stop.clone());
+    let listener = process
+        .runtime
+        .block_on(TcpListener::bind(node.metrics))
+        .map_err(Error::Node)?;
+    process
+        .runtime
+        .spawn(web::serve(listener, Bounds::internal(), stop, move |_| {
+            let res = web::text(200, render());
+            async move { res }
+        }));
+    Ok(process)
+}
+
+fn start_on(
+    runtime: Runtime,
+    target: logs::Target,
+    settings: &Path,
+    log: &LogCfg,
+) -> Result<Process, Error> {
+    let handle = logs::start(log, target)?;
     let recorder = PrometheusBuilder::new()
         .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &SECONDS)
         .and_then(|builder| builder.install_recorder())
         .map_err(|e| Error::Logs(e.to_string()))?;
-    let runtime = Runtime::new().map_err(Error::Start)?;
     let stop = runtime
-        .block_on(async { stop::follow(settings.to_owned(), handle) })
+        .block_on(async { stop::follow(settings.to_owned(), handle, target) })
         .map_err(Error::Start)?;
     Ok(Process {
         runtime,
--- a/crates/cli/src/commands/publish.rs
+++ b/crates/cli/src/commands/publish.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use base::Digest;
-use platform::{Kv, Objects, Origin};
 use serde::Serialize;
+use store::{Kv, Objects, Origin};
 use web::Dial;
 use weights::Manifest;
 
--- a/crates/cli/src/commands/table.rs
+++ b/crates/cli/src/commands/table.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use entry::admin::Status;
-use platform::PlatformError;
-use platform::tables::Current;
 use serde::Serialize;
 use settings::OperatorCfg;
+use store::PlatformError;
+use store::tables::Current;
 use table::{Change, Edition, Hold, Table, diff};
 
 use super::operator;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use displaydoc::Display;
-use platform::PlatformError;
+use store::PlatformError;
 use table::Fault;
 
 /// Why a command failed.
@@ -27,6 +27,8 @@
     Entry(entry::EntryError),
     /// {0}
     Agent(agent::AgentError),
+    /// the process can't listen or has failed ({0}); check the addresses in the settings
+    Node(std::io::Error),
     /// the process can't start ({0}); free memory or descriptors
     Start(std::io::Error),
     /// the logs can't be set up ({0}); check log_level and log_levels
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -9,6 +9,10 @@
     Entry,
     /// `agent`
     Agent,
+    /// `gateway`
+    Gateway,
+    /// `loader`
+    Loader,
     /// `table`
     Table,
     /// `check`
@@ -27,6 +31,8 @@
         match name {
             "entry" => Some(Topic::Entry),
             "agent" => Some(Topic::Agent),
+            "gateway" => Some(Topic::Gateway),
+            "loader" => Some(Topic::Loader),
             "table" => Some(Topic::Table),
             "check" => Some(Topic::Check),
             "publish" => Some(Topic::Publish),
@@ -43,6 +49,8 @@
         Topic::All => ALL,
         Topic::Entry => ENTRY,
         Topic::Agent => AGENT,
+        Topic::Gateway => GATEWAY,
+        Topic::Loader => LOADER,
         Topic::Table => TABLE,
         Topic::Check => CHECK,
         Topic::Publish => PUBLISH,
@@ -59,6 +67,8 @@
 On VMs:
   entry     take callers' requests (entry VM)
   agent     guard one upstream and hold its weights (upstream VM)
+  gateway   take callers' requests by the configuration in the platform's store (entry VM)
+  loader    bring released weights to the engine beside it (upstream VM)
 
 For operators:
   table     get, plan, apply, history, status: the table of models and places
@@ -93,6 +103,26 @@
 
 Example: driftnotch agent --settings examples/agent.yaml";
 
+const GATEWAY: &str = "\
+Takes callers' requests by the configuration in the platform's store, and sends them to engines and
+services directly.
+
+Usage: driftnotch gateway --settings FILE
+
+SIGTERM stops as planned: readiness ends at once, connections are taken for `stop_notice` more, and
+running requests end first. A second one ends at once. SIGHUP reads the log settings again.
+
+Example: driftnotch gateway --settings examples/gateway.yaml";
+
+const LOADER: &str = "\
+Brings released weights to the engine beside it, and passes chunks on to other loaders.
+
+Usage: driftnotch loader --settings FILE
+
+SIGTERM stops as planned. A second one ends at once. SIGHUP reads the log settings again.
+
+Example: driftnotch loader --settings examples/loader.yaml";
+
 const TABLE: &str = "\
 Works on the table: a CSV file with the columns model,version,places,share,limits,priority,hold.
 
@@ -116,7 +146,7 @@
 Checks settings files (.yaml) and tables (.csv) without starting anything; lists every fault.
 
 Usage: driftnotch check FILE... [--json]
-       driftnotch check --fields entry|agent|operator
+       driftnotch check --fields entry|agent|operator|gateway|loader
 
 A table is checked against the failure domains of the first settings file given with it.
 --fields prints the fields of a role with kind, default and range.
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -29,6 +29,8 @@
         Command::Version => output::line(concat!("driftnotch ", env!("CARGO_PKG_VERSION"))),
         Command::Entry(settings) => commands::entry::run(&settings),
         Command::Agent(settings) => commands::agent::run(&settings),
+        Command::Gateway(settings) => commands::gateway::run(&settings),
+        Command::Loader(settings) => commands::loader::run(&settings),
         Command::Check(check) => commands::check::run(&check),
         Command::Table(table) => commands::table::run(&table),
         Command::Publish(publish) => commands::publish::run(&publish),
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -10,8 +10,8 @@
 use crate::help::Topic;
 
 /// Commands, for finding the nearest to a wrong one.
-const COMMANDS: [&str; 7] = [
-    "entry", "agent", "table", "check", "publish", "status", "burn",
+const COMMANDS: [&str; 9] = [
+    "entry", "agent", "gateway", "loader", "table", "check", "publish", "status", "burn",
 ];
 
 /// Commands of `table`.
@@ -35,6 +35,10 @@
     Entry(PathBuf),
     /// Run an agent by a settings file.
     Agent(PathBuf),
+    /// Run a gateway by a settings file.
+    Gateway(PathBuf),
+    /// Run a loader by a settings file.
+    Loader(PathBuf),
     /// Check files.
     Check(CheckOptions),
     /// Work on the table.
@@ -137,6 +141,8 @@
             Some(name) if help => Command::Help(topic(name, &mut args)?),
             Some("entry") => Command::Entry(settings(&mut args)?),
             Some("agent") => Command::Agent(settings(&mut args)?),
+            Some("gateway") => Command::Gateway(settings(&mut args)?),
+            Some("loader") => Command::Loader(settings(&mut args)?),
             Some("check") => Command::Check(check(&mut args)?),
             Some("table") => Command::Table(table(&mut args)?),
             Some("publish") => Command::Publish(publish(&mut args)?),
--- a/crates/cli/src/stop.rs
+++ b/crates/cli/src/stop.rs
@@ -4,7 +4,6 @@
 use std::path::{Path, PathBuf};
 
 use log::{error, info};
-use settings::Settings;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
@@ -17,7 +16,11 @@
 const ENDED: i32 = 1;
 
 /// Follows the signals; the receiver turns true when a planned stop begins.
-pub fn follow(settings: PathBuf, handle: log4rs::Handle) -> std::io::Result<watch::Receiver<bool>> {
+pub fn follow(
+    settings: PathBuf,
+    handle: log4rs::Handle,
+    target: logs::Target,
+) -> std::io::Result<watch::Receiver<bool>> {
     let (tx, rx) = watch::channel(false);
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
@@ -27,7 +30,7 @@
             tokio::select! {
                 _ = term.recv() => stop(&tx),
                 _ = int.recv() => stop(&tx),
-                _ = hup.recv() => reload(&settings, &handle),
+                _ = hup.recv() => reload(&settings, &handle, target),
             }
         }
     });
@@ -41,18 +44,16 @@
     }
 }
 
-fn reload(settings: &Path, handle: &log4rs::Handle) {
+fn reload(settings: &Path, handle: &log4rs::Handle, target: logs::Target) {
     let log = match settings::load(settings) {
-        Ok(Settings::Entry(cfg)) => cfg.upkeep.log,
-        Ok(Settings::Agent(cfg)) => cfg.upkeep.log,
-        Ok(Settings::Operator(cfg)) => cfg.log,
+        Ok(settings) => settings.log().clone(),
         Err(faults) => {
             let n = faults.len();
             error!(target: PART, "{PART}: the settings have {n} faults; logs stay as they are; run `driftnotch check`");
             return;
         }
     };
-    match logs::config(&log) {
+    match logs::config(&log, target) {
         Ok(config) => {
             handle.set_config(config);
             info!(target: PART, "{PART}: the log settings were read again");
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -26,7 +26,7 @@
 #[test]
 fn help_of_every_command_has_usage_and_an_example() {
     for name in [
-        "entry", "agent", "table", "check", "publish", "status", "burn",
+        "entry", "agent", "gateway", "loader", "table", "check", "publish", "status", "burn",
     ] {
         let out = run(&[name, "--help"]);
         assert_eq!(out.status.code(), Some(0), "{name}");
@@ -153,7 +153,7 @@
 #[test]
 fn the_settings_page_lists_every_field_as_it_is_declared() {
     let page = std::fs::read_to_string(root().join("docs/SETTINGS.md")).expect("the page");
-    for role in ["entry", "agent", "operator"] {
+    for role in ["entry", "agent", "operator", "gateway", "loader"] {
         let fields = stdout(&run(&["check", "--fields", role]));
         for line in fields.lines().skip(2) {
             assert!(page.contains(line), "docs/SETTINGS.md lacks {line}");
--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -20,7 +20,7 @@
 use lab::standin::platform::Platform;
 use lab::standin::relay::{LinkState, Side, Switchboard};
 use lab::standin::service::PlainService;
-use platform::{Kv, Tables};
+use store::{Kv, Tables};
 use table::Edition;
 use tempfile::TempDir;
 use tokio::sync::watch;
--- a/crates/cli/tests/edits.rs
+++ b/crates/cli/tests/edits.rs
@@ -10,7 +10,7 @@
 use common::{Shape, World, csv, row, until};
 use lab::caller::Ask;
 use lab::standin::fault::Faults;
-use platform::PlatformError;
+use store::PlatformError;
 
 const MODEL: &str = "changelog";
 const VERSION: &str = "service";
--- a/crates/cli/tests/leaving.rs
+++ b/crates/cli/tests/leaving.rs
@@ -10,7 +10,7 @@
 use lab::caller::Ask;
 use lab::layout::Layout;
 use lab::standin::relay::LinkState;
-use platform::MemberState;
+use store::MemberState;
 
 const MODEL: &str = "changelog";
 
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -12,8 +12,8 @@
 
 use base::{Digest, DomainName, Incarnation, RequestId, Set, VmId};
 use futures_util::future::join_all;
-use platform::{Got, Kv, Op, PlatformError, Tag, Unless};
 use serde::{Deserialize, Serialize};
+use store::{Got, Kv, Op, PlatformError, Tag, Unless};
 use tokio::sync::{Semaphore, mpsc, oneshot};
 use wire::{Claim, Claimed};
 
--- a/crates/entry/src/poll.rs
+++ b/crates/entry/src/poll.rs
@@ -5,7 +5,7 @@
 
 use base::{Revision, Set};
 use log::{info, warn};
-use platform::{Member, MemberRole, MemberState, Members, Tables, Tag};
+use store::{Member, MemberRole, MemberState, Members, Tables, Tag};
 
 use crate::Entry;
 use crate::membership::links::offer;
--- a/crates/entry/src/route/dispatch.rs
+++ b/crates/entry/src/route/dispatch.rs
@@ -9,7 +9,7 @@
 
 use base::Outcome;
 use log::info;
-use platform::Tag;
+use store::Tag;
 use table::Row;
 
 use crate::Entry;
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,136 @@
+//! What a request and an answer say of themselves.
+
+use std::fmt;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::Model;
+use bytes::Bytes;
+use catalog::{ApiKey, Route, ServiceName, Tenant, WeightsVersion};
+use hyper::HeaderMap;
+use hyper::http::{request, response};
+
+/// Id that a caller gave one attempt.
+pub type AttemptId = String;
+
+/// Id of an event of a stream.
+pub type EventId = String;
+
+/// What a caller says of its request.
+#[derive(Debug, Clone, Default)]
+pub struct Call {
+    /// Id of the caller's attempt.
+    pub id: AttemptId,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+    /// Key it shows.
+    pub key: Option<ApiKey>,
+    /// Host it names.
+    pub host: String,
+    /// Model it asks for.
+    pub model: Option<Model>,
+    /// Size of its prompt.
+    pub prompt_tokens: u64,
+    /// Most tokens it wants generated.
+    pub max_tokens: u64,
+    /// The caller's estimate of the tokens that will be generated.
+    pub expected_tokens: Option<u64>,
+    /// Last part of the prompt that other requests share: its session or subject.
+    pub subject: Option<String>,
+    /// Event after which a stream is to go on.
+    pub last_event: Option<EventId>,
+}
+
+/// What an upstream is told beside what the caller sent.
+#[derive(Debug)]
+pub struct Forward<'a> {
+    /// Time left.
+    pub remaining: Duration,
+    /// Incarnation that alone may run the request.
+    pub instance: &'a str,
+    /// Version of the weights that alone may run it.
+    pub version: Option<WeightsVersion>,
+    /// The caller's workspace.
+    pub workspace: Option<&'a str>,
+    /// Rank.
+    pub priority: u8,
+    /// Event after which a stream is to go on, where it isn't the caller's.
+    pub last_event: Option<&'a str>,
+}
+
+/// What the head of an answer says.
+#[derive(Debug, Clone, Default)]
+pub struct Reply {
+    /// Attempt that it answers.
+    pub id: Option<AttemptId>,
+    /// Whether the upstream signed it.
+    pub signed: bool,
+    /// Whether the request has not run and never will.
+    pub not_run: bool,
+    /// Incarnation that answered.
+    pub instance: Option<String>,
+}
+
+/// Why a head can't be read.
+#[derive(Debug)]
+pub struct BadCall(pub String);
+
+impl fmt::Display for BadCall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+/// Functions that read and write the platform's headers.
+#[derive(Debug, Clone, Copy)]
+pub struct Codec {
+    /// Reads a request's head.
+    pub call: fn(&request::Parts) -> Result<Call, BadCall>,
+    /// Headers for an upstream, from those that the caller sent.
+    pub forward: fn(&HeaderMap, &Forward<'_>) -> HeaderMap,
+    /// Reads an answer's head.
+    pub reply: fn(&response::Parts) -> Reply,
+    /// Headers for the caller, from those that the upstream sent.
+    pub back: fn(&HeaderMap) -> HeaderMap,
+}
+
+/// A whole request on its way, with what was decided on it.
+#[derive(Debug)]
+pub struct Job {
+    /// What it says of itself.
+    pub call: Call,
+    /// Method, path and headers as the caller sent them.
+    pub head: request::Parts,
+    /// Body.
+    pub body: Bytes,
+    /// Route.
+    pub route: Arc<Route>,
+    /// Service drawn from the route's shares.
+    pub service: ServiceName,
+    /// Who called; `None` on public routes without a known key.
+    pub tenant: Option<Arc<Tenant>>,
+    /// Revision of the configuration that decided.
+    pub revision: u64,
+    /// When its head was read.
+    pub arrived: Instant,
+    /// When it gets its final answer at the latest.
+    pub deadline: Instant,
+}
+
+impl Job {
+    /// Rank, 0 being the most urgent.
+    pub fn priority(&self) -> u8 {
+        let own = self.tenant.as_ref().and_then(|t| t.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Time left.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Whether it may be sent again after it may have run.
+    pub fn repeatable(&self) -> bool {
+        self.route.kind.repeatable()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/handle.rs
@@ -0,0 +1,277 @@
+//! A request from its head to its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use catalog::{Access, Catalog, Kind, Service, Tenant};
+use hyper::http::request;
+use log::debug;
+use rand::RngExt;
+use web::{BodyError, Request, Response, full, read_body};
+
+use crate::Cx;
+use crate::admission::{slot, wait_until};
+use crate::call::{Call, Job};
+use crate::record::{Ending, Record};
+use crate::refusal::Refusal;
+use crate::relay::{self, Stream};
+use crate::send::{Answer, Sent, read_whole, report, send};
+use crate::upstream::{Health, Slot, Upstream};
+
+/// Log prefix of this part.
+const PART: &str = "handle";
+
+/// When to come back to a gateway that knows no configuration yet.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+
+/// When to come back where no upstream took the request.
+const NOT_TAKEN_RETRY: Duration = Duration::from_millis(400);
+
+/// How long a request that an upstream refused waits for another.
+const AGAIN_WAIT: Duration = Duration::from_millis(50);
+
+/// Failed connections after which a request is given up; they reached nobody, so they don't count
+/// as attempts.
+const MOST_UNREACHABLE: u32 = 4;
+
+/// Handles a request.
+pub async fn handle(cx: Arc<Cx>, req: Request) -> Response {
+    let arrived = Instant::now();
+    let mut record = Record::new(arrived);
+    match admit(&cx, req, arrived, &mut record).await {
+        Ok((job, service)) => dispatch(&cx, job, service, record).await,
+        Err(refusal) => refused(&refusal, record),
+    }
+}
+
+/// Finds route, workspace and service, and reads the body.
+async fn admit(
+    cx: &Cx,
+    req: Request,
+    arrived: Instant,
+    record: &mut Record,
+) -> Result<(Job, Arc<Service>), Refusal> {
+    let catalog = cx.catalog.borrow().clone();
+    let catalog = catalog.ok_or(Refusal::NotReady(NOT_READY_RETRY))?;
+    let (head, body) = req.into_parts();
+    let call = (cx.codec.call)(&head).map_err(|e| Refusal::BadHead(e.to_string()))?;
+    record.id.clone_from(&call.id);
+    record.revision = catalog.revision;
+    let route = catalog
+        .route(&call.host, head.uri.path())
+        .ok_or(Refusal::NoRoute)?
+        .clone();
+    record.route.clone_from(&route.name);
+    let tenant = tenant(&catalog, &call, route.public)?;
+    if let Some(tenant) = &tenant {
+        record.workspace.clone_from(&tenant.workspace);
+    }
+    let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
+    record.patience_ms = patience.as_millis() as u64;
+    let body = read(&catalog, &head, body, patience).await?;
+    let service = route.service(rand::rng().random_range(0.0..1.0)).clone();
+    record.service.clone_from(&service);
+    let service = catalog
+        .service(&service)
+        .ok_or(Refusal::NoUpstream(NOT_READY_RETRY))?
+        .clone();
+    let job = Job {
+        call,
+        head,
+        body,
+        route,
+        service: service.name.clone(),
+        tenant,
+        revision: catalog.revision,
+        arrived,
+        deadline: arrived + patience,
+    };
+    Ok((job, service))
+}
+
+/// The workspace that holds the caller's key.
+fn tenant(catalog: &Catalog, call: &Call, public: bool) -> Result<Option<Arc<Tenant>>, Refusal> {
+    let Access::Keys(keys) = &catalog.access else {
+        return Ok(None);
+    };
+    let known = call.key.as_ref().and_then(|key| keys.get(key)).cloned();
+    match known {
+        None if !public => Err(Refusal::NoKey),
+        known => Ok(known),
+    }
+}
+
+async fn read(
+    catalog: &Catalog,
+    head: &request::Parts,
+    body: hyper::body::Incoming,
+    within: Duration,
+) -> Result<Bytes, Refusal> {
+    if hyper::body::Body::is_end_stream(&body) {
+        return Ok(Bytes::new());
+    }
+    let limit = catalog.limits.body_bytes;
+    read_body(body, limit, within).await.map_err(|e| {
+        debug!(target: PART, "{PART}: event=body_failed path={} why=\"{e}\"", head.uri.path());
+        match e {
+            BodyError::TooLarge(limit) => Refusal::TooLarge(limit),
+            BodyError::Slow(_) => Refusal::SlowBody,
+            BodyError::Broken(_) | BodyError::Cut(_) => Refusal::BrokenBody,
+        }
+    })
+}
+
+/// What has come of a request so far.
+#[derive(Debug, Default)]
+pub(crate) struct Tries {
+    /// Upstreams it was sent to, or that could not be reached.
+    pub upstreams: Vec<Arc<Upstream>>,
+    /// How many it was sent to.
+    pub sent: u32,
+    unreachable: u32,
+    /// Why it may have run although no answer can be had.
+    lost: Option<String>,
+    /// A failure that an upstream answered with.
+    failure: Option<Response>,
+}
+
+impl Tries {
+    /// The final answer where no upstream is left: one that is true after what was sent.
+    fn give_up(self, refusal: Refusal, record: Record) -> Response {
+        match (self.failure, self.lost) {
+            (Some(res), _) => answered(res, record),
+            (None, Some(why)) => refused(&Refusal::Lost(why), record),
+            (None, None) => refused(&refusal, record),
+        }
+    }
+}
+
+/// Sends a request until an upstream answers or it must be given up.
+async fn dispatch(cx: &Arc<Cx>, job: Job, service: Arc<Service>, mut record: Record) -> Response {
+    cx.budget.earn(&job.service, Instant::now());
+    let job = Arc::new(job);
+    let mut tries = Tries::default();
+    loop {
+        let until = match tries.upstreams.is_empty() {
+            true => wait_until(&job),
+            false => (Instant::now() + AGAIN_WAIT).min(job.deadline),
+        };
+        let chosen = slot(cx, &job, &service, &tries.upstreams, until).await;
+        let slot = match chosen {
+            Ok(slot) => slot,
+            Err(refusal) => return tries.give_up(refusal, record),
+        };
+        if let Some(refusal) = may_not_send(cx, &job, &tries) {
+            return tries.give_up(refusal, record);
+        }
+        tries.upstreams.push(slot.upstream().clone());
+        let instance = slot.upstream().instance.clone();
+        let sent = send(cx, &job, &slot, None, patience(cx, &job)).await;
+        record.tried(&instance, sent.name());
+        match sent {
+            Sent::Unreached(why) => {
+                debug!(target: PART, "{PART}: event=unreachable id={} upstream={instance} why=\"{why}\"", job.call.id);
+                tries.unreachable += 1;
+                continue;
+            }
+            Sent::NotRun(why) => {
+                debug!(target: PART, "{PART}: event=not_run id={} upstream={instance} why=\"{why}\"", job.call.id);
+                tries.sent += 1;
+            }
+            Sent::Lost(why) => {
+                tries.sent += 1;
+                tries.lost = Some(why);
+            }
+            Sent::Answer(answer) if streams(&job, &answer) => {
+                tries.sent += 1;
+                let stream = Stream::new(cx, &job, &service, *answer, slot);
+                match relay::begin(stream, tries.upstreams.clone(), tries.sent).await {
+                    Ok(begun) => return begun.respond(record),
+                    Err(why) => {
+                        record.tried(&instance, "broke");
+                        tries.lost = Some(why);
+                    }
+                }
+            }
+            Sent::Answer(answer) => {
+                tries.sent += 1;
+                match whole(cx, &job, &slot, *answer).await {
+                    Ok(res) if res.status().is_server_error() => tries.failure = Some(res),
+                    Ok(res) => return answered(res, record),
+                    Err(why) => {
+                        record.tried(&instance, "broke");
+                        tries.lost = Some(why);
+                    }
+                }
+            }
+        }
+        if (tries.lost.is_some() || tries.failure.is_some()) && !job.repeatable() {
+            return tries.give_up(Refusal::TimedOut, record);
+        }
+    }
+}
+
+fn refused(refusal: &Refusal, mut record: Record) -> Response {
+    record.ending = Ending::Refused(refusal.status(), refusal.name());
+    refusal.answer()
+}
+
+fn answered(res: Response, mut record: Record) -> Response {
+    record.ending = Ending::Answered(res.status().as_u16());
+    res
+}
+
+/// Why a request may not be sent now: time, attempts or the budget are used up.
+fn may_not_send(cx: &Cx, job: &Job, tries: &Tries) -> Option<Refusal> {
+    let attempts = tries.sent >= job.route.max_attempts || tries.unreachable >= MOST_UNREACHABLE;
+    if job.remaining().is_zero() {
+        return Some(Refusal::NoTime(NOT_TAKEN_RETRY));
+    }
+    let pays = || cx.budget.spend(&job.service, cx.gateways(), Instant::now());
+    (attempts || (tries.sent > 0 && !pays())).then_some(Refusal::NotTaken(NOT_TAKEN_RETRY))
+}
+
+/// How long a head is waited for: one that may be sent again isn't left with a silent upstream.
+fn patience(cx: &Cx, job: &Job) -> Duration {
+    match job.repeatable() {
+        true => job.remaining().min(cx.cfg.stall_time),
+        false => job.remaining(),
+    }
+}
+
+fn streams(job: &Job, answer: &Answer) -> bool {
+    matches!(job.route.kind, Kind::Stream { .. }) && answer.head.status.is_success()
+}
+
+/// Reads an answer to its end, so that one that breaks off is never passed on as whole.
+async fn whole(cx: &Cx, job: &Job, slot: &Slot, answer: Answer) -> Result<Response, String> {
+    let Answer {
+        head,
+        body,
+        connection,
+    } = answer;
+    let buf = read_whole(body, job.remaining()).await;
+    drop(connection);
+    match buf {
+        Ok(buf) => {
+            if !head.status.is_server_error() {
+                report(slot.upstream(), Health::Answered);
+            }
+            let reply = (cx.codec.reply)(&head);
+            let mut res = Response::new(full(buf));
+            *res.status_mut() = head.status;
+            *res.headers_mut() = (cx.codec.back)(&head.headers);
+            // A status that promises what the upstream did not say isn't passed on.
+            let promises = matches!(head.status.as_u16(), 408 | 429 | 503);
+            match promises && !reply.not_run && !job.repeatable() {
+                true => Err(format!("status {} without a refusal", head.status)),
+                false => Ok(res),
+            }
+        }
+        Err(why) => {
+            report(slot.upstream(), Health::Failed);
+            Err(why)
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,138 @@
+//! Takes callers' requests and sends each to an upstream that may run it.
+//!
+//! A request is followed through these modules in order: [`serve`] accepts its connection,
+//! [`handle`] finds its route and workspace and reads its body, [`admission`] waits for a slot that
+//! [`pick`] chooses, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
+//! [`record`] says in one log line what became of it.
+//!
+//! What a request says of itself travels in headers whose names belong to the platform; [`Codec`]
+//! holds the functions that read and write them.
+
+pub mod admission;
+pub mod budget;
+pub mod call;
+mod connection;
+pub mod events;
+mod handle;
+mod load;
+pub mod pick;
+mod record;
+pub mod refusal;
+mod relay;
+pub mod release;
+pub mod roster;
+mod send;
+mod serve;
+pub mod upstream;
+
+use std::sync::Arc;
+
+use base::Incarnation;
+use catalog::Catalog;
+use mirror::{DocName, Mirror};
+use settings::GatewayCfg;
+use tokio::sync::watch;
+
+use crate::admission::Admission;
+use crate::budget::RetryBudget;
+use crate::call::Codec;
+use crate::load::LoadBook;
+use crate::release::Releases;
+use crate::roster::Roster;
+
+pub use serve::run;
+
+/// What everything in a gateway shares.
+pub struct Cx {
+    /// Settings.
+    pub cfg: GatewayCfg,
+    /// Reads and writes the platform's headers.
+    pub codec: Codec,
+    /// Configuration in force; `None` until one is known.
+    pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Upstreams.
+    pub roster: Roster,
+    /// Versions of weights that were released.
+    pub releases: Releases,
+    /// Requests waiting for a slot.
+    pub admission: Admission,
+    /// Budget of requests sent again.
+    pub budget: RetryBudget,
+    /// What other gateways have in flight.
+    pub loads: LoadBook,
+    /// Copies of documents.
+    pub mirror: Mirror,
+    /// Document with the configuration.
+    pub configuration: DocName,
+    /// Documents passed on to others.
+    pub documents: Vec<DocName>,
+    /// Incarnation of this process.
+    pub incarnation: Incarnation,
+    /// Other processes, as they are known now.
+    pub peers: watch::Receiver<Peers>,
+    /// Turns true when a planned stop begins.
+    pub stop: watch::Receiver<bool>,
+}
+
+/// Addresses of other processes.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    /// Where other gateways take datagrams.
+    pub gateway_beacons: Vec<std::net::SocketAddr>,
+    /// Where other gateways pass their copies of documents on.
+    pub gateway_copies: Vec<std::net::SocketAddr>,
+}
+
+impl Cx {
+    /// A context that knows no upstreams yet.
+    pub fn new(wiring: Wiring) -> Cx {
+        let cfg = wiring.cfg;
+        Cx {
+            budget: RetryBudget::new(cfg.retry_window, cfg.retry_ratio, cfg.retry_slack as f64),
+            roster: Roster::new(cfg.node.domain.clone(), cfg.return_time),
+            releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
+            admission: Admission::default(),
+            loads: LoadBook::default(),
+            incarnation: base::unix_ms(),
+            codec: wiring.codec,
+            catalog: wiring.catalog,
+            mirror: wiring.mirror,
+            configuration: wiring.configuration,
+            documents: wiring.documents,
+            peers: wiring.peers,
+            stop: wiring.stop,
+            cfg,
+        }
+    }
+
+    /// Gateways that share the retry budget, this one among them.
+    pub fn gateways(&self) -> usize {
+        self.peers.borrow().gateway_beacons.len() + 1
+    }
+
+    /// Whether callers' requests can be served.
+    pub fn is_ready(&self) -> bool {
+        let stopping = *self.stop.borrow();
+        !stopping && self.catalog.borrow().is_some() && self.roster.is_known()
+    }
+}
+
+/// What a gateway is made of.
+pub struct Wiring {
+    /// Settings.
+    pub cfg: GatewayCfg,
+    /// Reads and writes the platform's headers.
+    pub codec: Codec,
+    /// Configuration in force.
+    pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Copies of documents.
+    pub mirror: Mirror,
+    /// Document with the configuration.
+    pub configuration: DocName,
+    /// Documents passed on to others.
+    pub documents: Vec<DocName>,
+    /// Other processes.
+    pub peers: watch::Receiver<Peers>,
+    /// Turns true when a planned stop begins.
+    pub stop: watch::Receiver<bool>,
+}
--- /dev/null
+++ b/crates/gateway/src/pick.rs
@@ -0,0 +1,126 @@
+//! Chooses the upstream of a request.
+//!
+//! Candidates take new work, hold a version that may begin requests, and weren't tried yet. An
+//! upstream is full when as many requests run there as it has slots, counting those of other
+//! gateways as they last told, or when so many prompts wait to be read that the first event would
+//! come too late. Of those with room the one with the least in flight is taken; the own failure
+//! domain goes first among equals.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use catalog::{Engine, Service};
+use rand::RngExt;
+
+use crate::Cx;
+use crate::call::Job;
+use crate::upstream::{Slot, Upstream};
+
+/// Prompt tokens that weigh as much as one running request.
+const TOKENS_PER_REQUEST: f64 = 700.0;
+
+/// Weight of crossing into another failure domain, in requests.
+const OTHER_DOMAIN: f64 = 0.3;
+
+/// Random part of a weight, in requests, so that gateways that know the same don't all choose the
+/// same upstream.
+const JITTER: f64 = 0.8;
+
+/// Part of the objective that prompts ahead may take.
+const UNREAD_PART: f64 = 0.5;
+
+/// Requests that a plain service may have in flight, against its slots.
+const PLAIN_FILL: f64 = 2.0;
+
+/// What became of a choice.
+#[derive(Debug)]
+pub enum Pick {
+    /// An upstream with room.
+    Chosen(Slot),
+    /// There are upstreams, but none has room.
+    Full,
+    /// There is no upstream.
+    Nobody,
+}
+
+/// Chooses an upstream that isn't among `tried`.
+pub fn pick(cx: &Cx, job: &Job, service: &Service, tried: &[Arc<Upstream>]) -> Pick {
+    let now = Instant::now();
+    let all = cx.roster.of(&job.service);
+    let fits: Vec<(Arc<Upstream>, Option<u64>)> = all
+        .into_iter()
+        .filter(|u| !tried.iter().any(|t| t.instance == u.instance))
+        .filter_map(|u| {
+            let version = version(cx, job, service, &u, now)?;
+            Some((u, version))
+        })
+        .collect();
+    let sound: Vec<_> = fits.iter().filter(|(u, _)| !u.is_paused()).collect();
+    let candidates: Vec<_> = match sound.is_empty() {
+        true => fits.iter().collect(),
+        false => sound,
+    };
+    if candidates.is_empty() {
+        return Pick::Nobody;
+    }
+    let mut rng = rand::rng();
+    let lightest = candidates
+        .into_iter()
+        .filter_map(|(u, version)| {
+            let weight = weight(cx, job, service, u)?;
+            Some((weight + rng.random_range(0.0..JITTER), u, *version))
+        })
+        .min_by(|(a, ..), (b, ..)| a.total_cmp(b));
+    match lightest {
+        Some((_, u, version)) => {
+            let unread = match service.engine {
+                Some(_) => job.call.prompt_tokens,
+                None => 0,
+            };
+            let freed = cx.admission.freed();
+            Pick::Chosen(Slot::take(u.clone(), version, unread, freed))
+        }
+        None => Pick::Full,
+    }
+}
+
+/// Version that would run the request, `Some(None)` for a plain service; `None` where the upstream
+/// may not run it.
+fn version(
+    cx: &Cx,
+    job: &Job,
+    service: &Service,
+    upstream: &Upstream,
+    now: Instant,
+) -> Option<Option<u64>> {
+    match (&service.engine, &job.call.model) {
+        (Some(_), Some(model)) => {
+            let version = upstream.serves(model)?;
+            (version >= cx.releases.oldest(model, now)).then_some(Some(version))
+        }
+        _ => Some(None),
+    }
+}
+
+/// What is in flight, in requests; `None` where the upstream is full.
+fn weight(cx: &Cx, job: &Job, service: &Service, upstream: &Upstream) -> Option<f64> {
+    let own = upstream.load();
+    let others = cx.loads.others(&upstream.addr);
+    let requests = u32::from(own.requests) + others.requests;
+    let unread = u64::from(own.unread) + others.unread;
+    let full = match &service.engine {
+        Some(engine) => {
+            requests >= upstream.slots() || waits_long(engine, unread, job.route.objective)
+        }
+        None => f64::from(requests) >= f64::from(upstream.slots()) * PLAIN_FILL,
+    };
+    let far = match upstream.domain == cx.roster.domain {
+        true => 0.0,
+        false => OTHER_DOMAIN,
+    };
+    (!full).then_some(f64::from(requests) + unread as f64 / TOKENS_PER_REQUEST + far)
+}
+
+fn waits_long(engine: &Engine, unread: u64, objective: Duration) -> bool {
+    engine.prompt_time(unread) > objective.mul_f64(UNREAD_PART)
+}
--- /dev/null
+++ b/crates/gateway/src/relay.rs
@@ -0,0 +1,269 @@
+//! Passes a stream on, event by event.
+//!
+//! The head is sent to the caller with the first event, so until then another upstream may be tried
+//! as for any request. Only whole events are passed on. Where the upstream breaks off or falls
+//! silent and the route allows it, the stream goes on at another upstream after the last event that
+//! was passed on, under the head of the first.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use catalog::Service;
+use futures_util::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::http::response;
+use web::{BodyError, Response};
+
+use crate::Cx;
+use crate::admission::slot;
+use crate::call::Job;
+use crate::connection::Connection;
+use crate::events::Events;
+use crate::record::{Ending, Record};
+use crate::send::{Answer, Sent, report, send};
+use crate::upstream::{Health, Slot, Upstream};
+
+/// How long a stream that is to go on waits for an upstream with room.
+const RESUME_WAIT: Duration = Duration::from_millis(250);
+
+/// A stream at one upstream.
+pub struct Stream {
+    cx: Arc<Cx>,
+    job: Arc<Job>,
+    service: Arc<Service>,
+    head: response::Parts,
+    source: Source,
+}
+
+/// Where events come from.
+struct Source {
+    body: Incoming,
+    // Closed when the stream ends, which ends the upstream's work.
+    _connection: Connection,
+    slot: Slot,
+    events: Events,
+}
+
+/// What the next bytes of a source are.
+enum Next {
+    Events(Bytes),
+    End,
+    Broken(String),
+}
+
+/// A stream whose first event has come.
+pub struct Begun {
+    stream: Stream,
+    first: Bytes,
+    tried: Vec<Arc<Upstream>>,
+    sent: u32,
+}
+
+impl Stream {
+    /// A stream whose head has come.
+    pub fn new(
+        cx: &Arc<Cx>,
+        job: &Arc<Job>,
+        service: &Arc<Service>,
+        answer: Answer,
+        slot: Slot,
+    ) -> Stream {
+        let Answer {
+            head,
+            body,
+            connection,
+        } = answer;
+        Stream {
+            cx: cx.clone(),
+            job: job.clone(),
+            service: service.clone(),
+            head,
+            source: Source {
+                body,
+                _connection: connection,
+                slot,
+                events: Events::default(),
+            },
+        }
+    }
+
+    /// Longest silence after which a stream is taken elsewhere.
+    fn patience(&self) -> Duration {
+        match self.job.repeatable() {
+            true => self.cx.cfg.stall_time,
+            false => self.job.remaining(),
+        }
+    }
+}
+
+impl Source {
+    async fn next(&mut self, deadline: Instant, patience: Duration) -> Next {
+        let until = (Instant::now() + patience).min(deadline);
+        loop {
+            if let Some(whole) = self.events.take() {
+                return Next::Events(whole);
+            }
+            let frame = tokio::time::timeout_at(until.into(), self.body.frame()).await;
+            match frame {
+                Ok(Some(Ok(frame))) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.events.push(data);
+                    }
+                }
+                Ok(None) if self.events.is_whole() => return Next::End,
+                Ok(None) => return Next::Broken("it ended within an event".to_owned()),
+                Ok(Some(Err(e))) => return Next::Broken(format!("it broke off ({e})")),
+                Err(_) => return Next::Broken("it fell silent".to_owned()),
+            }
+        }
+    }
+}
+
+/// Waits for the first event; the error says why none came.
+pub async fn begin(
+    mut stream: Stream,
+    tried: Vec<Arc<Upstream>>,
+    sent: u32,
+) -> Result<Begun, String> {
+    let patience = stream.patience();
+    let next = stream.source.next(stream.job.deadline, patience).await;
+    match next {
+        Next::Events(first) => {
+            stream.source.slot.begun();
+            report(stream.source.slot.upstream(), Health::Answered);
+            Ok(Begun {
+                stream,
+                first,
+                tried,
+                sent,
+            })
+        }
+        Next::End => Ok(Begun {
+            stream,
+            first: Bytes::new(),
+            tried,
+            sent,
+        }),
+        Next::Broken(why) => {
+            report(stream.source.slot.upstream(), Health::Failed);
+            Err(why)
+        }
+    }
+}
+
+/// What is left of a stream after its first event.
+struct Rest {
+    stream: Stream,
+    first: Option<Bytes>,
+    tried: Vec<Arc<Upstream>>,
+    sent: u32,
+    passed: Instant,
+    record: Record,
+}
+
+impl Begun {
+    /// The answer: the head, the first event, and the others as they come.
+    pub fn respond(self, mut record: Record) -> Response {
+        let Begun {
+            stream,
+            first,
+            tried,
+            sent,
+        } = self;
+        record.first_event_ms = Some(record.elapsed_ms());
+        let mut res = hyper::Response::new(());
+        *res.status_mut() = stream.head.status;
+        *res.headers_mut() = (stream.cx.codec.back)(&stream.head.headers);
+        let rest = Rest {
+            stream,
+            first: Some(first),
+            tried,
+            sent,
+            passed: Instant::now(),
+            record,
+        };
+        let events = stream::unfold(Some(rest), |rest| async move {
+            let mut rest = rest?;
+            match rest.next().await {
+                Ok(Some(bytes)) => Some((Ok(Frame::data(bytes)), Some(rest))),
+                Ok(None) => None,
+                Err(e) => Some((Err(e), None)),
+            }
+        });
+        res.map(|()| BodyExt::boxed_unsync(StreamBody::new(events)))
+    }
+}
+
+impl Rest {
+    /// The next events; `None` at the end of the stream.
+    async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
+        if let Some(first) = self.first.take().filter(|b| !b.is_empty()) {
+            return Ok(Some(first));
+        }
+        loop {
+            let patience = self.stream.patience();
+            let deadline = self.stream.job.deadline;
+            match self.stream.source.next(deadline, patience).await {
+                Next::Events(bytes) => {
+                    let gap = self.passed.elapsed().as_millis() as u64;
+                    self.record.longest_gap_ms = self.record.longest_gap_ms.max(gap);
+                    self.passed = Instant::now();
+                    return Ok(Some(bytes));
+                }
+                Next::End => {
+                    let status = self.stream.head.status.as_u16();
+                    self.record.ending = Ending::Answered(status);
+                    return Ok(None);
+                }
+                Next::Broken(why) => self.resume(&why).await?,
+            }
+        }
+    }
+
+    /// Goes on at another upstream after the last event passed on.
+    async fn resume(&mut self, why: &str) -> Result<(), BodyError> {
+        let broken = self.stream.source.slot.upstream().clone();
+        report(&broken, Health::Failed);
+        self.record.tried(&broken.instance, "broke");
+        let cut = |record: &mut Record, why: &'static str| {
+            record.ending = Ending::Cut(why);
+            Err(BodyError::Cut(why))
+        };
+        log::debug!(target: "relay", "relay: event=broke id={} upstream={} why=\"{why}\"", self.stream.job.call.id, broken.instance);
+        let (cx, job) = (self.stream.cx.clone(), self.stream.job.clone());
+        if job.remaining().is_zero() {
+            return cut(&mut self.record, "the time is over");
+        }
+        if !job.repeatable() || self.sent >= job.route.max_attempts {
+            return cut(&mut self.record, "the upstream broke off");
+        }
+        if !cx.budget.spend(&job.service, cx.gateways(), Instant::now()) {
+            return cut(&mut self.record, "the retry budget is used up");
+        }
+        let until = (Instant::now() + RESUME_WAIT).min(job.deadline);
+        let service = self.stream.service.clone();
+        let Ok(slot) = slot(&cx, &job, &service, &self.tried, until).await else {
+            return cut(&mut self.record, "no upstream can go on");
+        };
+        let last = self.stream.source.events.last().cloned();
+        let last = last.or_else(|| job.call.last_event.clone());
+        self.sent += 1;
+        self.tried.push(slot.upstream().clone());
+        let sent = send(&cx, &job, &slot, last.as_deref(), self.stream.patience()).await;
+        self.record.tried(&slot.upstream().instance, sent.name());
+        match sent {
+            Sent::Answer(answer) if answer.head.status.is_success() => {
+                self.stream.source = Source {
+                    body: answer.body,
+                    _connection: answer.connection,
+                    slot,
+                    events: Events::default(),
+                };
+                Ok(())
+            }
+            _ => cut(&mut self.record, "no upstream went on"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/release.rs
@@ -0,0 +1,67 @@
+//! Versions of weights that were released, and until when older ones may begin requests.
+
+use std::sync::{Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use base::{Map, Model};
+use catalog::WeightsVersion;
+
+/// Part of the bound left unused, for what a request waits at an engine before it begins.
+const MARGIN: Duration = Duration::from_millis(600);
+
+#[derive(Debug, Clone, Copy)]
+struct Release {
+    version: WeightsVersion,
+    until: Instant,
+}
+
+/// Releases by model.
+#[derive(Debug)]
+pub struct Releases {
+    version_time: Duration,
+    contact_time: Duration,
+    first: Mutex<bool>,
+    releases: Mutex<Map<Model, Vec<Release>>>,
+}
+
+impl Releases {
+    /// No releases. Older versions may begin requests for `version_time` after a release; of one
+    /// found at the start of the process it isn't known when it was made, so only for
+    /// `contact_time`, from when on the process is held to its bounds.
+    pub fn new(version_time: Duration, contact_time: Duration) -> Releases {
+        Releases {
+            version_time,
+            contact_time,
+            first: Mutex::new(true),
+            releases: Mutex::default(),
+        }
+    }
+
+    /// Takes the newest version of each model.
+    pub fn take(&self, newest: &[(Model, WeightsVersion)], now: Instant) {
+        let mut first = self.first.lock().unwrap_or_else(PoisonError::into_inner);
+        let bound = match std::mem::take(&mut *first) {
+            true => self.contact_time.min(self.version_time),
+            false => self.version_time,
+        };
+        let until = now + bound.saturating_sub(MARGIN);
+        let mut releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
+        for (model, version) in newest {
+            let known = releases.entry(model.clone()).or_default();
+            if known.last().is_none_or(|r| r.version < *version) {
+                let version = *version;
+                known.push(Release { version, until });
+            }
+        }
+    }
+
+    /// Oldest version that may begin requests now.
+    pub fn oldest(&self, model: &Model, now: Instant) -> WeightsVersion {
+        let releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
+        let due = |r: &&Release| r.until <= now;
+        let newest_due = releases
+            .get(model)
+            .and_then(|all| all.iter().rev().find(due));
+        newest_due.map_or(0, |r| r.version)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/send.rs
@@ -0,0 +1,157 @@
+//! Sends a request to one upstream, and sorts what came back by what may be said of it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::http::response;
+use log::info;
+
+use crate::Cx;
+use crate::call::{Forward, Job};
+use crate::connection::Connection;
+use crate::upstream::{Health, Slot, Upstream};
+
+/// Log prefix of this part.
+const PART: &str = "send";
+
+/// Status of an upstream that has another identity than the request asks for.
+const MISDIRECTED: u16 = 421;
+
+/// An answer whose head has come.
+#[derive(Debug)]
+pub struct Answer {
+    /// Head.
+    pub head: response::Parts,
+    /// Body, as it comes.
+    pub body: Incoming,
+    /// Connection it comes on; closing it ends the work.
+    pub connection: Connection,
+}
+
+/// What sending came to.
+#[derive(Debug)]
+pub enum Sent {
+    /// The upstream answers the request.
+    Answer(Box<Answer>),
+    /// No byte was sent.
+    Unreached(String),
+    /// The upstream refused for certain; it has not run there.
+    NotRun(String),
+    /// It may have run; no answer can be had.
+    Lost(String),
+}
+
+impl Sent {
+    /// Short name for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Sent::Answer(_) => "answer",
+            Sent::Unreached(_) => "unreached",
+            Sent::NotRun(_) => "not_run",
+            Sent::Lost(_) => "lost",
+        }
+    }
+}
+
+/// Sends to the slot's upstream and waits for the head, at most `within`.
+pub async fn send(
+    cx: &Cx,
+    job: &Job,
+    slot: &Slot,
+    last_event: Option<&str>,
+    within: Duration,
+) -> Sent {
+    let upstream = slot.upstream();
+    let connect = cx.cfg.connect_timeout.min(within);
+    let mut connection = match Connection::open(upstream.addr, connect).await {
+        Ok(connection) => connection,
+        Err(e) => {
+            report(upstream, Health::Unreachable);
+            return Sent::Unreached(e.to_string());
+        }
+    };
+    let req = request(cx, job, slot, last_event);
+    let sent = tokio::time::timeout(within.min(job.remaining()), connection.send(req)).await;
+    match sent {
+        Ok(Ok(res)) => sort(cx, job, upstream, res, connection),
+        Ok(Err(e)) => {
+            report(upstream, Health::Failed);
+            Sent::Lost(format!("the connection broke ({e})"))
+        }
+        Err(_) => {
+            report(upstream, Health::Failed);
+            Sent::Lost("no answer came in time".to_owned())
+        }
+    }
+}
+
+fn request(
+    cx: &Cx,
+    job: &Job,
+    slot: &Slot,
+    last_event: Option<&str>,
+) -> hyper::Request<Full<Bytes>> {
+    let forward = Forward {
+        remaining: job.remaining(),
+        instance: &slot.upstream().instance,
+        version: slot.version,
+        workspace: job.tenant.as_ref().map(|t| t.workspace.as_str()),
+        priority: job.priority(),
+        last_event,
+    };
+    let mut req = hyper::Request::new(Full::new(job.body.clone()));
+    *req.method_mut() = job.head.method.clone();
+    *req.uri_mut() = job.head.uri.clone();
+    *req.headers_mut() = (cx.codec.forward)(&job.head.headers, &forward);
+    req
+}
+
+fn sort(
+    cx: &Cx,
+    job: &Job,
+    upstream: &Arc<Upstream>,
+    res: hyper::Response<Incoming>,
+    connection: Connection,
+) -> Sent {
+    let (head, body) = res.into_parts();
+    let reply = (cx.codec.reply)(&head);
+    let status = head.status.as_u16();
+    if reply.not_run || status == MISDIRECTED {
+        return Sent::NotRun(format!("status {status}"));
+    }
+    if reply.id.as_ref().is_some_and(|id| *id != job.call.id) {
+        report(upstream, Health::Failed);
+        return Sent::Lost("the answer belongs to another request".to_owned());
+    }
+    if head.status.is_success() && !reply.signed {
+        report(upstream, Health::Failed);
+        return Sent::Lost("the answer isn't signed".to_owned());
+    }
+    if head.status.is_server_error() {
+        report(upstream, Health::Failed);
+    }
+    Sent::Answer(Box::new(Answer {
+        head,
+        body,
+        connection,
+    }))
+}
+
+/// Notes how sending to an upstream went, with a log line where that leaves it alone.
+pub fn report(upstream: &Arc<Upstream>, health: Health) {
+    if upstream.report(health) {
+        info!(target: PART, "{PART}: event=paused upstream={} addr={} why={health:?}", upstream.instance, upstream.addr);
+    }
+}
+
+/// Reads a body to its end.
+pub async fn read_whole(body: Incoming, within: Duration) -> Result<Bytes, String> {
+    match tokio::time::timeout(within, body.collect()).await {
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(e)) => Err(format!("the answer broke off ({e})")),
+        Err(_) => Err("the answer did not end in time".to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,247 @@
+//! One upstream: what the platform lists of it, what its loader tells, and what is in flight.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base::{DomainName, Model};
+use beacon::{EngineNote, Holding, Load};
+use catalog::{ServiceName, WeightsVersion};
+
+/// Incarnation of an upstream, as the platform names it.
+pub type InstanceId = String;
+
+/// How long a loader's note goes before what the platform lists, in which a change shows up to
+/// three seconds later.
+const NOTE_TIME: Duration = Duration::from_secs(3);
+
+/// First pause after a failed connection or a row of failed answers.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// Failed answers in a row after which an upstream is left alone for a while.
+const FAILURES_IN_A_ROW: u32 = 3;
+
+/// An upstream as the platform lists it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Incarnation.
+    pub instance: InstanceId,
+    /// Service it belongs to.
+    pub service: ServiceName,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+    /// Weights it holds whole.
+    pub holdings: Vec<Holding>,
+}
+
+/// How sending to an upstream went.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It answered.
+    Answered,
+    /// It answered with a failure of its own, or not whole.
+    Failed,
+    /// No connection came about.
+    Unreachable,
+}
+
+#[derive(Debug)]
+struct State {
+    listed: Listed,
+    note: Option<(EngineNote, Instant)>,
+    requests: u32,
+    unread: u64,
+    failures: u32,
+    pauses: u32,
+    paused_until: Option<Instant>,
+}
+
+/// An upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Incarnation.
+    pub instance: InstanceId,
+    /// Service it belongs to.
+    pub service: ServiceName,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainName,
+    state: Mutex<State>,
+}
+
+impl Upstream {
+    /// An upstream that was just listed.
+    pub fn new(listed: Listed) -> Upstream {
+        Upstream {
+            instance: listed.instance.clone(),
+            service: listed.service.clone(),
+            addr: listed.addr,
+            domain: listed.domain.clone(),
+            state: Mutex::new(State {
+                listed,
+                note: None,
+                requests: 0,
+                unread: 0,
+                failures: 0,
+                pauses: 0,
+                paused_until: None,
+            }),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes what the platform lists now; `true` where it differs.
+    pub fn relist(&self, listed: Listed) -> bool {
+        let mut state = self.state();
+        let differs = state.listed != listed;
+        state.listed = listed;
+        differs
+    }
+
+    /// Takes a loader's note, unless a newer one is known; `true` where it changes what the
+    /// upstream can serve.
+    pub fn note(&self, note: EngineNote) -> bool {
+        let mut state = self.state();
+        let newer = state.note.as_ref().is_none_or(|(known, _)| {
+            (note.incarnation, note.number) > (known.incarnation, known.number)
+        });
+        if !newer {
+            return false;
+        }
+        let changes = state.note.as_ref().is_none_or(|(known, _)| {
+            known.switching != note.switching || known.holdings != note.holdings
+        });
+        state.note = Some((note, Instant::now()));
+        changes
+    }
+
+    /// Whether it takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.state().listed.leaving
+    }
+
+    /// Requests it works on at once.
+    pub fn slots(&self) -> u32 {
+        self.state().listed.slots.max(1)
+    }
+
+    /// Version of a model that it can serve now; `None` where it holds none whole, or changes it.
+    pub fn serves(&self, model: &Model) -> Option<WeightsVersion> {
+        let state = self.state();
+        let fresh = state
+            .note
+            .as_ref()
+            .filter(|(_, at)| at.elapsed() < NOTE_TIME);
+        let holdings = match fresh {
+            Some((note, _)) if note.switching => return None,
+            Some((note, _)) => &note.holdings,
+            None => &state.listed.holdings,
+        };
+        let held = holdings.iter().find(|h| h.model == *model)?;
+        held.version
+    }
+
+    /// This gateway's part of its load.
+    pub fn load(&self) -> Load {
+        let state = self.state();
+        Load {
+            upstream: self.addr,
+            requests: state.requests.min(u32::from(u16::MAX)) as u16,
+            unread: state.unread.min(u64::from(u32::MAX)) as u32,
+        }
+    }
+
+    /// Whether it is left alone for now.
+    pub fn is_paused(&self) -> bool {
+        let until = self.state().paused_until;
+        until.is_some_and(|until| until > Instant::now())
+    }
+
+    /// Notes how sending went; `true` where the upstream is left alone from now on.
+    pub fn report(&self, health: Health) -> bool {
+        let mut state = self.state();
+        match health {
+            Health::Answered => {
+                state.failures = 0;
+                state.pauses = 0;
+                state.paused_until = None;
+                return false;
+            }
+            Health::Failed => state.failures += 1,
+            Health::Unreachable => state.failures = FAILURES_IN_A_ROW,
+        }
+        if state.failures < FAILURES_IN_A_ROW {
+            return false;
+        }
+        let pause = FIRST_PAUSE * 2_u32.saturating_pow(state.pauses);
+        state.pauses += 1;
+        state.paused_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
+        true
+    }
+}
+
+/// A request counted at an upstream until it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    upstream: Arc<Upstream>,
+    /// Version of the weights that was chosen with it.
+    pub version: Option<WeightsVersion>,
+    unread: u64,
+    freed: Arc<tokio::sync::Notify>,
+}
+
+impl Slot {
+    /// Counts a request with a prompt of `unread` tokens; `freed` is told when it ends.
+    pub fn take(
+        upstream: Arc<Upstream>,
+        version: Option<WeightsVersion>,
+        unread: u64,
+        freed: Arc<tokio::sync::Notify>,
+    ) -> Slot {
+        let mut state = upstream.state();
+        state.requests += 1;
+        state.unread += unread;
+        drop(state);
+        Slot {
+            upstream,
+            version,
+            unread,
+            freed,
+        }
+    }
+
+    /// The upstream.
+    pub fn upstream(&self) -> &Arc<Upstream> {
+        &self.upstream
+    }
+
+    /// Notes that the prompt has been read: the first event came.
+    pub fn begun(&mut self) {
+        let mut state = self.upstream.state();
+        state.unread = state.unread.saturating_sub(self.unread);
+        self.unread = 0;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.begun();
+        let mut state = self.upstream.state();
+        state.requests = state.requests.saturating_sub(1);
+        drop(state);
+        self.freed.notify_one();
+    }
+}
--- a/crates/lab/src/commands/claims.rs
+++ b/crates/lab/src/commands/claims.rs
@@ -12,8 +12,8 @@
 use lab::standin::fault::Faults;
 use lab::standin::platform::Platform;
 use pico_args::Arguments;
-use platform::Kv;
 use serde::Serialize;
+use store::Kv;
 use tokio::sync::watch;
 use web::Dial;
 
--- a/crates/lab/src/commands/control.rs
+++ b/crates/lab/src/commands/control.rs
@@ -9,9 +9,9 @@
 use agent::run::new_agent;
 use lab::layout::Layout;
 use pico_args::Arguments;
-use platform::{Kv, Tables};
 use serde::Serialize;
 use settings::{AgentCfg, Settings};
+use store::{Kv, Tables};
 use table::Version;
 use tokio::sync::mpsc;
 use web::{Client, Dial, read_body};
@@ -172,7 +172,7 @@
         let priority = edits_of_it % 10;
         csv += &format!("row{i},service,recife,100,rps=100;workspace-rps=10,{priority},30s\n");
     }
-    let failed = |e: platform::PlatformError| LabError::Failed(e.to_string());
+    let failed = |e: store::PlatformError| LabError::Failed(e.to_string());
     let current = tables.current(None).await.map_err(failed)?;
     let current = current.ok_or_else(|| LabError::Failed("no table".into()))?;
     let edition = tables.apply(&current, csv, "lab").await.map_err(failed)?;
--- a/crates/lab/src/commands/rollout.rs
+++ b/crates/lab/src/commands/rollout.rs
@@ -349,14 +349,14 @@
                 timeout: PATIENCE,
                 source: Some(e.ip()),
             };
-            let origin = platform::Origin::new(self.deployment.layout.platform().origin, dial);
+            let origin = store::Origin::new(self.deployment.layout.platform().origin, dial);
             let chunk = o.chunk as usize;
             pulls.spawn(async move {
                 for first in (0..size).step_by(chunk) {
                     let end = (first + chunk).min(size);
                     origin.range(version, first as u64, end as u64).await?;
                 }
-                Ok::<_, platform::PlatformError>(())
+                Ok::<_, store::PlatformError>(())
             });
         }
         while let Some(pulled) = pulls.join_next().await {
--- a/crates/lab/src/layout.rs
+++ b/crates/lab/src/layout.rs
@@ -3,7 +3,7 @@
 use std::fmt::Write;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-use platform::{Member, MemberRole, MemberState};
+use store::{Member, MemberRole, MemberState};
 
 use crate::standin::platform::Addrs;
 
--- a/crates/lab/src/standin/kv.rs
+++ b/crates/lab/src/standin/kv.rs
@@ -5,7 +5,7 @@
 
 use base::Map;
 use bytes::Bytes;
-use platform::{Committed, Op, Refusal, Transaction, Unless};
+use store::{Committed, Op, Refusal, Transaction, Unless};
 
 #[derive(Debug, Clone)]
 struct Value {
--- a/crates/lab/src/standin/platform.rs
+++ b/crates/lab/src/standin/platform.rs
@@ -7,9 +7,9 @@
 use base::Digest;
 use bytes::{Bytes, BytesMut};
 use hyper::{HeaderMap, Method};
-use platform::Unless;
-use platform::kv::MAX_VALUE;
 use serde::{Deserialize, Serialize};
+use store::Unless;
+use store::kv::MAX_VALUE;
 use web::{Request, Response, Stop, read_body};
 
 use super::fault::{FaultBox, broken};
@@ -104,7 +104,7 @@
     }
 
     /// Sets the list of VMs.
-    pub fn set_members(&self, members: &[platform::Member]) {
+    pub fn set_members(&self, members: &[store::Member]) {
         let buf = serde_json::to_vec(members).expect("plain data");
         self.members.store.put(MEMBERS, buf.into(), None);
     }
--- /dev/null
+++ b/crates/loader/src/fetch.rs
@@ -0,0 +1,240 @@
+//! Brings the chunks of a version that are missing.
+
+use std::sync::{Arc, PoisonError};
+use std::time::{Duration, Instant};
+
+use agent::swarm::{Rule, Source, Swarm};
+use base::{Digest, Set as HashSet};
+use bytes::Bytes;
+use log::{debug, info, warn};
+use rand::seq::SliceRandom;
+use tokio::task::JoinSet;
+use web::{Client, empty, read_body};
+use wire::Peer;
+
+use crate::Cx;
+use crate::api::{ApiError, OriginVersion};
+use crate::peers::{PATH, announce, loaders};
+use crate::sets::Set;
+
+/// Log prefix of this part.
+const PART: &str = "fetch";
+
+/// Chunks drawn from the origin at once by one loader: one travels while the next is asked for.
+const ORIGIN_FETCHES: usize = 2;
+
+/// Time between two looks at what has become available, and between two announcements.
+const TICK: Duration = Duration::from_millis(40);
+
+/// Pause after the origin failed, so that it isn't asked in a tight loop.
+const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
+
+/// What bringing one chunk came to.
+struct Fetched {
+    i: usize,
+    source: Source,
+    result: Result<Bytes, ApiError>,
+}
+
+/// Fetch of one version.
+struct Fetch {
+    cx: Arc<Cx>,
+    set: Arc<Set>,
+    origin: OriginVersion,
+    client: Client,
+    swarm: Swarm,
+    rule: Rule,
+    in_flight: HashSet<usize>,
+    from_origin: usize,
+    origin_rests_until: Instant,
+    begun: Instant,
+    progress: Instant,
+}
+
+/// Brings all chunks of a set; returns when it is whole.
+pub(crate) async fn fetch(cx: Arc<Cx>, set: Arc<Set>, origin: OriginVersion, client: Client) {
+    let now = Instant::now();
+    let rule = rule(&cx);
+    let mut fetch = Fetch {
+        cx,
+        set,
+        origin,
+        client,
+        swarm: Swarm::default(),
+        rule,
+        in_flight: HashSet::default(),
+        from_origin: 0,
+        origin_rests_until: now,
+        begun: now,
+        progress: now,
+    };
+    announce(&fetch.cx, &fetch.set, true);
+    let mut fetching = JoinSet::new();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut announced = fetch.set.have();
+    while !fetch.set.is_whole() {
+        fetch.start(&mut fetching);
+        tokio::select! {
+            Some(fetched) = fetching.join_next(), if !fetching.is_empty() => match fetched {
+                Ok(fetched) => fetch.took(fetched),
+                Err(e) => warn!(target: PART, "{PART}: event=task_failed why=\"{e}\""),
+            },
+            _ = ticks.tick() => {
+                fetch.learn();
+                let have = fetch.set.have();
+                if have != announced {
+                    announce(&fetch.cx, &fetch.set, false);
+                    announced = have;
+                }
+            }
+        }
+    }
+    announce(&fetch.cx, &fetch.set, false);
+    info!(target: PART, "{PART}: event=whole model={} version={} took={:?}", fetch.set.model, fetch.set.version, fetch.begun.elapsed());
+}
+
+fn rule(cx: &Cx) -> Rule {
+    let mut permitted: Vec<_> = loaders(cx).into_iter().map(|m| m.domain).collect();
+    permitted.push(cx.cfg.node.domain.clone());
+    permitted.sort();
+    permitted.dedup();
+    Rule {
+        vm: cx.cfg.node.vm.clone(),
+        domain: cx.cfg.node.domain.clone(),
+        permitted,
+        settle: cx.cfg.settle_time,
+        per_domain: false,
+        patience: cx.cfg.origin_patience,
+        bad_chunks: cx.cfg.bad_chunks,
+        bad_time: cx.cfg.bad_time,
+    }
+}
+
+impl Fetch {
+    /// Takes what other loaders have said since.
+    fn learn(&mut self) {
+        let peers = loaders(&self.cx)
+            .into_iter()
+            .map(|m| Peer {
+                vm: m.vm,
+                domain: m.domain,
+                addr: m.passes_on,
+                leaving: false,
+            })
+            .collect();
+        self.swarm.set_peers(&self.cx.cfg.node.vm, peers);
+        let known = self.cx.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let have = known.have(&self.set.model, self.set.version, self.set.len());
+        drop(known);
+        for (addr, have) in have {
+            self.swarm.set_have(addr, have);
+        }
+    }
+
+    /// Starts as many chunks as may be brought at once, the most urgent first.
+    fn start(&mut self, fetching: &mut JoinSet<Fetched>) {
+        let most = self.cx.cfg.fetches as usize;
+        if self.in_flight.len() >= most {
+            return;
+        }
+        let (waited, stalled) = (self.begun.elapsed(), self.progress.elapsed());
+        let have = self.set.have();
+        let mut ready: Vec<_> = (0..have.len())
+            .filter(|i| !have[*i] && !self.in_flight.contains(i))
+            .filter_map(|i| {
+                let digest = Digest::from_slice(&self.set.manifest.digests[i]).ok()?;
+                let choice = self.swarm.choose(i, &digest, &self.rule, waited, stalled)?;
+                Some((choice.urgency, i, choice.source))
+            })
+            .collect();
+        ready.shuffle(&mut rand::rng());
+        ready.sort_by_key(|(urgency, ..)| *urgency);
+        for (_, i, source) in ready {
+            if self.in_flight.len() >= most {
+                return;
+            }
+            match source {
+                Source::Origin => {
+                    let rests = Instant::now() < self.origin_rests_until;
+                    if rests || self.from_origin >= ORIGIN_FETCHES {
+                        continue;
+                    }
+                    self.from_origin += 1;
+                }
+                Source::Peer(addr) => self.swarm.begun(addr),
+            }
+            self.in_flight.insert(i);
+            let (cx, set) = (self.cx.clone(), self.set.clone());
+            let (origin, client) = (self.origin.clone(), self.client.clone());
+            fetching.spawn(async move {
+                let result = bring(&cx, &set, origin, &client, i, source).await;
+                Fetched { i, source, result }
+            });
+        }
+    }
+
+    fn took(&mut self, fetched: Fetched) {
+        let Fetched { i, source, result } = fetched;
+        self.in_flight.remove(&i);
+        match source {
+            Source::Origin => self.from_origin -= 1,
+            Source::Peer(addr) => self.swarm.ended(addr),
+        }
+        let good = result.as_ref().map(|buf| self.set.put(i, buf.clone()));
+        match (good, source) {
+            (Ok(true), Source::Peer(_)) => self.progress = Instant::now(),
+            (Ok(true), Source::Origin) => {
+                metrics::counter!("driftnotch_origin_chunks_total").increment(1);
+            }
+            (Ok(false), source) => {
+                warn!(target: PART, "{PART}: event=bad_chunk chunk={i} version={} source={source:?}", self.set.version);
+                metrics::counter!("driftnotch_bad_chunks_total").increment(1);
+                if let Source::Peer(addr) = source {
+                    self.swarm.bad(addr, &self.rule);
+                }
+            }
+            (Err(e), Source::Peer(addr)) => {
+                debug!(target: PART, "{PART}: event=no_chunk chunk={i} peer={addr} why=\"{e}\"");
+                self.swarm.silent(addr);
+            }
+            (Err(e), Source::Origin) => {
+                debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
+                self.origin_rests_until = Instant::now() + ORIGIN_PAUSE;
+            }
+        }
+    }
+}
+
+/// Brings one chunk.
+async fn bring(
+    cx: &Cx,
+    set: &Set,
+    origin: OriginVersion,
+    client: &Client,
+    i: usize,
+    source: Source,
+) -> Result<Bytes, ApiError> {
+    let addr = match source {
+        Source::Origin => {
+            let drawn = (cx.api.chunk)((origin, i));
+            return match tokio::time::timeout(cx.cfg.chunk_timeout, drawn).await {
+                Ok(drawn) => drawn,
+                Err(_) => Err(ApiError("the origin gave no chunk in time".to_owned())),
+            };
+        }
+        Source::Peer(addr) => addr,
+    };
+    let path = format!("{PATH}{}/{}/{i}", set.model, set.version);
+    let within = cx.cfg.chunk_timeout;
+    let req = hyper::Request::get(path)
+        .body(empty())
+        .map_err(|e| ApiError(e.to_string()))?;
+    let sent = client.send(addr, req, within).await;
+    let res = sent.map_err(|e| ApiError(e.to_string()))?;
+    if !res.status().is_success() {
+        return Err(ApiError(format!("status {}", res.status())));
+    }
+    let body = read_body(res.into_body(), cx.cfg.chunk_bytes as usize, within).await;
+    body.map_err(|e| ApiError(e.to_string()))
+}
--- /dev/null
+++ b/crates/loader/src/keep.rs
@@ -0,0 +1,192 @@
+//! Keeps the engine on the newest version that was released.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use base::{Map, Model, VmId};
+use catalog::{FIRST_VERSION, WeightsVersion};
+use log::{info, warn};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use web::{Client, Dial};
+
+use crate::api::{EngineState, OriginVersion, Start, Started};
+use crate::fetch::fetch;
+use crate::peers::{announce, loaders};
+use crate::sets::Set;
+use crate::stage::{lay_out, read_back};
+use crate::turn::begins;
+use crate::{Cx, Plan};
+
+/// Log prefix of this part.
+const PART: &str = "keep";
+
+/// Time between two looks at what is to be done.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Pause before a manifest is asked for again.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Time given to an order's effect before it is given again.
+const ORDER_TIME: Duration = Duration::from_secs(1);
+
+/// What one engine is kept on.
+struct Keeper {
+    cx: Arc<Cx>,
+    client: Client,
+    state: watch::Receiver<Option<EngineState>>,
+    fetching: Map<(Model, WeightsVersion), JoinHandle<()>>,
+    since: Map<(Model, WeightsVersion), Instant>,
+    ordered: Option<Instant>,
+}
+
+/// Keeps the engine on what is released, until the process ends.
+pub(crate) async fn keep(cx: Arc<Cx>, state: watch::Receiver<Option<EngineState>>) {
+    let client = Client::new(Dial::within(cx.cfg.chunk_timeout));
+    let mut plan = cx.plan.clone();
+    let mut keeper = Keeper {
+        cx,
+        client,
+        state,
+        fetching: Map::default(),
+        since: Map::default(),
+        ordered: None,
+    };
+    loop {
+        let current = plan.borrow_and_update().clone();
+        if let Some(current) = current {
+            keeper.step(&current).await;
+        }
+        tokio::select! {
+            _ = tokio::time::sleep(TICK) => {}
+            changed = plan.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+impl Keeper {
+    async fn step(&mut self, plan: &Plan) {
+        let models = plan.catalog.models(&self.cx.service).to_vec();
+        for model in models {
+            let release = plan.releases.iter().find(|r| r.model == model);
+            let version = release.map_or(FIRST_VERSION, |r| r.version);
+            if let Some(release) = release {
+                let key = (model.clone(), version);
+                self.since.entry(key).or_insert(release.since);
+            }
+            self.fetch(plan, &model, version);
+            self.switch(&model).await;
+        }
+    }
+
+    /// Begins to bring a version, and stops bringing older ones.
+    fn fetch(&mut self, plan: &Plan, model: &Model, version: WeightsVersion) {
+        let key = (model.clone(), version);
+        if self.fetching.contains_key(&key) {
+            return;
+        }
+        let Some(origin) = plan.catalog.origin() else {
+            return;
+        };
+        for ((other, older), task) in &self.fetching {
+            if other == model && *older < version {
+                task.abort();
+            }
+        }
+        let origin = OriginVersion {
+            origin: origin.addr,
+            model: model.clone(),
+            version,
+        };
+        info!(target: PART, "{PART}: event=wanted model={model} version={version}");
+        let task = tokio::spawn(bring(self.cx.clone(), origin, self.client.clone()));
+        self.fetching.insert(key, task);
+    }
+
+    /// Has the engine take the newest version that is here whole, when its turn has come.
+    async fn switch(&mut self, model: &Model) {
+        let Some(state) = self.state.borrow().clone() else {
+            return;
+        };
+        let recent = self.ordered.is_some_and(|at| at.elapsed() < ORDER_TIME);
+        if state.switching || recent {
+            return;
+        }
+        let Some(set) = self.cx.sets.newest_whole(model) else {
+            return;
+        };
+        let held = state.holdings.iter().find(|h| h.model == *model);
+        let held = held.and_then(|h| h.version);
+        if held >= Some(set.version) {
+            return;
+        }
+        if held.is_some() && Instant::now() < self.turn(&set) {
+            return;
+        }
+        self.ordered = Some(Instant::now());
+        match self.order(&set).await {
+            Ok(Started::Taken) => {}
+            Ok(Started::Conflict(status)) => {
+                warn!(target: PART, "{PART}: event=order_conflict version={} status={status}", set.version);
+            }
+            Err(e) => {
+                warn!(target: PART, "{PART}: event=order_failed version={} why=\"{e}\"", set.version);
+            }
+        }
+        self.ordered = Some(Instant::now());
+        self.cx.look.notify_one();
+    }
+
+    fn turn(&self, set: &Set) -> Instant {
+        let others: Vec<VmId> = loaders(&self.cx).into_iter().map(|m| m.vm).collect();
+        let key = (set.model.clone(), set.version);
+        let since = self.since.get(&key).copied().unwrap_or_else(Instant::now);
+        begins(
+            &self.cx.cfg.node.vm,
+            &others,
+            set.version,
+            since,
+            self.cx.cfg.node.version_time,
+        )
+    }
+
+    async fn order(&self, set: &Set) -> Result<Started, crate::api::ApiError> {
+        lay_out(&self.cx, set).await?;
+        let state = (self.cx.api.state)(()).await?;
+        let start = Start {
+            model: set.model.clone(),
+            version: set.version,
+            orders: state.orders,
+        };
+        let started = (self.cx.api.start)(start).await?;
+        info!(target: PART, "{PART}: event=ordered model={} version={} orders={} result={started:?}", set.model, set.version, state.orders);
+        Ok(started)
+    }
+}
+
+/// Brings a version: what lies at the engine first, then the rest from others.
+async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client) {
+    let manifest = loop {
+        match (cx.api.manifest)(origin.clone()).await {
+            Ok(manifest) => break manifest,
+            Err(e) => {
+                warn!(target: PART, "{PART}: event=no_manifest version={} why=\"{e}\"", origin.version);
+                tokio::time::sleep(MANIFEST_PAUSE).await;
+            }
+        }
+    };
+    let set = Set::new(origin.model.clone(), origin.version, manifest);
+    let set = cx.sets.add(set);
+    if origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
+        match read_back(&cx, &set).await {
+            Ok(found) => {
+                info!(target: PART, "{PART}: event=read_back version={} chunks={found}", set.version);
+            }
+            Err(e) => {
+                warn!(target: PART, "{PART}: event=read_back_failed version={} why=\"{e}\"", set.version);
+            }
+        }
+        announce(&cx, &set, false);
+    }
+    fetch(cx, set, origin, client).await;
+}
--- /dev/null
+++ b/crates/loader/src/sets.rs
@@ -0,0 +1,134 @@
+//! Chunks of weights held in memory, by model and version.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use base::Model;
+use bytes::Bytes;
+use catalog::WeightsVersion;
+use sha2::{Digest, Sha256};
+
+use crate::api::Manifest;
+
+/// Versions of a model held at once: the one in use, and two that were released since.
+const MOST_VERSIONS: usize = 3;
+
+/// Chunks of one version.
+#[derive(Debug)]
+pub struct Set {
+    /// Model.
+    pub model: Model,
+    /// Version.
+    pub version: WeightsVersion,
+    /// Manifest.
+    pub manifest: Manifest,
+    chunks: Mutex<Vec<Option<Bytes>>>,
+}
+
+impl Set {
+    /// A set without chunks.
+    pub fn new(model: Model, version: WeightsVersion, manifest: Manifest) -> Set {
+        let chunks = Mutex::new(vec![None; manifest.digests.len()]);
+        Set {
+            model,
+            version,
+            manifest,
+            chunks,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Option<Bytes>>> {
+        self.chunks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether bytes are the chunk that the manifest lists.
+    pub fn is_chunk(&self, i: usize, buf: &[u8]) -> bool {
+        let digest: [u8; 32] = Sha256::digest(buf).into();
+        self.manifest.digests.get(i) == Some(&digest)
+    }
+
+    /// Keeps a chunk if it is the one listed; `false` where it isn't.
+    pub fn put(&self, i: usize, buf: Bytes) -> bool {
+        let good = self.is_chunk(i, &buf);
+        if good {
+            self.lock()[i] = Some(buf);
+        }
+        good
+    }
+
+    /// A chunk.
+    pub fn get(&self, i: usize) -> Option<Bytes> {
+        self.lock().get(i).cloned().flatten()
+    }
+
+    /// Which chunks are held.
+    pub fn have(&self) -> Vec<bool> {
+        self.lock().iter().map(Option::is_some).collect()
+    }
+
+    /// Whether all chunks are held.
+    pub fn is_whole(&self) -> bool {
+        self.lock().iter().all(Option::is_some)
+    }
+
+    /// Number of chunks.
+    pub fn len(&self) -> usize {
+        self.manifest.digests.len()
+    }
+
+    /// Whether the version has no chunks at all.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// All sets.
+#[derive(Debug, Default)]
+pub struct Sets {
+    sets: Mutex<Vec<Arc<Set>>>,
+}
+
+impl Sets {
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<Set>>> {
+        self.sets.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A set, if it is held.
+    pub fn get(&self, model: &str, version: WeightsVersion) -> Option<Arc<Set>> {
+        let is = |s: &&Arc<Set>| s.model == model && s.version == version;
+        self.lock().iter().find(is).cloned()
+    }
+
+    /// Adds a set and lets go of the oldest versions; returns the one held where there was one.
+    pub fn add(&self, set: Set) -> Arc<Set> {
+        if let Some(held) = self.get(&set.model, set.version) {
+            return held;
+        }
+        let set = Arc::new(set);
+        let mut sets = self.lock();
+        sets.push(set.clone());
+        let of_model = sets.iter().filter(|s| s.model == set.model).count();
+        if of_model > MOST_VERSIONS {
+            let oldest = sets
+                .iter()
+                .filter(|s| s.model == set.model)
+                .map(|s| s.version)
+                .min();
+            sets.retain(|s| s.model != set.model || Some(s.version) != oldest);
+        }
+        set
+    }
+
+    /// Newest whole version of a model.
+    pub fn newest_whole(&self, model: &str) -> Option<Arc<Set>> {
+        self.lock()
+            .iter()
+            .filter(|s| s.model == model && s.is_whole())
+            .max_by_key(|s| s.version)
+            .cloned()
+    }
+
+    /// All sets.
+    pub fn all(&self) -> Vec<Arc<Set>> {
+        self.lock().clone()
+    }
+}
--- /dev/null
+++ b/crates/loader/src/tell.rs
@@ -0,0 +1,79 @@
+//! Reads the engine's state and tells gateways.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use beacon::{EngineNote, Msg, Role};
+use log::{info, warn};
+use tokio::sync::watch;
+
+use crate::Cx;
+use crate::api::EngineState;
+
+/// Log prefix of this part.
+const PART: &str = "engine";
+
+/// Time between two looks while an order is under way.
+const SWITCHING_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Notes of an unchanged state are sent at least this often.
+const REPEAT: Duration = Duration::from_millis(1000);
+
+/// Reads the state again and again; what was read last is in `tx`.
+pub(crate) async fn tell(cx: Arc<Cx>, tx: watch::Sender<Option<EngineState>>) {
+    let mut number = 0;
+    let mut told = Instant::now();
+    loop {
+        let before = tx.borrow().clone();
+        match (cx.api.state)(()).await {
+            Ok(state) => {
+                let changed = before
+                    .as_ref()
+                    .is_none_or(|b| b.switching != state.switching || b.holdings != state.holdings);
+                if changed {
+                    info!(target: PART, "{PART}: event=state switching={} orders={} holdings={:?} running={} queued={}", state.switching, state.orders, state.holdings, state.running, state.queued);
+                }
+                if changed || told.elapsed() >= REPEAT {
+                    number += 1;
+                    told = Instant::now();
+                    send(&cx, number, &state);
+                }
+                tx.send_replace(Some(state));
+            }
+            Err(e) => {
+                if before.is_some() {
+                    warn!(target: PART, "{PART}: event=lost why=\"{e}\"");
+                }
+                tx.send_replace(None);
+            }
+        }
+        let switching = tx.borrow().as_ref().is_some_and(|s| s.switching);
+        let pause = match switching {
+            true => SWITCHING_INTERVAL,
+            false => cx.cfg.engine_poll,
+        };
+        tokio::select! {
+            _ = tokio::time::sleep(pause) => {}
+            _ = cx.look.notified() => {}
+        }
+    }
+}
+
+fn send(cx: &Cx, number: u64, state: &EngineState) {
+    let note = EngineNote {
+        incarnation: cx.incarnation,
+        number,
+        upstream: cx.cfg.engine,
+        switching: state.switching,
+        holdings: state.holdings.clone(),
+        running: state.running,
+        queued: state.queued,
+        configuration: cx.mirror.revision(cx.configuration),
+    };
+    let members = cx.members.borrow();
+    let gateways = members
+        .iter()
+        .filter(|m| m.role == Role::Gateway)
+        .map(|m| m.beacon);
+    cx.beacon.send(&Msg::Engine(note), gateways);
+}
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -6,9 +6,9 @@
 use saphyr::{LoadableYamlNode, MarkedYaml, YamlData};
 use table::Fault;
 
-use crate::field::{AGENT, COMMON, ENTRY, OPERATOR, PROCESS};
+use crate::field::{AGENT, COMMON, ENTRY, GATEWAY, LOADER, NODE, OPERATOR, PROCESS, TABLE};
 use crate::value::{self, Value, Values};
-use crate::{AgentCfg, EntryCfg, Field, OperatorCfg, Role};
+use crate::{AgentCfg, EntryCfg, Field, GatewayCfg, LoaderCfg, LogCfg, OperatorCfg, Role};
 
 /// Largest settings file, in bytes.
 const MAX_FILE: u64 = 1 << 20;
@@ -22,14 +22,33 @@
     Agent(Box<AgentCfg>),
     /// Of an operator.
     Operator(Box<OperatorCfg>),
+    /// Of a gateway.
+    Gateway(Box<GatewayCfg>),
+    /// Of a loader.
+    Loader(Box<LoaderCfg>),
+}
+
+impl Settings {
+    /// Logs.
+    pub fn log(&self) -> &LogCfg {
+        match self {
+            Settings::Entry(cfg) => &cfg.upkeep.log,
+            Settings::Agent(cfg) => &cfg.upkeep.log,
+            Settings::Operator(cfg) => &cfg.log,
+            Settings::Gateway(cfg) => &cfg.node.log,
+            Settings::Loader(cfg) => &cfg.node.log,
+        }
+    }
 }
 
 /// All fields of a role.
 pub fn fields(role: Role) -> Vec<&'static Field> {
     let own: &[&[Field]] = match role {
-        Role::Entry => &[COMMON, PROCESS, ENTRY],
-        Role::Agent => &[COMMON, PROCESS, AGENT],
-        Role::Operator => &[COMMON, OPERATOR],
+        Role::Entry => &[COMMON, TABLE, PROCESS, ENTRY],
+        Role::Agent => &[COMMON, TABLE, PROCESS, AGENT],
+        Role::Operator => &[COMMON, TABLE, OPERATOR],
+        Role::Gateway => &[COMMON, NODE, GATEWAY],
+        Role::Loader => &[COMMON, NODE, LOADER],
     };
     own.iter().flat_map(|list| list.iter()).collect()
 }
@@ -92,11 +111,14 @@
         Role::Entry => Settings::Entry(Box::new(EntryCfg::new(&values))),
         Role::Agent => Settings::Agent(Box::new(AgentCfg::new(&values))),
         Role::Operator => Settings::Operator(Box::new(OperatorCfg::new(&values))),
+        Role::Gateway => Settings::Gateway(Box::new(GatewayCfg::new(&values))),
+        Role::Loader => Settings::Loader(Box::new(LoaderCfg::new(&values))),
     })
 }
 
 fn find_role(nodes: &[(String, usize, &MarkedYaml)]) -> Result<Role, Vec<Fault>> {
-    let remedy = "write `role: entry`, `role: agent` or `role: operator`";
+    let remedy =
+        "write `role: entry`, `role: agent`, `role: operator`, `role: gateway` or `role: loader`";
     let Some((_, line, node)) = nodes.iter().find(|(name, ..)| name == "role") else {
         return Err(vec![Fault::new(1, "role", remedy)]);
     };
@@ -104,6 +126,8 @@
         Some("entry") => Ok(Role::Entry),
         Some("agent") => Ok(Role::Agent),
         Some("operator") => Ok(Role::Operator),
+        Some("gateway") => Ok(Role::Gateway),
+        Some("loader") => Ok(Role::Loader),
         _ => Err(vec![Fault::new(*line, "role", remedy)]),
     }
 }
@@ -164,6 +188,8 @@
         Role::Entry => &["listen", "control", "admin"],
         Role::Agent => &["listen", "peer", "admin"],
         Role::Operator => &[],
+        Role::Gateway => &["listen", "ready", "copies", "metrics"],
+        Role::Loader => &["chunks", "metrics"],
     };
     let mut seen = Set::default();
     for name in own {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,4 +11,7 @@
 
 pub use check::{Settings, check, load};
 pub use field::{Field, Kind};
-pub use role::{AgentCfg, EntryCfg, LogCfg, OperatorCfg, PlatformCfg, Role, Upkeep};
+pub use role::{
+    AgentCfg, EntryCfg, GatewayCfg, LoaderCfg, LogCfg, NodeCfg, OperatorCfg, PlatformCfg, Role,
+    Upkeep,
+};
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -17,6 +17,10 @@
     Agent,
     /// `driftnotch table`, `status` and `burn`
     Operator,
+    /// `driftnotch gateway`
+    Gateway,
+    /// `driftnotch loader`
+    Loader,
 }
 
 /// Addresses of the platform.
@@ -91,19 +95,19 @@
 }
 
 macro_rules! cfg {
-    ($(#[$doc:meta])* $name:ident { $($field:ident: $ty:ty = $read:ident),* $(,)? }) => {
+    ($(#[$doc:meta])* $name:ident ($base:ident: $base_ty:ident) { $($field:ident: $ty:ty = $read:ident),* $(,)? }) => {
         $(#[$doc])*
         #[derive(Debug, Clone)]
         pub struct $name {
-            /// What every process on a VM has.
-            pub upkeep: Upkeep,
+            /// What every process of this kind has.
+            pub $base: $base_ty,
             $(#[doc = concat!("Field `", stringify!($field), "`.")] pub $field: $ty,)*
         }
 
         impl $name {
             pub(crate) fn new(values: &Values) -> $name {
                 $name {
-                    upkeep: Upkeep::new(values),
+                    $base: $base_ty::new(values),
                     $($field: $read(values, stringify!($field)),)*
                 }
             }
@@ -113,7 +117,7 @@
 
 cfg! {
     /// Settings of an entry; [`crate::field::ENTRY`] says what each is for.
-    EntryCfg {
+    EntryCfg (upkeep: Upkeep) {
         listen: SocketAddr = addr,
         control: SocketAddr = addr,
         control_advertised: Option<SocketAddr> = maybe_addr,
@@ -150,7 +154,7 @@
 
 cfg! {
     /// Settings of an agent; [`crate::field::AGENT`] says what each is for.
-    AgentCfg {
+    AgentCfg (upkeep: Upkeep) {
         listen: SocketAddr = addr,
         listen_advertised: Option<SocketAddr> = maybe_addr,
         peer: SocketAddr = addr,
@@ -182,6 +186,83 @@
     }
 }
 
+/// What every process that runs by the platform's store has.
+#[derive(Debug, Clone)]
+pub struct NodeCfg {
+    /// Id of the VM.
+    pub vm: VmId,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Datagrams from other processes.
+    pub beacon: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+    /// The platform's store.
+    pub store: SocketAddr,
+    /// Longest wait for one answer of the store.
+    pub store_timeout: Duration,
+    /// Gateways to ask while the store can't be reached.
+    pub seeds: Vec<SocketAddr>,
+    /// Time in which all engines are to hold a new version.
+    pub version_time: Duration,
+    /// Time after a disturbance from when on a process is held to its bounds.
+    pub contact_time: Duration,
+    /// Logs.
+    pub log: LogCfg,
+}
+
+impl NodeCfg {
+    fn new(values: &Values) -> NodeCfg {
+        NodeCfg {
+            vm: text(values, "vm"),
+            domain: text(values, "domain"),
+            beacon: addr(values, "beacon"),
+            metrics: addr(values, "metrics"),
+            store: addr(values, "store"),
+            store_timeout: duration(values, "store_timeout"),
+            seeds: addrs(values, "seeds"),
+            version_time: duration(values, "version_time"),
+            contact_time: duration(values, "contact_time"),
+            log: LogCfg::new(values),
+        }
+    }
+}
+
+cfg! {
+    /// Settings of a gateway; [`crate::field::GATEWAY`] says what each is for.
+    GatewayCfg (node: NodeCfg) {
+        listen: SocketAddr = addr,
+        ready: SocketAddr = addr,
+        copies: SocketAddr = addr,
+        list_poll: Duration = duration,
+        return_time: Duration = duration,
+        connect_timeout: Duration = duration,
+        stall_time: Duration = duration,
+        retry_window: Duration = duration,
+        retry_ratio: f64 = ratio,
+        retry_slack: u64 = number,
+        stop_notice: Duration = duration,
+        drain_timeout: Duration = duration,
+    }
+}
+
+cfg! {
+    /// Settings of a loader; [`crate::field::LOADER`] says what each is for.
+    LoaderCfg (node: NodeCfg) {
+        service: String = text,
+        engine: SocketAddr = addr,
+        chunks: SocketAddr = addr,
+        engine_poll: Duration = duration,
+        chunk_timeout: Duration = duration,
+        chunk_bytes: u64 = number,
+        fetches: u64 = number,
+        settle_time: Duration = duration,
+        origin_patience: Duration = duration,
+        bad_chunks: u64 = number,
+        bad_time: Duration = duration,
+    }
+}
+
 /// Settings of an operator; [`crate::field::OPERATOR`] says what each is for.
 #[derive(Debug, Clone)]
 pub struct OperatorCfg {
@@ -315,6 +396,7 @@
 reader!(pairs, Pairs, Vec<(String, String)>);
 reader!(duration, Duration, Duration);
 reader!(number, Number, u64);
+reader!(ratio, Ratio, f64);
 reader!(flag, Flag, bool);
 
 fn addr(values: &Values, field: &str) -> SocketAddr {
--- a/crates/settings/src/value.rs
+++ b/crates/settings/src/value.rs
@@ -24,6 +24,8 @@
     Duration(Duration),
     /// A number or a size.
     Number(u64),
+    /// A fraction.
+    Ratio(f64),
     /// A flag.
     Flag(bool),
 }
@@ -46,6 +48,7 @@
         Kind::Duration(d, ..) => parse_duration(d).ok().map(Value::Duration),
         Kind::Bytes(n, ..) => parse_bytes(n).ok().map(Value::Number),
         Kind::Count(n, ..) => Some(Value::Number(n)),
+        Kind::Ratio(x, ..) => Some(Value::Ratio(x)),
         Kind::Flag(b) => Some(Value::Flag(b)),
     }
 }
@@ -71,6 +74,7 @@
         Kind::Duration(_, least, most) => read_duration(node, least, most),
         Kind::Bytes(_, least, most) => read_bytes(node, least, most),
         Kind::Count(_, least, most) => read_count(node, least, most),
+        Kind::Ratio(_, least, most) => read_ratio(node, least, most),
         Kind::Flag(_) => match scalar(node).as_deref() {
             Some("true") => Ok(Value::Flag(true)),
             Some("false") => Ok(Value::Flag(false)),
@@ -184,3 +188,11 @@
         None => Err(format!("write a whole number from {least} to {most}")),
     }
 }
+
+fn read_ratio(node: &MarkedYaml, least: f64, most: f64) -> Result<Value, String> {
+    match scalar(node).and_then(|s| s.parse::<f64>().ok()) {
+        Some(x) if (least..=most).contains(&x) => Ok(Value::Ratio(x)),
+        Some(x) => Err(format!("{x} is out of range; write {least} to {most}")),
+        None => Err(format!("write a fraction from {least} to {most}")),
+    }
+}
