--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -122,6 +122,7 @@
         engine: Engine::new(cfg.upstream, cfg.engine_timeout, cfg.load_timeout),
         client: Client::new(Dial {
             timeout: CONNECT_TIMEOUT,
+            keep: true,
             source: upkeep.source,
         }),
         objects: Objects::new(Kv::new(platform.objects, platform.dial())),
@@ -129,6 +130,7 @@
             origin,
             Dial {
                 timeout: cfg.chunk_timeout,
+                keep: true,
                 source: upkeep.source,
             },
         ),
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -147,6 +147,7 @@
             claims: Claims::start(kv, gather, claimer, forward),
             client: Client::new(Dial {
                 timeout: cfg.connect_timeout,
+                keep: true,
                 source: upkeep.source,
             }),
             telemetry: Arc::new(Telemetry::new(bounds)),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -167,7 +167,7 @@
         }
         tries.upstreams.push(slot.upstream().clone());
         let instance = slot.upstream().instance.clone();
-        let sent = send(cx, &job, &slot, None, patience(cx, &job)).await;
+        let sent = send(cx, &job, &slot, None, patience(cx, &job, &slot)).await;
         record.tried(&instance, sent.name());
         match sent {
             Sent::Unreached(why) => {
@@ -232,12 +232,19 @@
     (attempts || (tries.sent > 0 && !pays())).then_some(Refusal::NotTaken(NOT_TAKEN_RETRY))
 }
 
-/// How long a head is waited for: one that may be sent again isn't left with a silent upstream.
-fn patience(cx: &Cx, job: &Job) -> Duration {
-    match job.repeatable() {
-        true => job.remaining().min(cx.cfg.stall_time),
-        false => job.remaining(),
+/// How long an answer is waited for: a request that may be sent again isn't left with a silent
+/// upstream, nor queued at one whose version is about to be too old to begin it.
+pub(crate) fn patience(cx: &Cx, job: &Job, slot: &Slot) -> Duration {
+    if !job.repeatable() {
+        return job.remaining();
     }
+    let begin_by = match (&job.call.model, slot.version) {
+        (Some(model), Some(version)) => cx.releases.may_begin_until(model, version),
+        _ => None,
+    };
+    let left = begin_by.map(|at| at.saturating_duration_since(Instant::now()));
+    let patience = job.remaining().min(cx.cfg.stall_time);
+    left.map_or(patience, |left| left.min(patience))
 }
 
 fn streams(job: &Job, answer: &Answer) -> bool {
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -19,8 +19,9 @@
 /// Prompt tokens that weigh as much as one running request.
 const TOKENS_PER_REQUEST: f64 = 700.0;
 
-/// Weight of crossing into another failure domain, in requests.
-const OTHER_DOMAIN: f64 = 0.3;
+/// Weight of crossing into another failure domain, in requests: the bytes of a stream between
+/// regions cost some 2% of its worth.
+const OTHER_DOMAIN: f64 = 2.5;
 
 /// Random part of a weight, in requests, so that gateways that know the same don't all choose the
 /// same upstream.
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::call::Job;
 use crate::connection::Connection;
 use crate::events::Events;
+use crate::handle::patience;
 use crate::record::{Ending, Record};
 use crate::send::{Answer, Sent, report, send};
 use crate::upstream::{Health, Slot, Upstream};
@@ -127,7 +128,7 @@
     tried: Vec<Arc<Upstream>>,
     sent: u32,
 ) -> Result<Begun, String> {
-    let patience = stream.patience();
+    let patience = patience(&stream.cx, &stream.job, &stream.source.slot);
     let next = stream.source.next(stream.job.deadline, patience).await;
     match next {
         Next::Events(first) => {
@@ -251,7 +252,8 @@
         let last = last.or_else(|| job.call.last_event.clone());
         self.sent += 1;
         self.tried.push(slot.upstream().clone());
-        let sent = send(&cx, &job, &slot, last.as_deref(), self.stream.patience()).await;
+        let within = patience(&cx, &job, &slot);
+        let sent = send(&cx, &job, &slot, last.as_deref(), within).await;
         self.record.tried(&slot.upstream().instance, sent.name());
         match sent {
             Sent::Answer(answer) if answer.head.status.is_success() => {
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -9,6 +9,9 @@
 /// Part of the bound left unused, for what a request waits at an engine before it begins.
 const MARGIN: Duration = Duration::from_millis(600);
 
+/// Part of [`MARGIN`] after which a request that was sent and hasn't begun is taken back.
+const BEGIN_MARGIN: Duration = Duration::from_millis(400);
+
 #[derive(Debug, Clone, Copy)]
 struct Release {
     version: WeightsVersion,
@@ -55,6 +58,13 @@
         }
     }
 
+    /// Until when a version may begin requests; `None` where no newer one was released.
+    pub fn may_begin_until(&self, model: &Model, version: WeightsVersion) -> Option<Instant> {
+        let releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
+        let newer = releases.get(model)?.iter().find(|r| r.version > version)?;
+        Some(newer.until + BEGIN_MARGIN)
+    }
+
     /// Oldest version that may begin requests now.
     pub fn oldest(&self, model: &Model, now: Instant) -> WeightsVersion {
         let releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/lab/src/commands/rollout.rs
+++ b/crates/lab/src/commands/rollout.rs
@@ -347,6 +347,7 @@
         for e in &self.deployment.engines {
             let dial = Dial {
                 timeout: PATIENCE,
+                keep: true,
                 source: Some(e.ip()),
             };
             let origin = store::Origin::new(self.deployment.layout.platform().origin, dial);
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -14,15 +14,18 @@
 
 use crate::Cx;
 use crate::api::{ApiError, OriginVersion};
-use crate::peers::{PATH, announce, loaders};
+use crate::peers::{BUSY, CHUNKS, announce, loaders};
 use crate::sets::Set;
 
 /// Log prefix of this part.
 const PART: &str = "fetch";
 
-/// Chunks drawn from the origin at once by one loader: one travels while the next is asked for.
+/// Most chunks drawn from the origin at once by one loader: one travels while the next is asked for.
 const ORIGIN_FETCHES: usize = 2;
 
+/// Part of the origin's connections that is used; some are still held by loaders that are gone.
+const ORIGIN_USE: f64 = 0.7;
+
 /// Time between two looks at what has become available, and between two announcements.
 const TICK: Duration = Duration::from_millis(40);
 
@@ -33,7 +36,17 @@
 struct Fetched {
     i: usize,
     source: Source,
-    result: Result<Bytes, ApiError>,
+    result: Result<Bytes, NoChunk>,
+}
+
+/// Why a chunk did not come.
+enum NoChunk {
+    /// The loader passes on as many as it may.
+    Busy,
+    /// The loader doesn't hold it.
+    Absent,
+    /// No whole answer came.
+    Failed(ApiError),
 }
 
 /// Fetch of one version.
@@ -46,6 +59,7 @@
     rule: Rule,
     in_flight: HashSet<usize>,
     from_origin: usize,
+    origin_fetches: usize,
     origin_rests_until: Instant,
     begun: Instant,
     progress: Instant,
@@ -55,6 +69,7 @@
 pub(crate) async fn fetch(cx: Arc<Cx>, set: Arc<Set>, origin: OriginVersion, client: Client) {
     let now = Instant::now();
     let rule = rule(&cx);
+    let origin_fetches = origin_fetches(&cx);
     let mut fetch = Fetch {
         cx,
         set,
@@ -64,6 +79,7 @@
         rule,
         in_flight: HashSet::default(),
         from_origin: 0,
+        origin_fetches,
         origin_rests_until: now,
         begun: now,
         progress: now,
@@ -94,6 +110,16 @@
     info!(target: PART, "{PART}: event=whole model={} version={} took={:?}", fetch.set.model, fetch.set.version, fetch.begun.elapsed());
 }
 
+/// Chunks that this loader may draw at once, so that all together stay within the connections that
+/// the origin takes.
+fn origin_fetches(cx: &Cx) -> usize {
+    let plan = cx.plan.borrow();
+    let origin = plan.as_ref().and_then(|p| p.catalog.origin().cloned());
+    let most = origin.map_or(0.0, |o| f64::from(o.max_connections));
+    let part = most * ORIGIN_USE / (loaders(cx).len() + 1) as f64;
+    (part as usize).clamp(1, ORIGIN_FETCHES)
+}
+
 fn rule(cx: &Cx) -> Rule {
     let mut permitted: Vec<_> = loaders(cx).into_iter().map(|m| m.domain).collect();
     permitted.push(cx.cfg.node.domain.clone());
@@ -157,7 +183,7 @@
             match source {
                 Source::Origin => {
                     let rests = Instant::now() < self.origin_rests_until;
-                    if rests || self.from_origin >= ORIGIN_FETCHES {
+                    if rests || self.from_origin >= self.origin_fetches {
                         continue;
                     }
                     self.from_origin += 1;
@@ -194,12 +220,16 @@
                     self.swarm.bad(addr, &self.rule);
                 }
             }
-            (Err(e), Source::Peer(addr)) => {
+            (Err(NoChunk::Busy), Source::Peer(addr)) => self.swarm.busy(addr),
+            (Err(NoChunk::Absent), Source::Peer(addr)) => self.swarm.lacks(addr),
+            (Err(NoChunk::Failed(e)), Source::Peer(addr)) => {
                 debug!(target: PART, "{PART}: event=no_chunk chunk={i} peer={addr} why=\"{e}\"");
                 self.swarm.silent(addr);
             }
             (Err(e), Source::Origin) => {
-                debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
+                if let NoChunk::Failed(e) = e {
+                    debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
+                }
                 self.origin_rests_until = Instant::now() + ORIGIN_PAUSE;
             }
         }
@@ -214,27 +244,30 @@
     client: &Client,
     i: usize,
     source: Source,
-) -> Result<Bytes, ApiError> {
+) -> Result<Bytes, NoChunk> {
+    let failed = |e: &dyn std::fmt::Display| NoChunk::Failed(ApiError(e.to_string()));
+    let within = cx.cfg.chunk_timeout;
     let addr = match source {
         Source::Origin => {
             let drawn = (cx.api.chunk)((origin, i));
-            return match tokio::time::timeout(cx.cfg.chunk_timeout, drawn).await {
-                Ok(drawn) => drawn,
-                Err(_) => Err(ApiError("the origin gave no chunk in time".to_owned())),
+            return match tokio::time::timeout(within, drawn).await {
+                Ok(drawn) => drawn.map_err(NoChunk::Failed),
+                Err(_) => Err(failed(&"the origin gave no chunk in time")),
             };
         }
         Source::Peer(addr) => addr,
     };
-    let path = format!("{PATH}{}/{}/{i}", set.model, set.version);
-    let within = cx.cfg.chunk_timeout;
-    let req = hyper::Request::get(path)
-        .body(empty())
-        .map_err(|e| ApiError(e.to_string()))?;
+    let path = format!("{CHUNKS}{}/{}/{i}", set.model, set.version);
+    let req = hyper::Request::get(path).body(empty());
+    let req = req.map_err(|e| failed(&e))?;
     let sent = client.send(addr, req, within).await;
-    let res = sent.map_err(|e| ApiError(e.to_string()))?;
-    if !res.status().is_success() {
-        return Err(ApiError(format!("status {}", res.status())));
+    let res = sent.map_err(|e| failed(&e))?;
+    match res.status().as_u16() {
+        200 => {}
+        BUSY => return Err(NoChunk::Busy),
+        404 => return Err(NoChunk::Absent),
+        other => return Err(failed(&format!("status {other}"))),
     }
     let body = read_body(res.into_body(), cx.cfg.chunk_bytes as usize, within).await;
-    body.map_err(|e| ApiError(e.to_string()))
+    body.map_err(|e| failed(&e))
 }
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -3,16 +3,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use base::rendezvous::rank;
 use base::{Map, Model, VmId};
 use catalog::{FIRST_VERSION, WeightsVersion};
-use log::{info, warn};
+use log::{debug, info, warn};
+use rand::RngExt;
+use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use web::{Client, Dial};
 
-use crate::api::{EngineState, OriginVersion, Start, Started};
+use crate::api::{ApiError, EngineState, Manifest, OriginVersion, Start, Started};
 use crate::fetch::fetch;
-use crate::peers::{announce, loaders};
+use crate::peers::{announce, ask_manifest, loaders};
 use crate::sets::Set;
 use crate::stage::{lay_out, read_back};
 use crate::turn::begins;
@@ -24,8 +27,11 @@
 /// Time between two looks at what is to be done.
 const TICK: Duration = Duration::from_millis(100);
 
-/// Pause before a manifest is asked for again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(150);
+/// Mean pause before a manifest is asked for again.
+const MANIFEST_PAUSE: Duration = Duration::from_millis(40);
+
+/// Time that each loader in the order has for bringing a manifest before the next asks the origin.
+const MANIFEST_TURN: Duration = Duration::from_millis(120);
 
 /// Time given to an order's effect before it is given again.
 const ORDER_TIME: Duration = Duration::from_secs(1);
@@ -150,7 +156,7 @@
         )
     }
 
-    async fn order(&self, set: &Set) -> Result<Started, crate::api::ApiError> {
+    async fn order(&self, set: &Set) -> Result<Started, ApiError> {
         lay_out(&self.cx, set).await?;
         let state = (self.cx.api.state)(()).await?;
         let start = Start {
@@ -166,15 +172,7 @@
 
 /// Brings a version: what lies at the engine first, then the rest from others.
 async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client) {
-    let manifest = loop {
-        match (cx.api.manifest)(origin.clone()).await {
-            Ok(manifest) => break manifest,
-            Err(e) => {
-                warn!(target: PART, "{PART}: event=no_manifest version={} why=\"{e}\"", origin.version);
-                tokio::time::sleep(MANIFEST_PAUSE).await;
-            }
-        }
-    };
+    let manifest = manifest(&cx, &origin, &client).await;
     let set = Set::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
     if origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
@@ -190,3 +188,36 @@
     }
     fetch(cx, set, origin, client).await;
 }
+
+/// The manifest: from the origin for the first in the order that all rank alike, from others for
+/// the rest. Each asks the origin itself when those before it have had time to.
+async fn manifest(cx: &Cx, origin: &OriginVersion, client: &Client) -> Manifest {
+    let begun = Instant::now();
+    loop {
+        let own = before(cx, origin);
+        let other = loaders(cx).choose(&mut rand::rng()).cloned();
+        let asked = match begun.elapsed() >= MANIFEST_TURN * own as u32 {
+            true => (cx.api.manifest)(origin.clone()).await,
+            false => match other {
+                Some(m) => ask_manifest(client, m.passes_on, origin).await,
+                None => Err(ApiError("no other loader is known".to_owned())),
+            },
+        };
+        match asked {
+            Ok(manifest) => return manifest,
+            Err(e) => {
+                debug!(target: PART, "{PART}: event=no_manifest version={} why=\"{e}\"", origin.version);
+                let more = rand::rng().random_range(0.0..1.0);
+                tokio::time::sleep(MANIFEST_PAUSE.mul_f64(0.5 + more)).await;
+            }
+        }
+    }
+}
+
+/// How many loaders come before this one in the order in which the origin is asked.
+fn before(cx: &Cx, origin: &OriginVersion) -> usize {
+    let key = origin.version.to_le_bytes();
+    let own = rank(&key, &cx.cfg.node.vm);
+    let all = loaders(cx);
+    all.iter().filter(|m| rank(&key, &m.vm) < own).count()
+}
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -1,17 +1,38 @@
 //! What other loaders have, and where chunks are passed on.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
+use agent::pace::{Pacer, paced};
 use base::{Map, Model};
 use beacon::{ChunkMap, Member, Msg, Role};
 use catalog::WeightsVersion;
-use web::{Request, Response, full, text};
+use settings::LoaderCfg;
+use tokio::sync::Semaphore;
+use web::{Client, Request, Response, empty, full, read_body, text};
 
 use crate::Cx;
+use crate::api::{ApiError, ChunkDigest, Manifest, OriginVersion};
 use crate::sets::Set;
 
 /// Path of a chunk is this and `MODEL/VERSION/INDEX`.
-pub(crate) const PATH: &str = "/chunks/";
+pub(crate) const CHUNKS: &str = "/chunks/";
+
+/// Path of a manifest is this and `MODEL/VERSION`.
+pub(crate) const MANIFESTS: &str = "/manifests/";
+
+/// Status of a loader that passes on as many chunks as it may.
+pub(crate) const BUSY: u16 = 429;
+
+/// Bytes a second of one Mbit/s.
+const BYTES_PER_MBIT: f64 = 125_000.0;
+
+/// Longest wait for a manifest from another loader; a few kilobytes within the fleet.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Largest manifest taken, in bytes.
+const MAX_MANIFEST: usize = 4 << 20;
 
 /// Chunk maps of other loaders, by where they serve, model and version.
 #[derive(Debug, Default)]
@@ -69,17 +90,81 @@
     })
 }
 
-/// Answers `GET /chunks/MODEL/VERSION/INDEX`.
-pub(crate) fn serve(cx: &Cx, req: &Request) -> Response {
-    let chunk = req.uri().path().strip_prefix(PATH).and_then(|rest| {
-        let mut parts = rest.split('/');
-        let model = parts.next()?;
-        let version = parts.next()?.parse().ok()?;
-        let i = parts.next()?.parse().ok()?;
-        cx.sets.get(model, version)?.get(i)
+/// What chunks are passed on with.
+#[derive(Debug)]
+pub(crate) struct Passing {
+    pacer: Arc<Pacer>,
+    slots: Arc<Semaphore>,
+}
+
+impl Passing {
+    /// Paced by the settings.
+    pub(crate) fn new(cfg: &LoaderCfg) -> Passing {
+        let link = (cfg.link_mbps * BYTES_PER_MBIT) as u64;
+        Passing {
+            pacer: Arc::new(Pacer::new(link, cfg.weight_share)),
+            slots: Arc::new(Semaphore::new(cfg.serves as usize)),
+        }
+    }
+}
+
+/// Answers other loaders.
+pub(crate) fn serve(cx: &Cx, passing: &Passing, req: &Request) -> Response {
+    let path = req.uri().path();
+    match (path.strip_prefix(CHUNKS), path.strip_prefix(MANIFESTS)) {
+        (Some(rest), _) => chunk(cx, passing, rest),
+        (_, Some(rest)) => manifest(cx, rest),
+        (None, None) => text(404, "use /chunks or /manifests\n"),
+    }
+}
+
+fn chunk(cx: &Cx, passing: &Passing, rest: &str) -> Response {
+    let found = rest.rsplit_once('/').and_then(|(set, i)| {
+        let i = i.parse().ok()?;
+        find(cx, set)?.get(i)
     });
-    match chunk {
-        Some(buf) => Response::new(full(buf)),
-        None => text(404, "no such chunk here\n"),
+    match (found, passing.slots.clone().try_acquire_owned()) {
+        (None, _) => text(404, "no such chunk here\n"),
+        (Some(_), Err(_)) => text(BUSY, "too many chunks are being sent; ask again\n"),
+        (Some(buf), Ok(slot)) => Response::new(paced(buf, slot, passing.pacer.clone())),
+    }
+}
+
+fn manifest(cx: &Cx, rest: &str) -> Response {
+    match find(cx, rest) {
+        Some(set) => Response::new(full(set.manifest.digests.concat())),
+        None => text(404, "no such manifest here\n"),
+    }
+}
+
+fn find(cx: &Cx, set: &str) -> Option<Arc<Set>> {
+    let (model, version) = set.split_once('/')?;
+    cx.sets.get(model, version.parse().ok()?)
+}
+
+/// Asks another loader for a manifest.
+pub(crate) async fn ask_manifest(
+    client: &Client,
+    from: SocketAddr,
+    version: &OriginVersion,
+) -> Result<Manifest, ApiError> {
+    let failed = |e: &dyn std::fmt::Display| ApiError(e.to_string());
+    let path = format!("{MANIFESTS}{}/{}", version.model, version.version);
+    let req = hyper::Request::get(path).body(empty());
+    let req = req.map_err(|e| failed(&e))?;
+    let sent = client.send(from, req, MANIFEST_TIMEOUT).await;
+    let res = sent.map_err(|e| failed(&e))?;
+    if !res.status().is_success() {
+        return Err(ApiError(format!("status {}", res.status())));
+    }
+    let body = read_body(res.into_body(), MAX_MANIFEST, MANIFEST_TIMEOUT).await;
+    let buf = body.map_err(|e| failed(&e))?;
+    let digests: Vec<ChunkDigest> = buf
+        .chunks_exact(std::mem::size_of::<ChunkDigest>())
+        .filter_map(|d| d.try_into().ok())
+        .collect();
+    match digests.is_empty() {
+        true => Err(ApiError("the manifest is empty".to_owned())),
+        false => Ok(Manifest { digests }),
     }
 }
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -10,7 +10,7 @@
 use web::{Bounds, Client, Dial};
 
 use crate::keep::keep;
-use crate::peers::{Peers, answer, serve};
+use crate::peers::{Passing, Peers, answer, serve};
 use crate::sets::Sets;
 use crate::tell::tell;
 use crate::{Cx, Wiring};
@@ -42,12 +42,13 @@
     });
     info!(target: PART, "{PART}: event=started vm={} engine={} incarnation={}", cx.cfg.node.vm, cx.cfg.engine, cx.incarnation);
     let serving = cx.clone();
+    let passing = Arc::new(Passing::new(&cx.cfg));
     tokio::spawn(web::serve(
         listener,
         Bounds::internal(),
         cx.stop.clone(),
         move |req| {
-            let res = serve(&serving, &req);
+            let res = serve(&serving, &passing, &req);
             async move { res }
         },
     ));
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -244,8 +244,24 @@
     ),
     field(
         "fetches",
-        Count(6, 1, 64),
-        "Chunks brought at once. More fill a link better and delay each chunk.",
+        Count(4, 1, 64),
+        "Chunks brought at once. More fill a link better and delay each chunk, and requests to the \
+         engine behind them.",
+    ),
+    field(
+        "serves",
+        Count(6, 1, 256),
+        "Chunks passed on at once; loaders that ask beyond that are told to ask again.",
+    ),
+    field(
+        "link_mbps",
+        Ratio(0.0, 0.0, 1_000_000.0),
+        "Rate of this VM's link in Mbit/s, which weights are paced by; 0 paces nothing.",
+    ),
+    field(
+        "weight_share",
+        Count(92, 1, 100),
+        "Percentage of the link that weights may take, so that answers of the engine get through.",
     ),
     field(
         "settle_time",
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -45,6 +45,7 @@
     pub fn dial(&self) -> Dial {
         Dial {
             timeout: self.timeout,
+            keep: true,
             source: self.source,
         }
     }
@@ -256,6 +257,9 @@
         chunk_timeout: Duration = duration,
         chunk_bytes: u64 = number,
         fetches: u64 = number,
+        serves: u64 = number,
+        link_mbps: f64 = ratio,
+        weight_share: u64 = number,
         settle_time: Duration = duration,
         origin_patience: Duration = duration,
         bad_chunks: u64 = number,
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -44,6 +44,8 @@
     pub timeout: Duration,
     /// Address that connections come from; `None` leaves it to the system.
     pub source: Option<IpAddr>,
+    /// Whether connections are kept for later requests.
+    pub keep: bool,
 }
 
 impl Dial {
@@ -52,6 +54,15 @@
         Dial {
             timeout,
             source: None,
+            keep: true,
+        }
+    }
+
+    /// The same, each connection for one request.
+    pub fn once(self) -> Dial {
+        Dial {
+            keep: false,
+            ..self
         }
     }
 }
@@ -70,7 +81,10 @@
         connector.set_connect_timeout(Some(dial.timeout));
         connector.set_local_address(dial.source);
         let pool = Pool::builder(TokioExecutor::new())
-            .pool_max_idle_per_host(IDLE_PER_HOST)
+            .pool_max_idle_per_host(match dial.keep {
+                true => IDLE_PER_HOST,
+                false => 0,
+            })
             .pool_idle_timeout(IDLE_TIME)
             .pool_timer(TokioTimer::new())
             .build(connector);
