Have engines leave service one after the other, announced, and tell loads as they change

Cause: all engines switched at once, requests queued at engines that took nothing new (5 of them at one), and gateways overfilled engines, since loads were told every 100 ms.

Ruled out: leaving an older version out whenever a newer one is named (engines on the version before both may begin nothing for 1 to 2 s); two halves (the second had to begin before the first was back).

Change: turns spread over 0.45 to 0.78 of the bound; gateways are told 40 ms before the order; an older version is brought to its end unless the newer one can replace it in time; load notes follow each change by 15 ms.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -47,6 +47,16 @@
 pub struct Admission {
     waiting: Mutex<Waiting>,
     freed: Arc<Notify>,
+    changed: Arc<Notify>,
+}
+
+/// What is told when requests begin and end.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// A slot was freed.
+    pub freed: Arc<Notify>,
+    /// What is in flight has changed.
+    pub changed: Arc<Notify>,
 }
 
 /// A place in the line, given up when dropped.
@@ -74,6 +84,19 @@
         self.freed.clone()
     }
 
+    /// Waits until what is in flight has changed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// What a slot tells of its beginning and its end.
+    pub fn told(&self) -> Told {
+        Told {
+            freed: self.freed.clone(),
+            changed: self.changed.clone(),
+        }
+    }
+
     /// Requests waiting.
     pub fn len(&self) -> usize {
         self.waiting().lines.values().map(BTreeSet::len).sum()
--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -78,8 +78,8 @@
                 Some(_) => job.call.prompt_tokens,
                 None => 0,
             };
-            let freed = cx.admission.freed();
-            Pick::Chosen(Slot::take(u.clone(), version, unread, freed))
+            let told = cx.admission.told();
+            Pick::Chosen(Slot::take(u.clone(), version, unread, told))
         }
         None => Pick::Full,
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,11 +22,12 @@
 /// Pause after a failed accept, so that a lack of descriptors doesn't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Time between two load notes while requests are in flight.
-const LOAD_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between a change of what is in flight and the note that tells it; changes meanwhile go into
+/// the same note.
+const LOAD_DELAY: Duration = Duration::from_millis(15);
 
-/// Load notes that are left out while nothing is in flight, all but every so many.
-const IDLE_NOTES: u64 = 5;
+/// Longest time between two load notes.
+const LOAD_REPEAT: Duration = Duration::from_millis(400);
 
 /// Longest wait for another process's copy of a document.
 const COPY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -151,10 +152,11 @@
 /// Tells other gateways what is in flight here.
 async fn tell(cx: Arc<Cx>, beacon: Beacon) {
     let mut number = 0;
-    let mut ticks = tokio::time::interval(LOAD_INTERVAL);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = cx.admission.changed() => tokio::time::sleep(LOAD_DELAY).await,
+            _ = tokio::time::sleep(LOAD_REPEAT) => {}
+        }
         number += 1;
         let loads: Vec<_> = cx
             .roster
@@ -163,9 +165,6 @@
             .map(|u| u.load())
             .filter(|l| l.requests > 0)
             .collect();
-        if loads.is_empty() && number % IDLE_NOTES != 0 {
-            continue;
-        }
         let note = LoadNote {
             from: cx.cfg.node.vm.clone(),
             incarnation: cx.incarnation,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,6 +8,8 @@
 use beacon::{EngineNote, Holding, Load};
 use catalog::{ServiceName, WeightsVersion};
 
+use crate::admission::Told;
+
 /// Incarnation of an upstream, as the platform names it.
 pub type InstanceId = String;
 
@@ -200,26 +202,27 @@
     /// Version of the weights that was chosen with it.
     pub version: Option<WeightsVersion>,
     unread: u64,
-    freed: Arc<tokio::sync::Notify>,
+    told: Told,
 }
 
 impl Slot {
-    /// Counts a request with a prompt of `unread` tokens; `freed` is told when it ends.
+    /// Counts a request with a prompt of `unread` tokens.
     pub fn take(
         upstream: Arc<Upstream>,
         version: Option<WeightsVersion>,
         unread: u64,
-        freed: Arc<tokio::sync::Notify>,
+        told: Told,
     ) -> Slot {
         let mut state = upstream.state();
         state.requests += 1;
         state.unread += unread;
         drop(state);
+        told.changed.notify_one();
         Slot {
             upstream,
             version,
             unread,
-            freed,
+            told,
         }
     }
 
@@ -233,6 +236,7 @@
         let mut state = self.upstream.state();
         state.unread = state.unread.saturating_sub(self.unread);
         self.unread = 0;
+        self.told.changed.notify_one();
     }
 }
 
@@ -242,6 +246,7 @@
         let mut state = self.upstream.state();
         state.requests = state.requests.saturating_sub(1);
         drop(state);
-        self.freed.notify_one();
+        self.told.freed.notify_one();
+        self.told.changed.notify_one();
     }
 }
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -63,6 +63,17 @@
     origin_rests_until: Instant,
     begun: Instant,
     progress: Instant,
+    counts: Counts,
+}
+
+/// How chunks came, for the log.
+#[derive(Debug, Default)]
+struct Counts {
+    origin: u32,
+    near: u32,
+    far: u32,
+    busy: u32,
+    failed: u32,
 }
 
 /// Brings all chunks of a set; returns when it is whole.
@@ -83,6 +94,7 @@
         origin_rests_until: now,
         begun: now,
         progress: now,
+        counts: Counts::default(),
     };
     announce(&fetch.cx, &fetch.set, true);
     let mut fetching = JoinSet::new();
@@ -107,7 +119,7 @@
         }
     }
     announce(&fetch.cx, &fetch.set, false);
-    info!(target: PART, "{PART}: event=whole model={} version={} took={:?}", fetch.set.model, fetch.set.version, fetch.begun.elapsed());
+    info!(target: PART, "{PART}: event=whole model={} version={} took={:?} {:?}", fetch.set.model, fetch.set.version, fetch.begun.elapsed(), fetch.counts);
 }
 
 /// Chunks that this loader may draw at once, so that all together stay within the connections that
@@ -200,6 +212,11 @@
         }
     }
 
+    fn is_near(&self, addr: std::net::SocketAddr) -> bool {
+        let near = |p: &&Peer| p.addr == addr && p.domain == self.rule.domain;
+        self.swarm.peers().iter().any(|p| near(&p))
+    }
+
     fn took(&mut self, fetched: Fetched) {
         let Fetched { i, source, result } = fetched;
         self.in_flight.remove(&i);
@@ -209,8 +226,15 @@
         }
         let good = result.as_ref().map(|buf| self.set.put(i, buf.clone()));
         match (good, source) {
-            (Ok(true), Source::Peer(_)) => self.progress = Instant::now(),
+            (Ok(true), Source::Peer(addr)) => {
+                self.progress = Instant::now();
+                match self.is_near(addr) {
+                    true => self.counts.near += 1,
+                    false => self.counts.far += 1,
+                }
+            }
             (Ok(true), Source::Origin) => {
+                self.counts.origin += 1;
                 metrics::counter!("driftnotch_origin_chunks_total").increment(1);
             }
             (Ok(false), source) => {
@@ -220,16 +244,21 @@
                     self.swarm.bad(addr, &self.rule);
                 }
             }
-            (Err(NoChunk::Busy), Source::Peer(addr)) => self.swarm.busy(addr),
+            (Err(NoChunk::Busy), Source::Peer(addr)) => {
+                self.counts.busy += 1;
+                self.swarm.busy(addr);
+            }
             (Err(NoChunk::Absent), Source::Peer(addr)) => self.swarm.lacks(addr),
             (Err(NoChunk::Failed(e)), Source::Peer(addr)) => {
                 debug!(target: PART, "{PART}: event=no_chunk chunk={i} peer={addr} why=\"{e}\"");
+                self.counts.failed += 1;
                 self.swarm.silent(addr);
             }
             (Err(e), Source::Origin) => {
                 if let NoChunk::Failed(e) = e {
                     debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
                 }
+                self.counts.failed += 1;
                 self.origin_rests_until = Instant::now() + ORIGIN_PAUSE;
             }
         }
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -1,6 +1,7 @@
 //! Keeps the engine on the newest version that was released.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use base::rendezvous::rank;
@@ -33,17 +34,37 @@
 /// Time that each loader in the order has for bringing a manifest before the next asks the origin.
 const MANIFEST_TURN: Duration = Duration::from_millis(120);
 
+/// Part of the bound that a whole rollout takes: bringing the chunks, and the engines' turns.
+const ROLLOUT_PART: f64 = 0.75;
+
+/// Time between telling gateways that the engine leaves service and the order: a few journeys of a
+/// datagram, and of a request that was sent before it came.
+const LEAVE_NOTICE: Duration = Duration::from_millis(40);
+
 /// Time given to an order's effect before it is given again.
-const ORDER_TIME: Duration = Duration::from_secs(1);
+const ORDER_TIME: Duration = Duration::from_secs(4);
+
+/// A version that is being brought.
+struct Fetching {
+    version: WeightsVersion,
+    task: JoinHandle<()>,
+}
+
+/// An order that was given.
+#[derive(Debug, Clone, Copy)]
+struct Ordered {
+    version: WeightsVersion,
+    at: Instant,
+}
 
 /// What one engine is kept on.
 struct Keeper {
     cx: Arc<Cx>,
     client: Client,
     state: watch::Receiver<Option<EngineState>>,
-    fetching: Map<(Model, WeightsVersion), JoinHandle<()>>,
+    fetching: Map<Model, Fetching>,
     since: Map<(Model, WeightsVersion), Instant>,
-    ordered: Option<Instant>,
+    ordered: Option<Ordered>,
 }
 
 /// Keeps the engine on what is released, until the process ends.
@@ -85,20 +106,20 @@
         }
     }
 
-    /// Begins to bring a version, and stops bringing older ones.
+    /// Begins to bring a version. One that is on its way already is brought to its end first, unless
+    /// the newer one can replace it in time.
     fn fetch(&mut self, plan: &Plan, model: &Model, version: WeightsVersion) {
-        let key = (model.clone(), version);
-        if self.fetching.contains_key(&key) {
-            return;
+        if let Some(current) = self.fetching.get(model) {
+            let done = current.task.is_finished();
+            if current.version >= version || !(done || self.can_skip(model, current.version)) {
+                return;
+            }
+            info!(target: PART, "{PART}: event=left version={} done={done} for={version}", current.version);
+            current.task.abort();
         }
         let Some(origin) = plan.catalog.origin() else {
             return;
         };
-        for ((other, older), task) in &self.fetching {
-            if other == model && *older < version {
-                task.abort();
-            }
-        }
         let origin = OriginVersion {
             origin: origin.addr,
             model: model.clone(),
@@ -106,7 +127,16 @@
         };
         info!(target: PART, "{PART}: event=wanted model={model} version={version}");
         let task = tokio::spawn(bring(self.cx.clone(), origin, self.client.clone()));
-        self.fetching.insert(key, task);
+        self.fetching
+            .insert(model.clone(), Fetching { version, task });
+    }
+
+    /// Whether a newer version can be everywhere before the bound of one that is left out. Without
+    /// that, engines would hold nothing that may begin requests for a while.
+    fn can_skip(&self, model: &Model, version: WeightsVersion) -> bool {
+        let bound = self.cx.cfg.node.version_time;
+        let since = self.since.get(&(model.clone(), version));
+        since.is_none_or(|at| at.elapsed() + bound.mul_f64(ROLLOUT_PART) <= bound)
     }
 
     /// Has the engine take the newest version that is here whole, when its turn has come.
@@ -114,33 +144,29 @@
         let Some(state) = self.state.borrow().clone() else {
             return;
         };
-        let recent = self.ordered.is_some_and(|at| at.elapsed() < ORDER_TIME);
-        if state.switching || recent {
-            return;
-        }
-        let Some(set) = self.cx.sets.newest_whole(model) else {
-            return;
-        };
         let held = state.holdings.iter().find(|h| h.model == *model);
         let held = held.and_then(|h| h.version);
-        if held >= Some(set.version) {
-            return;
-        }
-        if held.is_some() && Instant::now() < self.turn(&set) {
-            return;
-        }
-        self.ordered = Some(Instant::now());
-        match self.order(&set).await {
-            Ok(Started::Taken) => {}
-            Ok(Started::Conflict(status)) => {
-                warn!(target: PART, "{PART}: event=order_conflict version={} status={status}", set.version);
+        let set = self.cx.sets.newest_whole(model);
+        let wanted = set.filter(|set| held < Some(set.version));
+        // An engine that has just taken a version and stands idle takes a newer one at once.
+        let idle = state.running == 0 && self.cx.leaving.load(Ordering::Relaxed);
+        match self.ordered {
+            Some(ordered) if held >= Some(ordered.version) => {
+                self.ordered = None;
+                self.cx
+                    .leaving
+                    .store(wanted.is_some() && idle, Ordering::Relaxed);
+                self.cx.look.notify_one();
             }
-            Err(e) => {
-                warn!(target: PART, "{PART}: event=order_failed version={} why=\"{e}\"", set.version);
+            Some(ordered) if ordered.at.elapsed() < ORDER_TIME => return,
+            _ => {}
+        }
+        match wanted {
+            Some(set) if idle || held.is_none() || Instant::now() >= self.turn(&set) => {
+                self.order(&set).await;
             }
+            _ => {}
         }
-        self.ordered = Some(Instant::now());
-        self.cx.look.notify_one();
     }
 
     fn turn(&self, set: &Set) -> Instant {
@@ -156,8 +182,34 @@
         )
     }
 
-    async fn order(&self, set: &Set) -> Result<Started, ApiError> {
+    /// Lays a version out and has the engine take it.
+    async fn order(&mut self, set: &Set) {
+        let version = set.version;
+        self.ordered = Some(Ordered {
+            version,
+            at: Instant::now(),
+        });
+        match self.give(set).await {
+            Ok(Started::Taken) => return,
+            Ok(Started::Conflict(status)) => {
+                warn!(target: PART, "{PART}: event=order_conflict version={version} status={status}");
+            }
+            Err(e) => {
+                warn!(target: PART, "{PART}: event=order_failed version={version} why=\"{e}\"");
+            }
+        }
+        self.ordered = None;
+        self.cx.leaving.store(false, Ordering::Relaxed);
+        self.cx.look.notify_one();
+    }
+
+    async fn give(&self, set: &Set) -> Result<Started, ApiError> {
         lay_out(&self.cx, set).await?;
+        // Requests that reach the engine after the order wait until it has the weights, so gateways
+        // are told first.
+        self.cx.leaving.store(true, Ordering::Relaxed);
+        self.cx.look.notify_one();
+        tokio::time::sleep(LEAVE_NOTICE).await;
         let state = (self.cx.api.state)(()).await?;
         let start = Start {
             model: set.model.clone(),
@@ -166,6 +218,7 @@
         };
         let started = (self.cx.api.start)(start).await?;
         info!(target: PART, "{PART}: event=ordered model={} version={} orders={} result={started:?}", set.model, set.version, state.orders);
+        self.cx.look.notify_one();
         Ok(started)
     }
 }
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod turn;
 
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 
 use base::{Incarnation, Model};
@@ -88,4 +89,6 @@
     pub(crate) peers: Mutex<Peers>,
     /// Told when the engine's state should be read at once.
     pub(crate) look: Notify,
+    /// Whether the engine is about to leave service for new weights.
+    pub(crate) leaving: AtomicBool,
 }
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -1,6 +1,7 @@
 //! Tasks of a loader.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 use beacon::{Beacon, Msg};
@@ -38,6 +39,7 @@
         sets: Sets::default(),
         peers: std::sync::Mutex::new(Peers::default()),
         look: Notify::new(),
+        leaving: AtomicBool::new(false),
         cfg: wiring.cfg,
     });
     info!(target: PART, "{PART}: event=started vm={} engine={} incarnation={}", cx.cfg.node.vm, cx.cfg.engine, cx.incarnation);
--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -1,6 +1,7 @@
 //! Reads the engine's state and tells gateways.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use beacon::{EngineNote, Msg, Role};
@@ -26,7 +27,8 @@
     loop {
         let before = tx.borrow().clone();
         match (cx.api.state)(()).await {
-            Ok(state) => {
+            Ok(mut state) => {
+                state.switching |= cx.leaving.load(Ordering::Relaxed);
                 let changed = before
                     .as_ref()
                     .is_none_or(|b| b.switching != state.switching || b.holdings != state.holdings);
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -2,8 +2,8 @@
 //!
 //! An engine takes nothing new from the order until it holds the new version, so if all went at
 //! once nobody would be served. Loaders rank themselves alike by rendezvous hash, without asking
-//! each other: the first part goes as soon as it has the weights, the others when the first should
-//! be back, early enough that all are done within the bound.
+//! each other, and go one after the other over the part of the bound in which the weights should
+//! be everywhere, so that as few as possible are out of service at any moment.
 
 use std::time::{Duration, Instant};
 
@@ -11,15 +11,19 @@
 use base::rendezvous::rank;
 use catalog::WeightsVersion;
 
-/// Part of the bound after which the second half begins.
-const SECOND_PART: f64 = 0.62;
+/// Part of the bound after which the first engine begins, if it has the weights by then.
+const FIRST_PART: f64 = 0.45;
 
-/// Whether a VM is among the first half of those that take a version.
-pub fn is_first(own: &VmId, others: &[VmId], version: WeightsVersion) -> bool {
+/// Part of the bound after which the last engine begins: it must end what runs, and take the
+/// weights, before the bound.
+const LAST_PART: f64 = 0.78;
+
+/// Place of a VM among all that take a version, from 0 for the first to 1 for the last.
+pub fn place(own: &VmId, others: &[VmId], version: WeightsVersion) -> f64 {
     let key = version.to_le_bytes();
     let own_rank = rank(&key, own);
     let before = others.iter().filter(|vm| rank(&key, vm) < own_rank).count();
-    before < (others.len() + 1).div_ceil(2)
+    before as f64 / others.len().max(1) as f64
 }
 
 /// When a VM may begin; `since` is when the release became known, `bound` the time in which all
@@ -31,8 +35,6 @@
     since: Instant,
     bound: Duration,
 ) -> Instant {
-    match is_first(own, others, version) {
-        true => since,
-        false => since + bound.mul_f64(SECOND_PART),
-    }
+    let place = place(own, others, version);
+    since + bound.mul_f64(FIRST_PART + (LAST_PART - FIRST_PART) * place)
 }
