--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -25,10 +25,10 @@
 
 /// Random part of a weight, in requests, so that gateways that know the same don't all choose the
 /// same upstream.
-const JITTER: f64 = 0.8;
+const JITTER: f64 = 0.3;
 
 /// Part of the objective that prompts ahead may take.
-const UNREAD_PART: f64 = 0.5;
+const UNREAD_PART: f64 = 0.25;
 
 /// Requests that a plain service may have in flight, against its slots.
 const PLAIN_FILL: f64 = 2.0;
