Stop sending to engines on an old version 1.5 s before its end

Ruled out: the order of turns (the engine's link was too narrow to bring the weights at all).

Change: margin 0.6 s -> 1.5 s; turns begin orders by 0.78 of the bound, so only engines in trouble are affected.

--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -6,11 +6,12 @@
 use base::{Map, Model};
 use catalog::WeightsVersion;
 
-/// Part of the bound left unused, for what a request waits at an engine before it begins.
-const MARGIN: Duration = Duration::from_millis(600);
+/// Part of the bound left unused: a request may wait at an engine before it begins, and on a narrow
+/// link it may reach the engine a second after it was sent, or even taken back.
+const MARGIN: Duration = Duration::from_millis(1500);
 
 /// Part of [`MARGIN`] after which a request that was sent and hasn't begun is taken back.
-const BEGIN_MARGIN: Duration = Duration::from_millis(400);
+const BEGIN_MARGIN: Duration = Duration::from_millis(900);
 
 #[derive(Debug, Clone, Copy)]
 struct Release {
