--- a/crates/gateway/src/pick.rs
+++ b/crates/gateway/src/pick.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use beacon::Load;
 use catalog::{Engine, Service};
 use rand::RngExt;
 
@@ -103,6 +104,12 @@
     }
 }
 
+/// Whether a gateway that isn't alone has a prompt at the engine that isn't read yet. Several
+/// gateways may find an engine empty at the same moment; with one prompt each it isn't swamped.
+fn reads_own(cx: &Cx, own: &Load) -> bool {
+    own.unread > 0 && cx.gateways() > 1
+}
+
 /// What is in flight, in requests; `None` where the upstream is full.
 fn weight(cx: &Cx, job: &Job, service: &Service, upstream: &Upstream) -> Option<f64> {
     let own = upstream.load();
@@ -111,7 +118,9 @@
     let unread = u64::from(own.unread) + others.unread;
     let full = match &service.engine {
         Some(engine) => {
-            requests >= upstream.slots() || waits_long(engine, unread, job.route.objective)
+            requests >= upstream.slots()
+                || waits_long(engine, unread, job.route.objective)
+                || reads_own(cx, &own)
         }
         None => f64::from(requests) >= f64::from(upstream.slots()) * PLAIN_FILL,
     };
