--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -20,6 +20,9 @@
 /// Notes of an unchanged state are sent at least this often.
 const REPEAT: Duration = Duration::from_millis(1000);
 
+/// The same while the engine takes no new requests, which gateways must not miss.
+const SWITCHING_REPEAT: Duration = Duration::from_millis(80);
+
 /// Reads the state again and again; what was read last is in `tx`.
 pub(crate) async fn tell(cx: Arc<Cx>, tx: watch::Sender<Option<EngineState>>) {
     let mut number = 0;
@@ -35,7 +38,11 @@
                 if changed {
                     info!(target: PART, "{PART}: event=state switching={} orders={} holdings={:?} running={} queued={}", state.switching, state.orders, state.holdings, state.running, state.queued);
                 }
-                if changed || told.elapsed() >= REPEAT {
+                let repeat = match state.switching {
+                    true => SWITCHING_REPEAT,
+                    false => REPEAT,
+                };
+                if changed || told.elapsed() >= repeat {
                     number += 1;
                     told = Instant::now();
                     send(&cx, number, &state);
