Tell loaders of releases by datagram; they no longer read the configuration at each change

Ruled out: a second watch (the store's watch can't leave the configuration's row out).

A gateway waits 120 ms for the store before it copies a newer configuration from another.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use base::{Incarnation, Model, Revision, VmId};
+use catalog::ReleaseList;
 use serde::{Deserialize, Serialize};
 
 /// What an engine holds of one model.
@@ -31,8 +32,8 @@
     pub running: u32,
     /// Requests it has queued.
     pub queued: u32,
-    /// Revision of the configuration that the loader acts on.
-    pub configuration: Revision,
+    /// Revision of the releases that the loader acts on.
+    pub releases: Revision,
 }
 
 /// One gateway's part of what an upstream runs.
@@ -104,11 +105,6 @@
     Load(LoadNote),
     /// From a loader to loaders.
     Chunks(ChunkMap),
-    /// From a gateway to a loader whose configuration is older than the gateway's.
-    Newer {
-        /// Revision that the gateway holds.
-        configuration: Revision,
-        /// Where it passes its copies of documents on.
-        copies_at: SocketAddr,
-    },
+    /// From a gateway to a loader whose releases are older than the gateway's.
+    Releases(ReleaseList),
 }
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -11,6 +11,8 @@
 
 use base::{Map, Model, Revision, Workspace};
 
+use serde::{Deserialize, Serialize};
+
 pub use engine::{Engine, Origin};
 pub use route::{Kind, Route, Share};
 
@@ -26,6 +28,24 @@
 /// Version that engines hold from their start where none was released.
 pub const FIRST_VERSION: WeightsVersion = 1;
 
+/// Newest version of a model that was released.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// Model.
+    pub model: Model,
+    /// Version.
+    pub version: WeightsVersion,
+}
+
+/// Newest releases of all models that have one.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReleaseList {
+    /// Grows with each release.
+    pub revision: Revision,
+    /// Releases.
+    pub releases: Vec<Release>,
+}
+
 /// Bounds of what a caller may send, and how slowly.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestLimits {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -77,6 +77,8 @@
 /// Addresses of other processes.
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
+    /// Where loaders take datagrams.
+    pub loader_beacons: Vec<std::net::SocketAddr>,
     /// Where other gateways take datagrams.
     pub gateway_beacons: Vec<std::net::SocketAddr>,
     /// Where other gateways pass their copies of documents on.
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use base::{Map, Model};
-use catalog::WeightsVersion;
+use catalog::{Release, ReleaseList, WeightsVersion};
+use tokio::sync::watch;
 
 /// Part of the bound left unused: a request may wait at an engine before it begins, and on a narrow
 /// link it may reach the engine a second after it was sent, or even taken back.
@@ -13,8 +14,9 @@
 /// Part of [`MARGIN`] after which a request that was sent and hasn't begun is taken back.
 const BEGIN_MARGIN: Duration = Duration::from_millis(900);
 
+/// A version, and until when older ones may begin requests.
 #[derive(Debug, Clone, Copy)]
-struct Release {
+struct Until {
     version: WeightsVersion,
     until: Instant,
 }
@@ -22,10 +24,11 @@
 /// Releases by model.
 #[derive(Debug)]
 pub struct Releases {
+    newest: watch::Sender<ReleaseList>,
     version_time: Duration,
     contact_time: Duration,
     first: Mutex<bool>,
-    releases: Mutex<Map<Model, Vec<Release>>>,
+    releases: Mutex<Map<Model, Vec<Until>>>,
 }
 
 impl Releases {
@@ -33,7 +36,9 @@
     /// found at the start of the process it isn't known when it was made, so only for
     /// `contact_time`, from when on the process is held to its bounds.
     pub fn new(version_time: Duration, contact_time: Duration) -> Releases {
+        let (newest, _) = watch::channel(ReleaseList::default());
         Releases {
+            newest,
             version_time,
             contact_time,
             first: Mutex::new(true),
@@ -42,7 +47,7 @@
     }
 
     /// Takes the newest version of each model.
-    pub fn take(&self, newest: &[(Model, WeightsVersion)], now: Instant) {
+    pub fn take(&self, list: ReleaseList, now: Instant) {
         let mut first = self.first.lock().unwrap_or_else(PoisonError::into_inner);
         let bound = match std::mem::take(&mut *first) {
             true => self.contact_time.min(self.version_time),
@@ -50,13 +55,22 @@
         };
         let until = now + bound.saturating_sub(MARGIN);
         let mut releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
-        for (model, version) in newest {
+        for Release { model, version } in &list.releases {
             let known = releases.entry(model.clone()).or_default();
             if known.last().is_none_or(|r| r.version < *version) {
                 let version = *version;
-                known.push(Release { version, until });
+                known.push(Until { version, until });
             }
         }
+        drop(releases);
+        if list.revision > self.newest.borrow().revision {
+            self.newest.send_replace(list);
+        }
+    }
+
+    /// Told of the newest releases.
+    pub fn newest(&self) -> watch::Receiver<ReleaseList> {
+        self.newest.subscribe()
     }
 
     /// Until when a version may begin requests; `None` where no newer one was released.
@@ -69,7 +83,7 @@
     /// Oldest version that may begin requests now.
     pub fn oldest(&self, model: &Model, now: Instant) -> WeightsVersion {
         let releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
-        let due = |r: &&Release| r.until <= now;
+        let due = |r: &&Until| r.until <= now;
         let newest_due = releases
             .get(model)
             .and_then(|all| all.iter().rev().find(due));
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use base::Revision;
 use beacon::{Beacon, LoadNote, Msg};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
@@ -29,6 +30,9 @@
 /// Longest time between two load notes.
 const LOAD_REPEAT: Duration = Duration::from_millis(400);
 
+/// Time in which the store usually brings what another gateway knows already.
+const STORE_LEAD: Duration = Duration::from_millis(120);
+
 /// Longest wait for another process's copy of a document.
 const COPY_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -70,6 +74,7 @@
         },
     ));
     tokio::spawn(tell(cx.clone(), beacon.clone()));
+    tokio::spawn(release(cx.clone(), beacon.clone()));
     tokio::spawn(listen(cx.clone(), beacon));
     serve_callers(&cx, front).await;
     own_stop.send_replace(true);
@@ -187,31 +192,32 @@
             Msg::Load(note) => {
                 let held = cx.mirror.revision(cx.configuration);
                 if note.configuration > held {
-                    catch_up(&cx, &client, note.copies_at).await;
+                    let wanted = note.configuration;
+                    tokio::spawn(catch_up(cx.clone(), client.clone(), note.copies_at, wanted));
                 }
                 cx.loads.take(note);
             }
             Msg::Engine(note) => {
-                let held = cx.mirror.revision(cx.configuration);
-                if note.configuration < held {
-                    let newer = Msg::Newer {
-                        configuration: held,
-                        copies_at: cx.cfg.copies,
-                    };
-                    beacon.send(&newer, [from]);
+                let newest = cx.releases.newest().borrow().clone();
+                if note.releases < newest.revision {
+                    beacon.send(&Msg::Releases(newest), [from]);
                 }
                 if cx.roster.note(note) {
                     cx.admission.freed().notify_one();
                 }
             }
-            Msg::Chunks(_) | Msg::Newer { .. } => {}
+            Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
 }
 
-/// Takes a newer configuration from another gateway.
-async fn catch_up(cx: &Cx, client: &Client, from: std::net::SocketAddr) {
-    let asked = mirror::ask(&cx.mirror, cx.configuration, client, from, COPY_TIMEOUT).await;
+/// Takes a newer configuration from another gateway, unless the store brings it meanwhile.
+async fn catch_up(cx: Arc<Cx>, client: Client, from: std::net::SocketAddr, wanted: Revision) {
+    tokio::time::sleep(STORE_LEAD).await;
+    if cx.mirror.revision(cx.configuration) >= wanted {
+        return;
+    }
+    let asked = mirror::ask(&cx.mirror, cx.configuration, &client, from, COPY_TIMEOUT).await;
     match asked {
         Ok(newer) => {
             info!(target: PART, "{PART}: event=caught_up from={from} newer={newer}");
@@ -219,3 +225,14 @@
         Err(e) => warn!(target: PART, "{PART}: event=catch_up_failed from={from} why=\"{e}\""),
     }
 }
+
+/// Tells loaders of each release as it becomes known.
+async fn release(cx: Arc<Cx>, beacon: Beacon) {
+    let mut newest = cx.releases.newest();
+    while newest.changed().await.is_ok() {
+        let list = newest.borrow_and_update().clone();
+        let to = cx.peers.borrow().loader_beacons.clone();
+        info!(target: PART, "{PART}: event=released revision={} releases={:?} loaders={}", list.revision, list.releases, to.len());
+        beacon.send(&Msg::Releases(list), to);
+    }
+}
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use catalog::{Release, ReleaseList};
 use gateway::budget::RetryBudget;
 use gateway::events::Events;
 use gateway::refusal::Refusal;
@@ -20,6 +21,17 @@
     "m".to_owned()
 }
 
+fn list(revision: u64, versions: &[u64]) -> ReleaseList {
+    let release = |version: &u64| Release {
+        model: model(),
+        version: *version,
+    };
+    ReleaseList {
+        revision,
+        releases: versions.iter().map(release).collect(),
+    }
+}
+
 /// Spends until the budget is used up; returns how often it could.
 fn spend_all(budget: &RetryBudget, gateways: usize, now: Instant) -> usize {
     (0..10_000)
@@ -64,8 +76,8 @@
 fn older_versions_may_begin_requests_until_shortly_before_the_bound() {
     let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
     let now = Instant::now();
-    releases.take(&[], now);
-    releases.take(&[(model(), 2)], now);
+    releases.take(list(0, &[]), now);
+    releases.take(list(1, &[2]), now);
 
     assert_eq!(releases.oldest(&model(), now + Duration::from_secs(5)), 0);
     assert_eq!(releases.oldest(&model(), now + VERSION_TIME), 2);
@@ -78,9 +90,9 @@
 fn each_release_counts_from_its_own_time() {
     let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
     let now = Instant::now();
-    releases.take(&[], now);
-    releases.take(&[(model(), 2)], now);
-    releases.take(&[(model(), 3)], now + Duration::from_secs(4));
+    releases.take(list(0, &[]), now);
+    releases.take(list(1, &[2]), now);
+    releases.take(list(2, &[3]), now + Duration::from_secs(4));
 
     assert_eq!(releases.oldest(&model(), now + VERSION_TIME), 2);
     let later = now + VERSION_TIME + Duration::from_secs(4);
@@ -92,7 +104,7 @@
     let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
     let now = Instant::now();
 
-    releases.take(&[(model(), 2)], now);
+    releases.take(list(1, &[2]), now);
 
     assert_eq!(releases.oldest(&model(), now + CONTACT_TIME), 2);
 }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -40,7 +40,7 @@
         holdings: vec![holding(Some(2))],
         running: 0,
         queued: 0,
-        configuration: 1,
+        releases: 1,
     }
 }
 
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -125,8 +125,8 @@
 /// Chunks that this loader may draw at once, so that all together stay within the connections that
 /// the origin takes.
 fn origin_fetches(cx: &Cx) -> usize {
-    let plan = cx.plan.borrow();
-    let origin = plan.as_ref().and_then(|p| p.catalog.origin().cloned());
+    let catalog = cx.catalog.borrow();
+    let origin = catalog.as_ref().and_then(|c| c.origin().cloned());
     let most = origin.map_or(0.0, |o| f64::from(o.max_connections));
     let part = most * ORIGIN_USE / (loaders(cx).len() + 1) as f64;
     (part as usize).clamp(1, ORIGIN_FETCHES)
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -6,7 +6,7 @@
 
 use base::rendezvous::rank;
 use base::{Map, Model, VmId};
-use catalog::{FIRST_VERSION, WeightsVersion};
+use catalog::{Catalog, FIRST_VERSION, WeightsVersion};
 use log::{debug, info, warn};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -14,13 +14,13 @@
 use tokio::task::JoinHandle;
 use web::{Client, Dial};
 
+use crate::Cx;
 use crate::api::{ApiError, EngineState, Manifest, OriginVersion, Start, Started};
 use crate::fetch::fetch;
 use crate::peers::{announce, ask_manifest, loaders};
 use crate::sets::Set;
 use crate::stage::{lay_out, read_back};
 use crate::turn::begins;
-use crate::{Cx, Plan};
 
 /// Log prefix of this part.
 const PART: &str = "keep";
@@ -64,52 +64,51 @@
     client: Client,
     state: watch::Receiver<Option<EngineState>>,
     fetching: Map<Model, Fetching>,
-    since: Map<(Model, WeightsVersion), Instant>,
     ordered: Option<Ordered>,
 }
 
 /// Keeps the engine on what is released, until the process ends.
 pub(crate) async fn keep(cx: Arc<Cx>, state: watch::Receiver<Option<EngineState>>) {
     let client = Client::new(Dial::within(cx.cfg.chunk_timeout));
-    let mut plan = cx.plan.clone();
+    let mut known = cx.known.subscribe();
     let mut keeper = Keeper {
         cx,
         client,
         state,
         fetching: Map::default(),
-        since: Map::default(),
         ordered: None,
     };
     loop {
-        let current = plan.borrow_and_update().clone();
-        if let Some(current) = current {
-            keeper.step(&current).await;
+        known.borrow_and_update();
+        let catalog = keeper.cx.catalog.borrow().clone();
+        if let Some(catalog) = catalog {
+            keeper.step(&catalog).await;
         }
         tokio::select! {
             _ = tokio::time::sleep(TICK) => {}
-            changed = plan.changed() => if changed.is_err() { return },
+            changed = known.changed() => if changed.is_err() { return },
         }
     }
 }
 
 impl Keeper {
-    async fn step(&mut self, plan: &Plan) {
-        let models = plan.catalog.models(&self.cx.service).to_vec();
-        for model in models {
-            let release = plan.releases.iter().find(|r| r.model == model);
-            let version = release.map_or(FIRST_VERSION, |r| r.version);
-            if let Some(release) = release {
-                let key = (model.clone(), version);
-                self.since.entry(key).or_insert(release.since);
-            }
-            self.fetch(plan, &model, version);
-            self.switch(&model).await;
+    async fn step(&mut self, catalog: &Catalog) {
+        for model in catalog.models(&self.cx.service) {
+            let version = self.cx.known.borrow().version(model);
+            self.fetch(catalog, model, version);
+            self.switch(model).await;
         }
     }
 
+    /// When a version became known.
+    fn since(&self, model: &Model, version: WeightsVersion) -> Option<Instant> {
+        let known = self.cx.known.borrow();
+        known.since.get(&(model.clone(), version)).copied()
+    }
+
     /// Begins to bring a version. One that is on its way already is brought to its end first, unless
     /// the newer one can replace it in time.
-    fn fetch(&mut self, plan: &Plan, model: &Model, version: WeightsVersion) {
+    fn fetch(&mut self, catalog: &Catalog, model: &Model, version: WeightsVersion) {
         if let Some(current) = self.fetching.get(model) {
             let done = current.task.is_finished();
             if current.version >= version || !(done || self.can_skip(model, current.version)) {
@@ -118,7 +117,7 @@
             info!(target: PART, "{PART}: event=left version={} done={done} for={version}", current.version);
             current.task.abort();
         }
-        let Some(origin) = plan.catalog.origin() else {
+        let Some(origin) = catalog.origin() else {
             return;
         };
         let origin = OriginVersion {
@@ -136,7 +135,7 @@
     /// that, engines would hold nothing that may begin requests for a while.
     fn can_skip(&self, model: &Model, version: WeightsVersion) -> bool {
         let bound = self.cx.cfg.node.version_time;
-        let since = self.since.get(&(model.clone(), version));
+        let since = self.since(model, version);
         since.is_none_or(|at| at.elapsed() + bound.mul_f64(ROLLOUT_PART) <= bound)
     }
 
@@ -172,13 +171,12 @@
 
     fn turn(&self, set: &Set) -> Instant {
         let others: Vec<VmId> = loaders(&self.cx).into_iter().map(|m| m.vm).collect();
-        let key = (set.model.clone(), set.version);
-        let since = self.since.get(&key).copied().unwrap_or_else(Instant::now);
+        let since = self.since(&set.model, set.version);
         begins(
             &self.cx.cfg.node.vm,
             &others,
             set.version,
-            since,
+            since.unwrap_or_else(Instant::now),
             self.cx.cfg.node.version_time,
         )
     }
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -16,14 +16,13 @@
 mod tell;
 pub mod turn;
 
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use base::{Incarnation, Model};
+use base::{Incarnation, Map, Model};
 use beacon::{Beacon, Member};
-use catalog::{Catalog, ServiceName, WeightsVersion};
-use mirror::{DocName, Mirror};
+use catalog::{Catalog, FIRST_VERSION, ReleaseList, ServiceName, WeightsVersion};
 use settings::LoaderCfg;
 use tokio::sync::{Notify, watch};
 
@@ -33,24 +32,34 @@
 
 pub use run::run;
 
-/// A version of a model that was released.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Release {
-    /// Model.
-    pub model: Model,
-    /// Version.
-    pub version: WeightsVersion,
-    /// When this process learned of it.
-    pub since: Instant,
+/// Newest releases, and since when this process knows them.
+#[derive(Debug, Clone, Default)]
+pub struct Known {
+    /// Releases.
+    pub list: ReleaseList,
+    /// When each version became known.
+    pub since: Map<(Model, WeightsVersion), Instant>,
 }
 
-/// What is configured, as far as a loader needs it.
-#[derive(Debug, Clone)]
-pub struct Plan {
-    /// Configuration.
-    pub catalog: std::sync::Arc<Catalog>,
-    /// Newest release of each model that has one.
-    pub releases: Vec<Release>,
+impl Known {
+    /// Takes a list; `true` where it is newer.
+    pub fn take(&mut self, list: ReleaseList, now: Instant) -> bool {
+        if list.revision <= self.list.revision {
+            return false;
+        }
+        for release in &list.releases {
+            let key = (release.model.clone(), release.version);
+            self.since.entry(key).or_insert(now);
+        }
+        self.list = list;
+        true
+    }
+
+    /// Newest version of a model.
+    pub fn version(&self, model: &Model) -> WeightsVersion {
+        let of_model = self.list.releases.iter().find(|r| r.model == *model);
+        of_model.map_or(FIRST_VERSION, |r| r.version)
+    }
 }
 
 /// What a loader is made of.
@@ -62,13 +71,11 @@
     /// Calls to the engine and the origin.
     pub api: Api,
     /// Configuration; `None` until one is known.
-    pub plan: watch::Receiver<Option<Plan>>,
+    pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    /// Releases, which gateways and the platform's store tell.
+    pub known: Arc<watch::Sender<Known>>,
     /// Other processes.
     pub members: watch::Receiver<Vec<Member>>,
-    /// Copies of documents.
-    pub mirror: Mirror,
-    /// Document with the configuration.
-    pub configuration: DocName,
     /// Turns true when a planned stop begins.
     pub stop: watch::Receiver<bool>,
 }
@@ -78,10 +85,9 @@
     pub(crate) cfg: LoaderCfg,
     pub(crate) service: ServiceName,
     pub(crate) api: Api,
-    pub(crate) plan: watch::Receiver<Option<Plan>>,
+    pub(crate) catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    pub(crate) known: Arc<watch::Sender<Known>>,
     pub(crate) members: watch::Receiver<Vec<Member>>,
-    pub(crate) mirror: Mirror,
-    pub(crate) configuration: DocName,
     pub(crate) stop: watch::Receiver<bool>,
     pub(crate) incarnation: Incarnation,
     pub(crate) beacon: Beacon,
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Duration;
+use std::time::Instant;
 
 use beacon::{Beacon, Msg};
 use log::{info, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
-use web::{Bounds, Client, Dial};
+use web::Bounds;
 
 use crate::keep::keep;
 use crate::peers::{Passing, Peers, answer, serve};
@@ -19,9 +19,6 @@
 /// Log prefix of this part.
 const PART: &str = "loader";
 
-/// Longest wait for a gateway's copy of a document.
-const COPY_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Runs a loader until it is stopped.
 pub async fn run(wiring: Wiring) -> std::io::Result<()> {
     let listener = TcpListener::bind(wiring.cfg.chunks).await?;
@@ -29,10 +26,9 @@
     let cx = Arc::new(Cx {
         service: wiring.service,
         api: wiring.api,
-        plan: wiring.plan,
+        catalog: wiring.catalog,
+        known: wiring.known,
         members: wiring.members,
-        mirror: wiring.mirror,
-        configuration: wiring.configuration,
         stop: wiring.stop,
         incarnation: base::unix_ms(),
         beacon,
@@ -68,7 +64,6 @@
 
 /// Takes what other processes tell.
 async fn listen(cx: Arc<Cx>) {
-    let client = Client::new(Dial::within(COPY_TIMEOUT));
     loop {
         match cx.beacon.next().await {
             (Msg::Chunks(map), from) => {
@@ -78,25 +73,14 @@
                 let mut peers = cx.peers.lock().unwrap_or_else(|e| e.into_inner());
                 peers.take(map);
             }
-            (
-                Msg::Newer {
-                    configuration,
-                    copies_at,
-                },
-                _,
-            ) if configuration > cx.mirror.revision(cx.configuration) => {
-                let asked = mirror::ask(
-                    &cx.mirror,
-                    cx.configuration,
-                    &client,
-                    copies_at,
-                    COPY_TIMEOUT,
-                );
-                if let Err(e) = asked.await {
-                    warn!(target: PART, "{PART}: event=catch_up_failed from={copies_at} why=\"{e}\"");
+            (Msg::Releases(list), from) => {
+                let revision = list.revision;
+                let newer = cx.known.send_if_modified(|k| k.take(list, Instant::now()));
+                if newer {
+                    info!(target: PART, "{PART}: event=releases revision={revision} from={from}");
                 }
             }
-            _ => {}
+            (Msg::Engine(_) | Msg::Load(_), _) => {}
         }
     }
 }
--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -77,7 +77,7 @@
         holdings: state.holdings.clone(),
         running: state.running,
         queued: state.queued,
-        configuration: cx.mirror.revision(cx.configuration),
+        releases: cx.known.borrow().list.revision,
     };
     let members = cx.members.borrow();
     let gateways = members
