Don't count on loaders that have fallen silent for chunks that fall to them

Change: loaders that bring a version say so every 150 ms; one that said nothing for 0.5 s has no duty.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -1,5 +1,6 @@
 //! Brings the chunks of a version that are missing.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -29,6 +30,15 @@
 /// Time between two looks at what has become available, and between two announcements.
 const TICK: Duration = Duration::from_millis(40);
 
+/// Time after which a loader that brings a version says so again.
+const SAY_AGAIN: Duration = Duration::from_millis(150);
+
+/// Time after which a loader that brings a version and says nothing is not counted on.
+const SILENT: Duration = Duration::from_millis(500);
+
+/// Time after the beginning in which loaders are counted on that said nothing yet.
+const SETTLED: Duration = Duration::from_millis(400);
+
 /// Pause after the origin failed, so that it isn't asked in a tight loop.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
 
@@ -101,6 +111,8 @@
     let mut ticks = tokio::time::interval(TICK);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut announced = fetch.set.have();
+    let mut said = now;
+    let mut asked_again = false;
     while !fetch.set.is_whole() {
         fetch.start(&mut fetching);
         tokio::select! {
@@ -111,9 +123,13 @@
             _ = ticks.tick() => {
                 fetch.learn();
                 let have = fetch.set.have();
-                if have != announced {
-                    announce(&fetch.cx, &fetch.set, false);
+                if have != announced || said.elapsed() >= SAY_AGAIN {
+                    // What others have is asked for once more, in case the first was lost.
+                    let asks = !asked_again && fetch.begun.elapsed() > SETTLED / 2;
+                    asked_again |= asks;
+                    announce(&fetch.cx, &fetch.set, asks);
                     announced = have;
+                    said = Instant::now();
                 }
             }
         }
@@ -150,10 +166,20 @@
 }
 
 impl Fetch {
-    /// Takes what other loaders have said since.
+    /// Takes what other loaders have said since. Those that bring the version too say so again and
+    /// again; one that has fallen silent is not counted on, and what fell to it falls to others.
     fn learn(&mut self) {
+        let known = self.cx.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        let heard = known.heard(&self.set.model, self.set.version, self.set.len());
+        drop(known);
+        let settled = self.begun.elapsed() > SETTLED;
+        let present = |addr: &SocketAddr| match heard.get(addr) {
+            Some(heard) => heard.is_whole() || heard.at.elapsed() < SILENT,
+            None => !settled,
+        };
         let peers = loaders(&self.cx)
             .into_iter()
+            .filter(|m| present(&m.passes_on))
             .map(|m| Peer {
                 vm: m.vm,
                 domain: m.domain,
@@ -162,11 +188,8 @@
             })
             .collect();
         self.swarm.set_peers(&self.cx.cfg.node.vm, peers);
-        let known = self.cx.peers.lock().unwrap_or_else(PoisonError::into_inner);
-        let have = known.have(&self.set.model, self.set.version, self.set.len());
-        drop(known);
-        for (addr, have) in have {
-            self.swarm.set_have(addr, have);
+        for (addr, heard) in heard {
+            self.swarm.set_have(addr, heard.have);
         }
     }
 
@@ -212,7 +235,7 @@
         }
     }
 
-    fn is_near(&self, addr: std::net::SocketAddr) -> bool {
+    fn is_near(&self, addr: SocketAddr) -> bool {
         let near = |p: &&Peer| p.addr == addr && p.domain == self.rule.domain;
         self.swarm.peers().iter().any(|p| near(&p))
     }
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use agent::pace::{Pacer, paced};
 use base::{Map, Model};
@@ -34,29 +34,49 @@
 /// Largest manifest taken, in bytes.
 const MAX_MANIFEST: usize = 4 << 20;
 
-/// Chunk maps of other loaders, by where they serve, model and version.
+/// What a loader last said of a version, and when.
+#[derive(Debug, Clone)]
+pub(crate) struct Heard {
+    /// Which chunks it has.
+    pub(crate) have: Vec<bool>,
+    /// When it said so.
+    pub(crate) at: Instant,
+}
+
+impl Heard {
+    /// Whether it has all chunks.
+    pub(crate) fn is_whole(&self) -> bool {
+        self.have.iter().all(|has| *has)
+    }
+}
+
+/// Chunk maps of other loaders, by model and version, and where they serve.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
-    maps: Map<(Model, WeightsVersion), Map<SocketAddr, ChunkMap>>,
+    maps: Map<(Model, WeightsVersion), Map<SocketAddr, (ChunkMap, Instant)>>,
 }
 
 impl Peers {
     /// Takes what a loader says it has.
     pub(crate) fn take(&mut self, map: ChunkMap) {
         let key = (map.model.clone(), map.version);
-        self.maps.entry(key).or_default().insert(map.from, map);
+        let of_version = self.maps.entry(key).or_default();
+        of_version.insert(map.from, (map, Instant::now()));
     }
 
-    /// What loaders have of a version of `n` chunks.
-    pub(crate) fn have(
+    /// What loaders last said of a version of `n` chunks.
+    pub(crate) fn heard(
         &self,
         model: &Model,
         version: WeightsVersion,
         n: usize,
-    ) -> Vec<(SocketAddr, Vec<bool>)> {
+    ) -> Map<SocketAddr, Heard> {
         let maps = self.maps.get(&(model.clone(), version));
-        let all = maps.into_iter().flatten();
-        all.map(|(addr, map)| (*addr, map.unpack(n))).collect()
+        let heard = |(addr, (map, at)): (&SocketAddr, &(ChunkMap, Instant))| {
+            let (have, at) = (map.unpack(n), *at);
+            (*addr, Heard { have, at })
+        };
+        maps.into_iter().flatten().map(heard).collect()
     }
 }
 
