--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -6,10 +6,10 @@
 
 use base::rendezvous::rank;
 use base::{Map, Model, VmId};
+use beacon::Member;
 use catalog::{Catalog, FIRST_VERSION, WeightsVersion};
 use log::{debug, info, warn};
 use rand::RngExt;
-use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use web::{Client, Dial};
@@ -29,7 +29,10 @@
 const TICK: Duration = Duration::from_millis(100);
 
 /// Mean pause before a manifest is asked for again.
-const MANIFEST_PAUSE: Duration = Duration::from_millis(40);
+const MANIFEST_PAUSE: Duration = Duration::from_millis(20);
+
+/// Loaders at the head of the order that others ask.
+const MANIFEST_HOLDERS: usize = 2;
 
 /// Time that each loader in the order has for bringing a manifest before the next asks the origin.
 const MANIFEST_TURN: Duration = Duration::from_millis(120);
@@ -239,19 +242,20 @@
     fetch(cx, set, origin, client).await;
 }
 
-/// The manifest: from the origin for the first in the order that all rank alike, from others for
-/// the rest. Each asks the origin itself when those before it have had time to.
+/// The manifest: from the origin for the first in the order that all rank alike, from the first ones
+/// for the rest. Each asks the origin itself when those before it have had time to.
 async fn manifest(cx: &Cx, origin: &OriginVersion, client: &Client) -> Manifest {
     let begun = Instant::now();
+    let mut tries = 0;
     loop {
-        let own = before(cx, origin);
-        let other = loaders(cx).choose(&mut rand::rng()).cloned();
-        let asked = match begun.elapsed() >= MANIFEST_TURN * own as u32 {
+        let before = before(cx, origin);
+        let asked = match begun.elapsed() >= MANIFEST_TURN * before.len() as u32 {
             true => (cx.api.manifest)(origin.clone()).await,
-            false => match other {
-                Some(m) => ask_manifest(client, m.passes_on, origin).await,
-                None => Err(ApiError("no other loader is known".to_owned())),
-            },
+            false => {
+                let first = before.iter().take(MANIFEST_HOLDERS).cycle().nth(tries);
+                let from = first.map(|m| m.passes_on);
+                ask_manifest(client, from.unwrap_or(cx.cfg.chunks), origin).await
+            }
         };
         match asked {
             Ok(manifest) => return manifest,
@@ -261,13 +265,19 @@
                 tokio::time::sleep(MANIFEST_PAUSE.mul_f64(0.5 + more)).await;
             }
         }
+        tries += 1;
     }
 }
 
-/// How many loaders come before this one in the order in which the origin is asked.
-fn before(cx: &Cx, origin: &OriginVersion) -> usize {
+/// Loaders that come before this one in the order in which the origin is asked.
+fn before(cx: &Cx, origin: &OriginVersion) -> Vec<Member> {
     let key = origin.version.to_le_bytes();
     let own = rank(&key, &cx.cfg.node.vm);
-    let all = loaders(cx);
-    all.iter().filter(|m| rank(&key, &m.vm) < own).count()
+    let mut before: Vec<_> = loaders(cx)
+        .into_iter()
+        .map(|m| (rank(&key, &m.vm), m))
+        .filter(|(rank, _)| *rank < own)
+        .collect();
+    before.sort_by_key(|(rank, _)| *rank);
+    before.into_iter().map(|(_, m)| m).collect()
 }
