Take turns at drawing and carrying chunks instead of hashing each

Cause: by hash one loader drew 11 of 96 chunks and another none, and each passes its own on first.

Change: failure domains and VMs take turns in their order; the hash chooses only in place of those that can't be counted on. crates/agent uses the same.

--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -1,10 +1,10 @@
 //! Ranks where a chunk is to come from.
 //!
-//! There is no coordinator. For each chunk every agent ranks the agents that want it by rendezvous
-//! hash: the first of them draws it from the origin, the others take it from each other. With one
-//! copy for the whole fleet the chunk's failure domain is ranked first, and one agent of each other
-//! domain, ranked the same way, brings it over. An agent that sees a chunk nowhere goes to the
-//! origin after a bounded wait.
+//! There is no coordinator. For each chunk every agent finds alike whose turn it is: that one draws
+//! it from the origin, the others take it from each other. With one copy for the whole fleet the
+//! failure domains take turns too, and one agent of each other domain brings the chunk over. Where
+//! the one whose turn it is can't be counted on, a rendezvous hash chooses another. An agent that
+//! sees a chunk nowhere goes to the origin after a bounded wait.
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
@@ -194,7 +194,7 @@
         if waited < rule.settle {
             return None;
         }
-        let Duty { draws, carries } = self.duty(chunk, rule);
+        let Duty { draws, carries } = self.duty(i, chunk, rule);
         let first = |source| Choice {
             source,
             urgency: (0, 0),
@@ -218,29 +218,63 @@
     }
 
     /// What falls to this agent for a chunk; worked out once for a list of agents.
-    fn duty(&self, chunk: &Digest, rule: &Rule) -> Duty {
+    fn duty(&self, i: usize, chunk: &Digest, rule: &Rule) -> Duty {
         let mut duties = self.duties.lock().unwrap_or_else(PoisonError::into_inner);
         *duties
             .entry(*chunk)
-            .or_insert_with(|| self.rank_duty(chunk, rule))
+            .or_insert_with(|| self.find_duty(i, chunk, rule))
     }
 
-    fn rank_duty(&self, chunk: &Digest, rule: &Rule) -> Duty {
-        let mut near = self
+    fn find_duty(&self, i: usize, chunk: &Digest, rule: &Rule) -> Duty {
+        let domains = self.domains(rule);
+        let carries = self.is_turn(i / domains.len().max(1), chunk, rule);
+        let home = domains.get(i % domains.len().max(1));
+        let draws = rule.per_domain || home == Some(&&rule.domain);
+        Duty {
+            draws: carries && draws,
+            carries,
+        }
+    }
+
+    /// Permitted failure domains in which an agent can be counted on, in an order that all know.
+    fn domains<'a>(&self, rule: &'a Rule) -> Vec<&'a DomainName> {
+        let counts = |domain: &&DomainName| {
+            **domain == rule.domain || self.counted_on().any(|p| p.domain == **domain)
+        };
+        let mut domains: Vec<_> = rule.permitted.iter().filter(counts).collect();
+        domains.sort();
+        domains
+    }
+
+    /// Whether it is this agent's turn in its failure domain. Agents take turns in the order of
+    /// their VMs, so that each brings in as much as the others; where the one whose turn it is can't
+    /// be counted on, a rendezvous hash chooses among those that can.
+    fn is_turn(&self, turn: usize, chunk: &Digest, rule: &Rule) -> bool {
+        let mut vms: Vec<&VmId> = self
             .peers
             .iter()
-            .filter(|p| p.domain == rule.domain && !p.leaving)
-            .filter(|p| !self.shunned.contains(&p.addr));
-        let own = rank(chunk.as_bytes(), &rule.vm);
-        let first_here = near.all(|p| rank(chunk.as_bytes(), &p.vm) < own);
-        let own_domain_first = rule.per_domain
-            || rule.permitted.iter().all(|domain| {
-                rank(chunk.as_bytes(), domain) <= rank(chunk.as_bytes(), &rule.domain)
-            });
-        Duty {
-            draws: first_here && own_domain_first,
-            carries: first_here,
+            .filter(|p| p.domain == rule.domain)
+            .map(|p| &p.vm)
+            .collect();
+        vms.push(&rule.vm);
+        vms.sort();
+        let first = vms[turn % vms.len()];
+        if *first == rule.vm {
+            return true;
+        }
+        let mut near = self.counted_on().filter(|p| p.domain == rule.domain);
+        if near.any(|p| p.vm == *first) {
+            return false;
         }
+        let own = rank(chunk.as_bytes(), &rule.vm);
+        let mut near = self.counted_on().filter(|p| p.domain == rule.domain);
+        near.all(|p| rank(chunk.as_bytes(), &p.vm) < own)
+    }
+
+    /// Agents that may draw and carry.
+    fn counted_on(&self) -> impl Iterator<Item = &Peer> {
+        let counts = |p: &&Peer| !p.leaving && !self.shunned.contains(&p.addr);
+        self.peers.iter().filter(counts)
     }
 
     /// One of those that fewest chunks are being taken from.
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -179,12 +179,11 @@
         };
         let peers = loaders(&self.cx)
             .into_iter()
-            .filter(|m| present(&m.passes_on))
             .map(|m| Peer {
+                leaving: !present(&m.passes_on),
                 vm: m.vm,
                 domain: m.domain,
                 addr: m.passes_on,
-                leaving: false,
             })
             .collect();
         self.swarm.set_peers(&self.cx.cfg.node.vm, peers);
