--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -244,13 +244,13 @@
     ),
     field(
         "fetches",
-        Count(4, 1, 64),
+        Count(8, 1, 64),
         "Chunks brought at once. More fill a link better and delay each chunk, and requests to the \
          engine behind them.",
     ),
     field(
         "serves",
-        Count(6, 1, 256),
+        Count(12, 1, 256),
         "Chunks passed on at once; loaders that ask beyond that are told to ask again.",
     ),
     field(
@@ -549,7 +549,7 @@
     ),
     field(
         "engine_slots",
-        Count(2, 1, 64),
+        Count(8, 1, 64),
         "Versions the engine can hold at once. With 1 a change of version drains first.",
     ),
     field(
@@ -575,7 +575,7 @@
     field("fetches", Count(6, 1, 256), "Chunks fetched at once."),
     field(
         "serves",
-        Count(6, 1, 256),
+        Count(12, 1, 256),
         "Chunks sent to peers at once; more are refused and asked for again.",
     ),
     field(
