--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -28,10 +28,10 @@
 
 /// When to come back where all upstreams are busy: the time in which an engine ends about a third
 /// of its batch.
-const BUSY_RETRY: Duration = Duration::from_millis(500);
+const BUSY_RETRY: Duration = Duration::from_millis(1500);
 
 /// When to come back where there is no upstream at all.
-const NOBODY_RETRY: Duration = Duration::from_secs(1);
+const NOBODY_RETRY: Duration = Duration::from_millis(2500);
 
 /// A place in the line of a service: rank, then arrival.
 type Place = (u8, u64);
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -40,10 +40,11 @@
 /// Part of the bound that a whole rollout takes: bringing the chunks, and the engines' turns.
 const ROLLOUT_PART: f64 = 0.75;
 
-/// Time between telling gateways that the engine leaves service and the order. Requests that have not
+/// Time between telling gateways that the engine leaves service and laying the chunks out, which takes
+/// some 80 ms more, and then the order. Requests that have not
 /// begun by then wait until the engine has the new weights, or, should it freeze, begin on the old ones
 /// when it wakes. It costs nothing: the engine ends what runs all the while, which takes longer.
-const LEAVE_NOTICE: Duration = Duration::from_millis(300);
+const LEAVE_NOTICE: Duration = Duration::from_millis(220);
 
 /// Time given to an order's effect before it is given again.
 const ORDER_TIME: Duration = Duration::from_secs(4);
@@ -206,10 +207,10 @@
     }
 
     async fn give(&self, set: &Set) -> Result<Started, ApiError> {
-        lay_out(&self.cx, set).await?;
         self.cx.leaving.store(true, Ordering::Relaxed);
         self.cx.look.notify_one();
         tokio::time::sleep(LEAVE_NOTICE).await;
+        lay_out(&self.cx, set).await?;
         let state = (self.cx.api.state)(()).await?;
         let start = Start {
             model: set.model.clone(),
--- a/crates/loader/src/stage.rs
+++ b/crates/loader/src/stage.rs
@@ -9,6 +9,9 @@
 /// Log prefix of this part.
 const PART: &str = "stage";
 
+/// Times that chunks are read back before it is given up for now.
+const READS: usize = 4;
+
 /// Reads what lies at the engine and keeps what belongs to the set; returns how many chunks did.
 pub(crate) async fn read_back(cx: &Cx, set: &Set) -> Result<usize, ApiError> {
     let mut found = 0;
@@ -20,26 +23,43 @@
     Ok(found)
 }
 
-/// Lays out the chunks of a whole set that don't lie at the engine as they should. What lies there
-/// may have turned bad since, and the engine doesn't check it.
+/// Lays a whole set out and reads it back until all of it lies there as it should: what lies there may
+/// turn bad, and the engine doesn't check it.
 pub(crate) async fn lay_out(cx: &Cx, set: &Set) -> Result<(), ApiError> {
-    let mut replaced = 0;
+    for i in 0..set.len() {
+        put(cx, set, i).await?;
+    }
+    for _ in 0..READS {
+        let bad = replace_bad(cx, set).await?;
+        info!(target: PART, "{PART}: event=laid_out model={} version={} replaced={bad}", set.model, set.version);
+        if bad == 0 {
+            return Ok(());
+        }
+    }
+    Err(ApiError(format!(
+        "chunks turned bad {READS} times in a row"
+    )))
+}
+
+/// Reads all chunks back and lays out anew those that are bad; returns how many were.
+async fn replace_bad(cx: &Cx, set: &Set) -> Result<usize, ApiError> {
+    let mut bad = 0;
     for i in 0..set.len() {
         let lies = (cx.api.get)((set.model.clone(), i)).await?;
-        if lies.is_some_and(|buf| set.is_chunk(i, &buf)) {
-            continue;
+        if !lies.is_some_and(|buf| set.is_chunk(i, &buf)) {
+            put(cx, set, i).await?;
+            bad += 1;
         }
-        let buf = set
-            .get(i)
-            .ok_or_else(|| ApiError(format!("chunk {i} is missing")))?;
-        let staged = Staged {
-            model: set.model.clone(),
-            chunk: i,
-            buf,
-        };
-        (cx.api.put)(staged).await?;
-        replaced += 1;
     }
-    info!(target: PART, "{PART}: event=laid_out model={} version={} replaced={replaced}", set.model, set.version);
-    Ok(())
+    Ok(bad)
+}
+
+async fn put(cx: &Cx, set: &Set, i: usize) -> Result<(), ApiError> {
+    let missing = || ApiError(format!("chunk {i} is missing"));
+    let staged = Staged {
+        model: set.model.clone(),
+        chunk: i,
+        buf: set.get(i).ok_or_else(missing)?,
+    };
+    (cx.api.put)(staged).await
 }
