Take the newest of two upstreams at one address

Cause: after all machines lost power engines were back in 0.9 s with weights that had outlasted it, and served little until 4 s after: the former incarnations stayed listed at the same addresses, were chosen half of the time and refused (421), which used up the retry budget; loaders' notes were taken for the former one.

Change: of entries with one address only the newest counts, by its row's revision; one that says it has another identity is left alone until its entry lapses; engines that serve nothing get no notice.

--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,10 +5,11 @@
 //! that are missing are kept as they were. A process that was merely cut off from a store that
 //! others could reach gets no such time, since nothing lapsed.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Map};
+use base::{DomainName, Map, Revision};
 use beacon::EngineNote;
 use log::info;
 
@@ -73,6 +74,7 @@
 
     /// Takes a whole list; `true` where anything changed.
     pub fn list(&self, all: Vec<Listed>, now: Instant) -> bool {
+        let all = newest_at_each_address(all);
         let mut state = self.state();
         state.known = true;
         let mut before = std::mem::take(&mut state.entries);
@@ -136,6 +138,18 @@
     }
 }
 
+/// Leaves out entries whose address a newer one has: an upstream that started again, or another that
+/// was given the address, is listed beside the former one until that one's entry lapses.
+fn newest_at_each_address(all: Vec<Listed>) -> Vec<Listed> {
+    let mut newest: Map<SocketAddr, Revision> = Map::default();
+    for listed in &all {
+        let revision = newest.entry(listed.addr).or_default();
+        *revision = listed.revision.max(*revision);
+    }
+    let is_newest = |l: &Listed| newest.get(&l.addr) == Some(&l.revision);
+    all.into_iter().filter(is_newest).collect()
+}
+
 fn relist(known: &Upstream, listed: Listed) -> bool {
     let leaving = listed.leaving;
     let differs = known.relist(listed);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -119,6 +119,10 @@
     let (head, body) = res.into_parts();
     let reply = (cx.codec.reply)(&head);
     let status = head.status.as_u16();
+    let replaced = |id: &String| *id != upstream.instance;
+    if status == MISDIRECTED && reply.instance.as_ref().is_some_and(replaced) {
+        report(upstream, Health::Replaced);
+    }
     if reply.not_run || status == MISDIRECTED {
         return Sent::NotRun(format!("status {status}"));
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Model};
+use base::{DomainName, Model, Revision};
 use beacon::{EngineNote, Holding, Load};
 use catalog::{ServiceName, WeightsVersion};
 
@@ -43,6 +43,20 @@
     pub leaving: bool,
     /// Weights it holds whole.
     pub holdings: Vec<Holding>,
+    /// Revision of its entry; grows with each of its heartbeats.
+    pub revision: Revision,
+}
+
+impl Listed {
+    /// Whether something other than a heartbeat's revision differs.
+    pub fn differs(&self, other: &Listed) -> bool {
+        let revision = self.revision;
+        *self
+            != Listed {
+                revision,
+                ..other.clone()
+            }
+    }
 }
 
 /// How sending to an upstream went.
@@ -54,6 +68,8 @@
     Failed,
     /// No connection came about.
     Unreachable,
+    /// Another incarnation or another service has its address.
+    Replaced,
 }
 
 #[derive(Debug)]
@@ -108,7 +124,7 @@
     /// Takes what the platform lists now; `true` where it differs.
     pub fn relist(&self, listed: Listed) -> bool {
         let mut state = self.state();
-        let differs = state.listed != listed;
+        let differs = state.listed.differs(&listed);
         state.listed = listed;
         differs
     }
@@ -184,6 +200,11 @@
             }
             Health::Failed => state.failures += 1,
             Health::Unreachable => state.failures = FAILURES_IN_A_ROW,
+            Health::Replaced => {
+                // Its entry lapses by itself within this time.
+                state.paused_until = Some(Instant::now() + LONGEST_PAUSE);
+                return true;
+            }
         }
         if state.failures < FAILURES_IN_A_ROW {
             return false;
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/roster.rs
@@ -21,6 +21,7 @@
         slots: 16,
         leaving: false,
         holdings: vec![holding(Some(1))],
+        revision: 1,
     }
 }
 
@@ -111,6 +112,37 @@
     assert_eq!(known(&roster, now + Duration::from_secs(9)), ["i-1", "i-2"]);
 }
 
+#[test]
+fn an_upstream_that_started_again_stands_in_for_the_former_one_at_once() {
+    let roster = roster();
+    let now = Instant::now();
+    let mut again = listed(1);
+    again.instance = "i-again".to_owned();
+    again.revision = 9;
+    let mut other_service = listed(2);
+    other_service.instance = "i-other".to_owned();
+    other_service.service = "registry".to_owned();
+    other_service.revision = 9;
+
+    roster.list(
+        vec![listed(1), again, other_service, listed(2), listed(3)],
+        now,
+    );
+
+    assert_eq!(known(&roster, now), ["i-3", "i-again"]);
+}
+
+#[test]
+fn a_heartbeat_alone_changes_nothing() {
+    let roster = roster();
+    let now = Instant::now();
+    roster.list(vec![listed(1)], now);
+    let mut beaten = listed(1);
+    beaten.revision = 2;
+
+    assert!(!roster.list(vec![beaten], now));
+}
+
 #[test]
 fn a_loaders_note_goes_before_the_list_and_an_older_note_is_nothing() {
     let roster = roster();
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -167,7 +167,7 @@
         }
         match wanted {
             Some(set) if idle || held.is_none() || Instant::now() >= self.turn(&set) => {
-                self.order(&set).await;
+                self.order(&set, held.is_some()).await;
             }
             _ => {}
         }
@@ -185,14 +185,14 @@
         )
     }
 
-    /// Lays a version out and has the engine take it.
-    async fn order(&mut self, set: &Set) {
+    /// Lays a version out and has the engine take it; one that `serves` gets notice.
+    async fn order(&mut self, set: &Set, serves: bool) {
         let version = set.version;
         self.ordered = Some(Ordered {
             version,
             at: Instant::now(),
         });
-        match self.give(set).await {
+        match self.give(set, serves).await {
             Ok(Started::Taken) => return,
             Ok(Started::Conflict(status)) => {
                 warn!(target: PART, "{PART}: event=order_conflict version={version} status={status}");
@@ -206,10 +206,12 @@
         self.cx.look.notify_one();
     }
 
-    async fn give(&self, set: &Set) -> Result<Started, ApiError> {
+    async fn give(&self, set: &Set, serves: bool) -> Result<Started, ApiError> {
         self.cx.leaving.store(true, Ordering::Relaxed);
         self.cx.look.notify_one();
-        tokio::time::sleep(LEAVE_NOTICE).await;
+        if serves {
+            tokio::time::sleep(LEAVE_NOTICE).await;
+        }
         lay_out(&self.cx, set).await?;
         let state = (self.cx.api.state)(()).await?;
         let start = Start {
