--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -37,7 +37,10 @@
     pub async fn open(addr: SocketAddr, within: Duration) -> std::io::Result<Connection> {
         let stream = tokio::time::timeout(within, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let socket = socket2::SockRef::from(&stream);
+        socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        // Closing resets: what is still on its way when a request is taken back must not arrive.
+        socket.set_linger(Some(Duration::ZERO))?;
         let (sender, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -27,6 +27,13 @@
 /// Part of the origin's connections that is used; some are still held by loaders that are gone.
 const ORIGIN_USE: f64 = 0.7;
 
+/// Time of one chunk from which on fewer are brought at once: the link is narrower than it should be,
+/// and requests to the engine wait behind the chunks.
+const SLOW: Duration = Duration::from_millis(700);
+
+/// What each chunk that comes sooner adds to how many are brought at once.
+const WIDEN: f64 = 0.25;
+
 /// Time between two looks at what has become available, and between two announcements.
 const TICK: Duration = Duration::from_millis(40);
 
@@ -46,6 +53,7 @@
 struct Fetched {
     i: usize,
     source: Source,
+    took: Duration,
     result: Result<Bytes, NoChunk>,
 }
 
@@ -68,6 +76,8 @@
     swarm: Swarm,
     rule: Rule,
     in_flight: HashSet<usize>,
+    /// How many chunks may be brought at once.
+    at_once: f64,
     from_origin: usize,
     origin_fetches: usize,
     origin_rests_until: Instant,
@@ -91,6 +101,7 @@
     let now = Instant::now();
     let rule = rule(&cx);
     let origin_fetches = origin_fetches(&cx);
+    let at_once = cx.cfg.fetches as f64;
     let mut fetch = Fetch {
         cx,
         set,
@@ -99,6 +110,7 @@
         swarm: Swarm::default(),
         rule,
         in_flight: HashSet::default(),
+        at_once,
         from_origin: 0,
         origin_fetches,
         origin_rests_until: now,
@@ -194,7 +206,7 @@
 
     /// Starts as many chunks as may be brought at once, the most urgent first.
     fn start(&mut self, fetching: &mut JoinSet<Fetched>) {
-        let most = self.cx.cfg.fetches as usize;
+        let most = self.at_once as usize;
         if self.in_flight.len() >= most {
             return;
         }
@@ -228,8 +240,15 @@
             let (cx, set) = (self.cx.clone(), self.set.clone());
             let (origin, client) = (self.origin.clone(), self.client.clone());
             fetching.spawn(async move {
+                let begun = Instant::now();
                 let result = bring(&cx, &set, origin, &client, i, source).await;
-                Fetched { i, source, result }
+                let took = begun.elapsed();
+                Fetched {
+                    i,
+                    source,
+                    took,
+                    result,
+                }
             });
         }
     }
@@ -240,7 +259,16 @@
     }
 
     fn took(&mut self, fetched: Fetched) {
-        let Fetched { i, source, result } = fetched;
+        let Fetched {
+            i,
+            source,
+            took,
+            result,
+        } = fetched;
+        self.at_once = match took > SLOW {
+            true => (self.at_once / 2.0).max(1.0),
+            false => (self.at_once + WIDEN).min(self.cx.cfg.fetches as f64),
+        };
         self.in_flight.remove(&i);
         match source {
             Source::Origin => self.from_origin -= 1,
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -19,7 +19,7 @@
 use crate::fetch::fetch;
 use crate::peers::{announce, ask_manifest, loaders};
 use crate::sets::Set;
-use crate::stage::{lay_out, read_back};
+use crate::stage::{lay_out, read_again, read_back};
 use crate::turn::begins;
 
 /// Log prefix of this part.
@@ -40,11 +40,11 @@
 /// Part of the bound that a whole rollout takes: bringing the chunks, and the engines' turns.
 const ROLLOUT_PART: f64 = 0.75;
 
-/// Time between telling gateways that the engine leaves service and laying the chunks out, which takes
-/// some 80 ms more, and then the order. Requests that have not
-/// begun by then wait until the engine has the new weights, or, should it freeze, begin on the old ones
-/// when it wakes. It costs nothing: the engine ends what runs all the while, which takes longer.
-const LEAVE_NOTICE: Duration = Duration::from_millis(220);
+/// Time between telling gateways that the engine leaves service and the order, in which the chunks are
+/// laid out too. Requests that have not begun by then wait until the engine has the new weights, or,
+/// should it freeze, begin on the old ones when it wakes. It costs nothing: the engine ends what runs
+/// all the while, which takes longer.
+const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
 /// Time given to an order's effect before it is given again.
 const ORDER_TIME: Duration = Duration::from_secs(4);
@@ -209,10 +209,13 @@
     async fn give(&self, set: &Set, serves: bool) -> Result<Started, ApiError> {
         self.cx.leaving.store(true, Ordering::Relaxed);
         self.cx.look.notify_one();
-        if serves {
-            tokio::time::sleep(LEAVE_NOTICE).await;
-        }
-        lay_out(&self.cx, set).await?;
+        let notice = match serves {
+            true => LEAVE_NOTICE,
+            false => Duration::ZERO,
+        };
+        let (_, laid_out) = tokio::join!(tokio::time::sleep(notice), lay_out(&self.cx, set));
+        laid_out?;
+        read_again(&self.cx, set).await?;
         let state = (self.cx.api.state)(()).await?;
         let start = Start {
             model: set.model.clone(),
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -110,11 +110,18 @@
     })
 }
 
+/// Chunks sent at once: one ends while the next begins. The others wait, since a chunk that comes
+/// sooner is passed on sooner.
+const AT_ONCE: usize = 2;
+
 /// What chunks are passed on with.
 #[derive(Debug)]
 pub(crate) struct Passing {
     pacer: Arc<Pacer>,
-    slots: Arc<Semaphore>,
+    /// Chunks that are sent or wait for it.
+    asked: Arc<Semaphore>,
+    /// Chunks that are sent; given in the order of asking.
+    sent: Arc<Semaphore>,
 }
 
 impl Passing {
@@ -123,30 +130,36 @@
         let link = (cfg.link_mbps * BYTES_PER_MBIT) as u64;
         Passing {
             pacer: Arc::new(Pacer::new(link, cfg.weight_share)),
-            slots: Arc::new(Semaphore::new(cfg.serves as usize)),
+            asked: Arc::new(Semaphore::new(cfg.serves as usize)),
+            sent: Arc::new(Semaphore::new(AT_ONCE)),
         }
     }
 }
 
 /// Answers other loaders.
-pub(crate) fn serve(cx: &Cx, passing: &Passing, req: &Request) -> Response {
+pub(crate) async fn serve(cx: Arc<Cx>, passing: Arc<Passing>, req: Request) -> Response {
     let path = req.uri().path();
     match (path.strip_prefix(CHUNKS), path.strip_prefix(MANIFESTS)) {
-        (Some(rest), _) => chunk(cx, passing, rest),
-        (_, Some(rest)) => manifest(cx, rest),
+        (Some(rest), _) => chunk(&cx, &passing, rest).await,
+        (_, Some(rest)) => manifest(&cx, rest),
         (None, None) => text(404, "use /chunks or /manifests\n"),
     }
 }
 
-fn chunk(cx: &Cx, passing: &Passing, rest: &str) -> Response {
+async fn chunk(cx: &Cx, passing: &Passing, rest: &str) -> Response {
     let found = rest.rsplit_once('/').and_then(|(set, i)| {
         let i = i.parse().ok()?;
         find(cx, set)?.get(i)
     });
-    match (found, passing.slots.clone().try_acquire_owned()) {
-        (None, _) => text(404, "no such chunk here\n"),
-        (Some(_), Err(_)) => text(BUSY, "too many chunks are being sent; ask again\n"),
-        (Some(buf), Ok(slot)) => Response::new(paced(buf, slot, passing.pacer.clone())),
+    let Some(buf) = found else {
+        return text(404, "no such chunk here\n");
+    };
+    let Ok(asked) = passing.asked.clone().try_acquire_owned() else {
+        return text(BUSY, "too many chunks are asked for; ask again\n");
+    };
+    match passing.sent.clone().acquire_owned().await {
+        Ok(sent) => Response::new(paced(buf, (asked, sent), passing.pacer.clone())),
+        Err(_) => text(BUSY, "the process is ending; ask another\n"),
     }
 }
 
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -41,14 +41,12 @@
     info!(target: PART, "{PART}: event=started vm={} engine={} incarnation={}", cx.cfg.node.vm, cx.cfg.engine, cx.incarnation);
     let serving = cx.clone();
     let passing = Arc::new(Passing::new(&cx.cfg));
+    let handler = move |req| serve(serving.clone(), passing.clone(), req);
     tokio::spawn(web::serve(
         listener,
         Bounds::internal(),
         cx.stop.clone(),
-        move |req| {
-            let res = serve(&serving, &passing, &req);
-            async move { res }
-        },
+        handler,
     ));
     let (tx, rx) = watch::channel(None);
     tokio::spawn(tell(cx.clone(), tx));
--- a/crates/loader/src/stage.rs
+++ b/crates/loader/src/stage.rs
@@ -23,15 +23,20 @@
     Ok(found)
 }
 
-/// Lays a whole set out and reads it back until all of it lies there as it should: what lies there may
-/// turn bad, and the engine doesn't check it.
+/// Lays a whole set out.
 pub(crate) async fn lay_out(cx: &Cx, set: &Set) -> Result<(), ApiError> {
     for i in 0..set.len() {
         put(cx, set, i).await?;
     }
+    Ok(())
+}
+
+/// Reads a set back until all of it lies at the engine as it should: what lies there may turn bad, and
+/// the engine doesn't check it.
+pub(crate) async fn read_again(cx: &Cx, set: &Set) -> Result<(), ApiError> {
     for _ in 0..READS {
         let bad = replace_bad(cx, set).await?;
-        info!(target: PART, "{PART}: event=laid_out model={} version={} replaced={bad}", set.model, set.version);
+        info!(target: PART, "{PART}: event=read_again model={} version={} replaced={bad}", set.model, set.version);
         if bad == 0 {
             return Ok(());
         }
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -251,7 +251,8 @@
     field(
         "serves",
         Count(12, 1, 256),
-        "Chunks passed on at once; loaders that ask beyond that are told to ask again.",
+        "Chunks that others may have asked for at once; loaders that ask beyond that are told to ask \
+         again.",
     ),
     field(
         "link_mbps",
