--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/keep.rs
@@ -20,7 +20,7 @@
 use crate::peers::{announce, ask_manifest, loaders};
 use crate::sets::Set;
 use crate::stage::{lay_out, read_again, read_back};
-use crate::turn::begins;
+use crate::turn::{begins, can_skip};
 
 /// Log prefix of this part.
 const PART: &str = "keep";
@@ -37,9 +37,6 @@
 /// Time that each loader in the order has for bringing a manifest before the next asks the origin.
 const MANIFEST_TURN: Duration = Duration::from_millis(120);
 
-/// Part of the bound that a whole rollout takes: bringing the chunks, and the engines' turns.
-const ROLLOUT_PART: f64 = 0.75;
-
 /// Time between telling gateways that the engine leaves service and the order, in which the chunks are
 /// laid out too. Requests that have not begun by then wait until the engine has the new weights, or,
 /// should it freeze, begin on the old ones when it wakes. It costs nothing: the engine ends what runs
@@ -140,7 +137,7 @@
     fn can_skip(&self, model: &Model, version: WeightsVersion) -> bool {
         let bound = self.cx.cfg.node.version_time;
         let since = self.since(model, version);
-        since.is_none_or(|at| at.elapsed() + bound.mul_f64(ROLLOUT_PART) <= bound)
+        since.is_none_or(|at| can_skip(at.elapsed(), bound))
     }
 
     /// Has the engine take the newest version that is here whole, when its turn has come.
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -18,6 +18,11 @@
 /// weights, before the bound.
 const LAST_PART: f64 = 0.78;
 
+/// Part of the bound that a whole rollout takes: bringing the chunks, and the turns. All loaders must
+/// decide alike on it, so it doesn't end at two seconds before the bound, by which releases often follow
+/// each other.
+const ROLLOUT_PART: f64 = 0.68;
+
 /// Place of a VM among all that take a version, from 0 for the first to 1 for the last.
 pub fn place(own: &VmId, others: &[VmId], version: WeightsVersion) -> f64 {
     let key = version.to_le_bytes();
@@ -38,3 +43,9 @@
     let place = place(own, others, version);
     since + bound.mul_f64(FIRST_PART + (LAST_PART - FIRST_PART) * place)
 }
+
+/// Whether a version released so long ago may be left out for one that was released just now: whether
+/// the newer one can be everywhere before the bound of the older one.
+pub fn can_skip(elapsed: Duration, bound: Duration) -> bool {
+    elapsed + bound.mul_f64(ROLLOUT_PART) <= bound
+}
--- a/crates/loader/tests/turns.rs
+++ b/crates/loader/tests/turns.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use loader::api::Manifest;
 use loader::sets::{Set, Sets};
-use loader::turn::{begins, place};
+use loader::turn::{begins, can_skip, place};
 use proptest::prelude::*;
 use sha2::{Digest, Sha256};
 
@@ -61,6 +61,17 @@
     }
 }
 
+#[test]
+fn all_loaders_decide_alike_on_leaving_a_version_out() {
+    // What they know of the two releases' times differs by the way that the news took.
+    let skew = Duration::from_millis(400);
+    let soon = Duration::from_secs(2);
+    let late = Duration::from_secs(4);
+
+    assert!(can_skip(soon - skew, BOUND) && can_skip(soon + skew, BOUND));
+    assert!(!can_skip(late - skew, BOUND) && !can_skip(late + skew, BOUND));
+}
+
 #[test]
 fn a_lone_vm_begins_with_the_first() {
     assert_eq!(place(&"vm-0".to_owned(), &[], 2), 0.0);
