Names of the field, dead fields removed, quoted reasons in log lines; defaults of the agent restored

Modules were named after what they looked like rather than after what they decide; the adapter decoded fields that nothing used.

--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -10,24 +10,10 @@
 pub struct Engine {
     /// Models.
     pub models: Vec<Model>,
-    /// Requests in a batch.
-    pub slots: u32,
-    /// Tokens that fit into memory.
-    pub kv_tokens: u64,
     /// Layers of a model.
     pub layers: u32,
-    /// Chunks that the weights consist of.
-    pub chunks: u32,
-    /// Size of a chunk, in bytes.
-    pub chunk_bytes: u32,
-    /// Time an engine takes to put staged weights into use.
-    pub warm_time: Duration,
-    /// Time of one token step of a batch.
-    pub step: Duration,
     /// Prompt tokens read in a second.
     pub prompt_rate: f64,
-    /// Mean size of an answer, in tokens.
-    pub usual_answer: u32,
 }
 
 impl Engine {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -53,8 +53,6 @@
     pub head_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for a whole head.
-    pub head_time: Duration,
     /// Longest rest of an open connection.
     pub idle_time: Duration,
 }
@@ -64,8 +62,6 @@
 pub struct Service {
     /// Name.
     pub name: ServiceName,
-    /// Connections that each of its upstreams takes from all callers together.
-    pub max_connections: u32,
     /// How its upstreams run models; `None` for a plain service.
     pub engine: Option<Engine>,
     /// Where its weights are drawn from; `None` where it isn't an origin.
@@ -145,12 +141,6 @@
         self.services.get(name)
     }
 
-    /// The service with engines that runs a model.
-    pub fn service_of(&self, model: &str) -> Option<&Arc<Service>> {
-        let runs = |s: &&Arc<Service>| s.engine.as_ref().is_some_and(|e| e.runs(model));
-        self.services.values().find(runs)
-    }
-
     /// The origin of weights.
     pub fn origin(&self) -> Option<&Origin> {
         self.services.values().find_map(|s| s.origin.as_ref())
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -54,8 +54,6 @@
     pub timeout: Duration,
     /// Time within which an answer, or the first event of a stream, is of full use.
     pub objective: Duration,
-    /// Longest pause between events within the objective.
-    pub event_gap: Option<Duration>,
     /// Most upstreams that one attempt of the caller may be sent to.
     pub max_attempts: u32,
     /// Rank, 0 being the most urgent.
@@ -79,10 +77,4 @@
         }
         &self.shares[self.shares.len() - 1].service
     }
-
-    /// Whether the route leads to a service at all.
-    pub fn leads_to(&self, service: &str) -> bool {
-        let leads = |s: &Share| s.service == service && s.weight > 0;
-        self.shares.iter().any(leads)
-    }
 }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -13,8 +13,8 @@
 use tokio::sync::Notify;
 
 use crate::Cx;
+use crate::balance::{Pick, pick};
 use crate::call::Job;
-use crate::pick::{Pick, pick};
 use crate::refusal::Refusal;
 use crate::upstream::{Slot, Upstream};
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,25 +2,25 @@
 //!
 //! A request is followed through these modules in order: [`serve`] accepts its connection,
 //! [`handle`] finds its route and workspace and reads its body, [`admission`] waits for a slot that
-//! [`pick`] chooses, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
+//! [`balance`] chooses, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
 //! [`record`] says in one log line what became of it.
 //!
 //! What a request says of itself travels in headers whose names belong to the platform; [`Codec`]
 //! holds the functions that read and write them.
 
 pub mod admission;
-pub mod budget;
+pub mod balance;
 pub mod call;
 mod connection;
 pub mod events;
 mod handle;
 mod load;
-pub mod pick;
+pub mod membership;
 mod record;
 pub mod refusal;
 mod relay;
 pub mod release;
-pub mod roster;
+pub mod retry;
 mod send;
 mod serve;
 pub mod upstream;
@@ -34,11 +34,11 @@
 use tokio::sync::watch;
 
 use crate::admission::Admission;
-use crate::budget::RetryBudget;
 use crate::call::Codec;
 use crate::load::LoadBook;
+use crate::membership::Roster;
 use crate::release::Releases;
-use crate::roster::Roster;
+use crate::retry::RetryBudget;
 
 pub use serve::run;
 
@@ -81,8 +81,6 @@
     pub loader_beacons: Vec<std::net::SocketAddr>,
     /// Where other gateways take datagrams.
     pub gateway_beacons: Vec<std::net::SocketAddr>,
-    /// Where other gateways pass their copies of documents on.
-    pub gateway_copies: Vec<std::net::SocketAddr>,
 }
 
 impl Cx {
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/membership.rs
@@ -16,7 +16,7 @@
 use crate::upstream::{InstanceId, Listed, Upstream};
 
 /// Log prefix of this part.
-const PART: &str = "roster";
+const PART: &str = "membership";
 
 /// An upstream, and until when it is kept although it is missing from the list.
 #[derive(Debug)]
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -99,7 +99,7 @@
         }
         info!(
             target: PART,
-            "{PART}: id={} route={} service={} workspace={} revision={} patience_ms={} tries={} ending={ending} status={status} why={why} first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
+            "{PART}: id={} route={} service={} workspace={} revision={} patience_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
             self.id, self.route, self.service, self.workspace, self.revision, self.patience_ms, self.tries, self.longest_gap_ms,
         );
     }
--- a/crates/gateway/tests/roster.rs
+++ b/crates/gateway/tests/membership.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use beacon::{EngineNote, Holding};
-use gateway::roster::Roster;
+use gateway::membership::Roster;
 use gateway::upstream::Listed;
 
 const RETURN_TIME: Duration = Duration::from_secs(2);
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -1,6 +1,6 @@
 //! Brings released weights to the engine beside it, and passes chunks on to other loaders.
 //!
-//! [`keep`] decides what the engine is to hold and runs the steps: [`fetch`] brings the chunks that
+//! [`rollout`] decides what the engine is to hold and runs the steps: [`fetch`] brings the chunks that
 //! are missing from other loaders and the origin into [`sets`], [`stage`] lays them out at the
 //! engine and reads them back, [`turn`] says when the engine may leave service to take them, and
 //! [`tell`] tells gateways what it serves. How to talk to the engine and to the origin belongs to
@@ -8,8 +8,8 @@
 
 pub mod api;
 mod fetch;
-mod keep;
 mod peers;
+mod rollout;
 mod run;
 pub mod sets;
 mod stage;
--- a/crates/loader/src/keep.rs
+++ b/crates/loader/src/rollout.rs
@@ -23,7 +23,7 @@
 use crate::turn::{begins, can_skip};
 
 /// Log prefix of this part.
-const PART: &str = "keep";
+const PART: &str = "rollout";
 
 /// Time between two looks at what is to be done.
 const TICK: Duration = Duration::from_millis(100);
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -10,8 +10,8 @@
 use tokio::sync::{Notify, watch};
 use web::Bounds;
 
-use crate::keep::keep;
 use crate::peers::{Passing, Peers, answer, serve};
+use crate::rollout::keep;
 use crate::sets::Sets;
 use crate::tell::tell;
 use crate::{Cx, Wiring};
--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -52,13 +52,6 @@
         true
     }
 
-    /// Notes that the store has just confirmed the copy held.
-    pub fn confirm(&self, name: DocName) {
-        if let Some(copy) = self.lock().get_mut(name) {
-            copy.confirmed = Instant::now();
-        }
-    }
-
     /// The copy held.
     pub fn get(&self, name: DocName) -> Option<Copy> {
         self.lock().get(name).cloned()
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -550,7 +550,7 @@
     ),
     field(
         "engine_slots",
-        Count(8, 1, 64),
+        Count(2, 1, 64),
         "Versions the engine can hold at once. With 1 a change of version drains first.",
     ),
     field(
@@ -576,7 +576,7 @@
     field("fetches", Count(6, 1, 256), "Chunks fetched at once."),
     field(
         "serves",
-        Count(12, 1, 256),
+        Count(6, 1, 256),
         "Chunks sent to peers at once; more are refused and asked for again.",
     ),
     field(
