Keep the last event passed on over a second break of a stream

Cause: a stream that went on at a second upstream forgot which event it had passed on last, so that where that one broke off before its first event, and the route allows three attempts, the third was asked to begin anew and the caller got events twice. Also the prompt of a stream that had gone on counted as unread until its end. Found by reading: the reader of events had a function to drop a part of an event that nothing called, because each upstream got a reader of its own.

Change: one reader for the whole stream; the prompt counts as read with the first event of each upstream.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -81,12 +81,7 @@
             job: job.clone(),
             service: service.clone(),
             head,
-            source: Source {
-                body,
-                _connection: connection,
-                slot,
-                events: Events::default(),
-            },
+            source: Source::new(body, connection, slot, Events::default()),
         }
     }
 
@@ -100,10 +95,20 @@
 }
 
 impl Source {
+    fn new(body: Incoming, connection: Connection, slot: Slot, events: Events) -> Source {
+        Source {
+            body,
+            _connection: connection,
+            slot,
+            events,
+        }
+    }
+
     async fn next(&mut self, deadline: Instant, patience: Duration) -> Next {
         let until = (Instant::now() + patience).min(deadline);
         loop {
             if let Some(whole) = self.events.take() {
+                self.slot.begun();
                 return Next::Events(whole);
             }
             let frame = tokio::time::timeout_at(until.into(), self.body.frame()).await;
@@ -132,7 +137,6 @@
     let next = stream.source.next(stream.job.deadline, patience).await;
     match next {
         Next::Events(first) => {
-            stream.source.slot.begun();
             report(stream.source.slot.upstream(), Health::Answered);
             Ok(Begun {
                 stream,
@@ -257,12 +261,10 @@
         self.record.tried(&slot.upstream().instance, sent.name());
         match sent {
             Sent::Answer(answer) if answer.head.status.is_success() => {
-                self.stream.source = Source {
-                    body: answer.body,
-                    _connection: answer.connection,
-                    slot,
-                    events: Events::default(),
-                };
+                // The last event passed on is kept, should this upstream break off before its first.
+                let mut events = std::mem::take(&mut self.stream.source.events);
+                events.drop_part();
+                self.stream.source = Source::new(answer.body, answer.connection, slot, events);
                 Ok(())
             }
             _ => cut(&mut self.record, "no upstream went on"),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -254,6 +254,9 @@
 
     /// Notes that the prompt has been read: the first event came.
     pub fn begun(&mut self) {
+        if self.unread == 0 {
+            return;
+        }
         let mut state = self.upstream.state();
         state.unread = state.unread.saturating_sub(self.unread);
         self.unread = 0;
