--- a/crates/beacon/src/member.rs
+++ b/crates/beacon/src/member.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use base::{DomainName, Incarnation, VmId};
+use base::{DomainName, VmId};
 use serde::{Deserialize, Serialize};
 
 /// What a process does.
@@ -23,8 +23,6 @@
     pub role: Role,
     /// Failure domain.
     pub domain: DomainName,
-    /// Incarnation.
-    pub incarnation: Incarnation,
     /// Where it takes datagrams.
     pub beacon: SocketAddr,
     /// Where it passes on copies of documents (gateway) or chunks (loader).
--- a/crates/beacon/src/socket.rs
+++ b/crates/beacon/src/socket.rs
@@ -30,11 +30,6 @@
         Ok(Beacon { socket })
     }
 
-    /// Address it is bound to.
-    pub fn local_addr(&self) -> std::io::Result<SocketAddr> {
-        self.socket.local_addr()
-    }
-
     /// Sends a message to each receiver; one that can't be sent is dropped, for the next one
     /// states the same.
     pub fn send(&self, msg: &Msg, to: impl IntoIterator<Item = SocketAddr>) {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -97,16 +97,6 @@
         }
     }
 
-    /// Requests waiting.
-    pub fn len(&self) -> usize {
-        self.waiting().lines.values().map(BTreeSet::len).sum()
-    }
-
-    /// Whether nobody waits.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
     fn enter<'a>(&'a self, service: &'a ServiceName, priority: u8) -> Ticket<'a> {
         let mut waiting = self.waiting();
         let place = (priority, waiting.next);
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -109,8 +109,6 @@
     pub service: ServiceName,
     /// Who called; `None` on public routes without a known key.
     pub tenant: Option<Arc<Tenant>>,
-    /// Revision of the configuration that decided.
-    pub revision: u64,
     /// When its head was read.
     pub arrived: Instant,
     /// When it gets its final answer at the latest.
@@ -129,6 +127,15 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// How long a silent upstream is waited for: a request that may be sent again isn't left with one
+    /// for longer than `stall_time`.
+    pub fn patience(&self, stall_time: Duration) -> Duration {
+        match self.repeatable() {
+            true => self.remaining().min(stall_time),
+            false => self.remaining(),
+        }
+    }
+
     /// Whether it may be sent again after it may have run.
     pub fn repeatable(&self) -> bool {
         self.route.kind.repeatable()
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use catalog::{Access, Catalog, Kind, Service, Tenant};
+use catalog::{Access, Catalog, Service, Tenant};
 use hyper::http::request;
 use log::debug;
 use rand::RngExt;
@@ -16,7 +16,7 @@
 use crate::record::{Ending, Record};
 use crate::refusal::Refusal;
 use crate::relay::{self, Stream};
-use crate::send::{Answer, Sent, read_whole, report, send};
+use crate::send::{Answer, Sent, patience, read_whole, report, send};
 use crate::upstream::{Health, Slot, Upstream};
 
 /// Log prefix of this part.
@@ -83,7 +83,6 @@
         route,
         service: service.name.clone(),
         tenant,
-        revision: catalog.revision,
         arrived,
         deadline: arrived + patience,
     };
@@ -232,23 +231,8 @@
     (attempts || (tries.sent > 0 && !pays())).then_some(Refusal::NotTaken(NOT_TAKEN_RETRY))
 }
 
-/// How long an answer is waited for: a request that may be sent again isn't left with a silent
-/// upstream, nor queued at one whose version is about to be too old to begin it.
-pub(crate) fn patience(cx: &Cx, job: &Job, slot: &Slot) -> Duration {
-    if !job.repeatable() {
-        return job.remaining();
-    }
-    let begin_by = match (&job.call.model, slot.version) {
-        (Some(model), Some(version)) => cx.releases.may_begin_until(model, version),
-        _ => None,
-    };
-    let left = begin_by.map(|at| at.saturating_duration_since(Instant::now()));
-    let patience = job.remaining().min(cx.cfg.stall_time);
-    left.map_or(patience, |left| left.min(patience))
-}
-
 fn streams(job: &Job, answer: &Answer) -> bool {
-    matches!(job.route.kind, Kind::Stream { .. }) && answer.head.status.is_success()
+    job.route.kind.is_stream() && answer.head.status.is_success()
 }
 
 /// Reads an answer to its end, so that one that breaks off is never passed on as whole.
@@ -265,13 +249,13 @@
             if !head.status.is_server_error() {
                 report(slot.upstream(), Health::Answered);
             }
-            let reply = (cx.codec.reply)(&head);
             let mut res = Response::new(full(buf));
             *res.status_mut() = head.status;
             *res.headers_mut() = (cx.codec.back)(&head.headers);
-            // A status that promises what the upstream did not say isn't passed on.
+            // A status that promises what the upstream did not say isn't passed on; where it did say so,
+            // this was no answer but a refusal.
             let promises = matches!(head.status.as_u16(), 408 | 429 | 503);
-            match promises && !reply.not_run && !job.repeatable() {
+            match promises && !job.repeatable() {
                 true => Err(format!("status {} without a refusal", head.status)),
                 false => Ok(res),
             }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,9 +21,8 @@
 use crate::call::Job;
 use crate::connection::Connection;
 use crate::events::Events;
-use crate::handle::patience;
 use crate::record::{Ending, Record};
-use crate::send::{Answer, Sent, report, send};
+use crate::send::{Answer, Sent, patience, report, send};
 use crate::upstream::{Health, Slot, Upstream};
 
 /// How long a stream that is to go on waits for an upstream with room.
@@ -84,14 +83,6 @@
             source: Source::new(body, connection, slot, Events::default()),
         }
     }
-
-    /// Longest silence after which a stream is taken elsewhere.
-    fn patience(&self) -> Duration {
-        match self.job.repeatable() {
-            true => self.cx.cfg.stall_time,
-            false => self.job.remaining(),
-        }
-    }
 }
 
 impl Source {
@@ -134,28 +125,23 @@
     sent: u32,
 ) -> Result<Begun, String> {
     let patience = patience(&stream.cx, &stream.job, &stream.source.slot);
-    let next = stream.source.next(stream.job.deadline, patience).await;
-    match next {
+    let first = match stream.source.next(stream.job.deadline, patience).await {
         Next::Events(first) => {
             report(stream.source.slot.upstream(), Health::Answered);
-            Ok(Begun {
-                stream,
-                first,
-                tried,
-                sent,
-            })
+            first
         }
-        Next::End => Ok(Begun {
-            stream,
-            first: Bytes::new(),
-            tried,
-            sent,
-        }),
+        Next::End => Bytes::new(),
         Next::Broken(why) => {
             report(stream.source.slot.upstream(), Health::Failed);
-            Err(why)
+            return Err(why);
         }
-    }
+    };
+    Ok(Begun {
+        stream,
+        first,
+        tried,
+        sent,
+    })
 }
 
 /// What is left of a stream after its first event.
@@ -208,7 +194,7 @@
             return Ok(Some(first));
         }
         loop {
-            let patience = self.stream.patience();
+            let patience = self.stream.job.patience(self.stream.cx.cfg.stall_time);
             let deadline = self.stream.job.deadline;
             match self.stream.source.next(deadline, patience).await {
                 Next::Events(bytes) => {
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -3,7 +3,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Map, Model};
+use base::{Map, Model, Revision};
 use catalog::{Release, ReleaseList, WeightsVersion};
 use tokio::sync::watch;
 
@@ -68,6 +68,12 @@
         }
     }
 
+    /// The newest releases, where they are newer than a revision.
+    pub fn newer_than(&self, revision: Revision) -> Option<ReleaseList> {
+        let newest = self.newest.borrow();
+        (newest.revision > revision).then(|| newest.clone())
+    }
+
     /// Told of the newest releases.
     pub fn newest(&self) -> watch::Receiver<ReleaseList> {
         self.newest.subscribe()
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream, and sorts what came back by what may be said of it.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -88,6 +88,20 @@
     }
 }
 
+/// How long an answer is waited for: a request that may be sent again isn't left with a silent
+/// upstream, nor queued at one whose version is about to be too old to begin it.
+pub fn patience(cx: &Cx, job: &Job, slot: &Slot) -> Duration {
+    let patience = job.patience(cx.cfg.stall_time);
+    let begin_by = match (&job.call.model, slot.version) {
+        (Some(model), Some(version)) if job.repeatable() => {
+            cx.releases.may_begin_until(model, version)
+        }
+        _ => None,
+    };
+    let left = begin_by.map(|at| at.saturating_duration_since(Instant::now()));
+    left.map_or(patience, |left| left.min(patience))
+}
+
 fn request(
     cx: &Cx,
     job: &Job,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -198,9 +198,8 @@
                 cx.loads.take(note);
             }
             Msg::Engine(note) => {
-                let newest = cx.releases.newest().borrow().clone();
-                if note.releases < newest.revision {
-                    beacon.send(&Msg::Releases(newest), [from]);
+                if let Some(newer) = cx.releases.newer_than(note.releases) {
+                    beacon.send(&Msg::Releases(newer), [from]);
                 }
                 if cx.roster.note(note) {
                     cx.admission.freed().notify_one();
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -6,7 +6,8 @@
 use saphyr::{LoadableYamlNode, MarkedYaml, YamlData};
 use table::Fault;
 
-use crate::field::{AGENT, COMMON, ENTRY, GATEWAY, LOADER, NODE, OPERATOR, PROCESS, TABLE};
+use crate::field::{AGENT, COMMON, ENTRY, OPERATOR, PROCESS, TABLE};
+use crate::node::{GATEWAY, LOADER, NODE};
 use crate::value::{self, Value, Values};
 use crate::{AgentCfg, EntryCfg, Field, GatewayCfg, LoaderCfg, LogCfg, OperatorCfg, Role};
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod check;
 pub mod field;
+pub mod node;
 pub mod role;
 pub mod value;
 
--- /dev/null
+++ b/crates/settings/src/node.rs
@@ -0,0 +1,157 @@
+//! Declarations of the fields of gateways and loaders.
+
+use crate::Field;
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Name, Ratio};
+use crate::field::field;
+
+/// Fields of the roles that run by the configuration in the platform's store.
+pub const NODE: &[Field] = &[
+    field("vm", Name, "Id of this VM."),
+    field("domain", Name, "Failure domain of this VM."),
+    field("beacon", Addr, "Datagrams from other processes."),
+    field("metrics", Addr, "Metrics, in the Prometheus text format."),
+    field("store", Addr, "The platform's store."),
+    field(
+        "store_timeout",
+        Duration("700ms", "50ms", "60s"),
+        "Longest wait for one answer of the store. Raise it where the store is slow but up.",
+    ),
+    field(
+        "seeds",
+        Addrs,
+        "Where some gateways pass on their copies of documents; asked at the start while the store \
+         can't be reached.",
+    ),
+    field(
+        "version_time",
+        Duration("8s", "1s", "1h"),
+        "Time after a release in which all engines are to hold the new version; afterwards no \
+         request begins on an older one.",
+    ),
+    field(
+        "contact_time",
+        Duration("3s", "100ms", "1m"),
+        "Time after a disturbance from when on a process is held to its bounds again.",
+    ),
+];
+
+/// Fields of a gateway.
+pub const GATEWAY: &[Field] = &[
+    field("listen", Addr, "Callers' requests."),
+    field("ready", Addr, "Readiness, asked by the balancer."),
+    field(
+        "copies",
+        Addr,
+        "Copies of documents for processes that can't reach the store.",
+    ),
+    field(
+        "list_poll",
+        Duration("900ms", "50ms", "1m"),
+        "Time between two reads of the list of upstreams. An upstream that leaves gets work for at \
+         most this long.",
+    ),
+    field(
+        "return_time",
+        Duration("2s", "0ms", "1m"),
+        "Time after the store was away in which entries that lapsed meanwhile may come back.",
+    ),
+    field(
+        "connect_timeout",
+        Duration("300ms", "10ms", "10s"),
+        "Longest wait for a connection to an upstream.",
+    ),
+    field(
+        "stall_time",
+        Duration("1200ms", "100ms", "1m"),
+        "Silence of an upstream after which a request that may run twice is sent to another.",
+    ),
+    field(
+        "retry_window",
+        Duration("10s", "1s", "10m"),
+        "Window of the budget of requests sent again.",
+    ),
+    field(
+        "retry_ratio",
+        Ratio(0.2, 0.0, 1.0),
+        "Part of the requests of a window that all gateways together may send again.",
+    ),
+    field(
+        "retry_slack",
+        Count(20, 0, 100_000),
+        "Requests of a window that all gateways together may send again beside `retry_ratio`.",
+    ),
+    field(
+        "stop_notice",
+        Duration("2500ms", "0ms", "1m"),
+        "Time at a planned stop in which connections are still taken, until the balancer notices.",
+    ),
+    field(
+        "drain_timeout",
+        Duration("5s", "0ms", "1h"),
+        "Longest wait for running requests at a planned stop, after `stop_notice`.",
+    ),
+];
+
+/// Fields of a loader.
+pub const LOADER: &[Field] = &[
+    field("service", Name, "Service that the engine belongs to."),
+    field("engine", Addr, "The engine beside the loader."),
+    field("chunks", Addr, "Chunks for other loaders."),
+    field(
+        "engine_poll",
+        Duration("250ms", "10ms", "1m"),
+        "Time between two reads of the engine's state.",
+    ),
+    field(
+        "chunk_timeout",
+        Duration("1500ms", "50ms", "1m"),
+        "Longest wait for one chunk from another loader or the origin.",
+    ),
+    field(
+        "chunk_bytes",
+        Bytes("1MiB", "1KiB", "1GiB"),
+        "Largest chunk taken from another loader.",
+    ),
+    field(
+        "fetches",
+        Count(8, 1, 64),
+        "Chunks brought at once. More fill a link better and delay each chunk, and requests to the \
+         engine behind them.",
+    ),
+    field(
+        "serves",
+        Count(12, 1, 256),
+        "Chunks that others may have asked for at once; loaders that ask beyond that are told to ask \
+         again.",
+    ),
+    field(
+        "link_mbps",
+        Ratio(0.0, 0.0, 1_000_000.0),
+        "Rate of this VM's link in Mbit/s, which weights are paced by; 0 paces nothing.",
+    ),
+    field(
+        "weight_share",
+        Count(92, 1, 100),
+        "Percentage of the link that weights may take, so that answers of the engine get through.",
+    ),
+    field(
+        "settle_time",
+        Duration("30ms", "0ms", "10s"),
+        "Time after a release in which nothing is drawn from the origin, so that all know of it.",
+    ),
+    field(
+        "origin_patience",
+        Duration("900ms", "0ms", "1m"),
+        "Time without a chunk from others after which a loader draws out of turn.",
+    ),
+    field(
+        "bad_chunks",
+        Count(3, 1, 1000),
+        "Bad chunks after which a loader is no longer asked.",
+    ),
+    field(
+        "bad_time",
+        Duration("10s", "0ms", "1h"),
+        "How long a loader that sent bad chunks is not asked.",
+    ),
+];
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -230,7 +230,7 @@
 }
 
 cfg! {
-    /// Settings of a gateway; [`crate::field::GATEWAY`] says what each is for.
+    /// Settings of a gateway; [`crate::node::GATEWAY`] says what each is for.
     GatewayCfg (node: NodeCfg) {
         listen: SocketAddr = addr,
         ready: SocketAddr = addr,
@@ -248,7 +248,7 @@
 }
 
 cfg! {
-    /// Settings of a loader; [`crate::field::LOADER`] says what each is for.
+    /// Settings of a loader; [`crate::node::LOADER`] says what each is for.
     LoaderCfg (node: NodeCfg) {
         service: String = text,
         engine: SocketAddr = addr,
