Draw chunks one after the other, spread the asking for manifests, keep an older version coming until the newer one can be had

Loaders left the older version at once, and when the origin came back all 76 asked it for the manifest, or the one loader that had it; each answer came later than its timeout, so loaders began over two to five seconds, took each other for absent and drew chunks twice.

Ruled out: the links between regions (0.06 GB); a lack of sources near (an engine that is added later has its weights after 2.8 s).

Change: a chunk is drawn when the origin's link is free for it if all draw in order (its rate stands in the configuration). Manifests come from any loader that tells of the version, after a random wait in proportion to loaders and holders; the origin is asked the more seldom the later a loader comes. Older versions are given up when the newer one's manifest is here.

--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -14,6 +14,8 @@
     pub layers: u32,
     /// Prompt tokens read in a second.
     pub prompt_rate: f64,
+    /// Size of a chunk of weights, in bytes; 0 where it isn't known.
+    pub chunk_bytes: u64,
 }
 
 impl Engine {
@@ -35,4 +37,16 @@
     pub addr: SocketAddr,
     /// Connections it takes.
     pub max_connections: u32,
+    /// Rate of its link, in Mbit/s; 0 where it isn't known.
+    pub link_mbps: f64,
+}
+
+impl Origin {
+    /// Time in which its link carries some bytes.
+    pub fn carry_time(&self, bytes: u64) -> Duration {
+        match self.link_mbps > 0.0 {
+            true => Duration::from_secs_f64(bytes as f64 * 8.0 / (self.link_mbps * 1e6)),
+            false => Duration::ZERO,
+        }
+    }
 }
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -9,6 +9,7 @@
 use beacon::Member;
 use bytes::Bytes;
 use log::{debug, info, warn};
+use rand::RngExt;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
 use web::{Client, empty, read_body};
@@ -54,9 +55,13 @@
 /// Time after the beginning in which loaders are counted on that said nothing yet.
 const SETTLED: Duration = Duration::from_millis(400);
 
-/// Pause after the origin failed, so that it isn't asked in a tight loop.
+/// Pause after the origin failed, so that it isn't asked in a tight loop, where up to
+/// [`ORIGIN_PAUSE_LOADERS`] loaders do so; where there are more, it grows with them.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
 
+/// Loaders that may each ask an origin that is away five times a second.
+const ORIGIN_PAUSE_LOADERS: usize = 16;
+
 /// What bringing one chunk came to.
 struct Fetched {
     i: usize,
@@ -88,6 +93,8 @@
     at_once: f64,
     from_origin: usize,
     origin_fetches: usize,
+    /// Time in which the origin's link carries a chunk.
+    chunk_time: Duration,
     origin_rests_until: Instant,
     begun: Instant,
     progress: Instant,
@@ -111,7 +118,6 @@
     let origin_fetches = origin_fetches(&cx);
     let at_once = cx.cfg.fetches as f64;
     let mut fetch = Fetch {
-        cx,
         set,
         origin,
         client,
@@ -121,10 +127,12 @@
         at_once,
         from_origin: 0,
         origin_fetches,
+        chunk_time: chunk_time(&cx),
         origin_rests_until: now,
         begun: now,
         progress: now,
         counts: Counts::default(),
+        cx,
     };
     announce(&fetch.cx, &fetch.set, true, Reach::All);
     let mut fetching = JoinSet::new();
@@ -201,6 +209,18 @@
     (part as usize).clamp(1, ORIGIN_FETCHES)
 }
 
+/// Time in which the origin's link carries a chunk; zero where its rate isn't known.
+fn chunk_time(cx: &Cx) -> Duration {
+    let catalog = cx.catalog.borrow();
+    let origin = catalog.as_ref().and_then(|c| c.origin());
+    let service = catalog.as_ref().and_then(|c| c.service(&cx.service));
+    let engine = service.and_then(|s| s.engine.as_ref());
+    match (origin, engine) {
+        (Some(origin), Some(engine)) => origin.carry_time(engine.chunk_bytes),
+        _ => Duration::ZERO,
+    }
+}
+
 fn rule(cx: &Cx) -> Rule {
     let mut permitted: Vec<_> = loaders(cx).into_iter().map(|m| m.domain).collect();
     permitted.push(cx.cfg.node.domain.clone());
@@ -278,7 +298,7 @@
             match source {
                 Source::Origin => {
                     let rests = Instant::now() < self.origin_rests_until;
-                    if rests || self.from_origin >= self.origin_fetches {
+                    if rests || !self.is_due(i) || self.from_origin >= self.origin_fetches {
                         continue;
                     }
                     self.from_origin += 1;
@@ -302,6 +322,19 @@
         }
     }
 
+    /// Whether the origin's link is free for a chunk, if all loaders draw their chunks in order at the
+    /// rate of the link. Drawn all at once, they share the link, and the first comes as late as the
+    /// last; one after the other, each is passed on while the next is drawn.
+    fn is_due(&self, i: usize) -> bool {
+        self.begun.elapsed() >= self.chunk_time * i as u32
+    }
+
+    fn origin_pause(&self) -> Duration {
+        let loaders = self.swarm.peers().len() + 1;
+        let more = (loaders as f64 / ORIGIN_PAUSE_LOADERS as f64).max(1.0);
+        ORIGIN_PAUSE.mul_f64(more * rand::rng().random_range(0.5..1.5))
+    }
+
     fn is_near(&self, addr: SocketAddr) -> bool {
         let near = |p: &&Peer| p.addr == addr && p.domain == self.rule.domain;
         self.swarm.peers().iter().any(|p| near(&p))
@@ -358,7 +391,7 @@
                     debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
                 }
                 self.counts.failed += 1;
-                self.origin_rests_until = Instant::now() + ORIGIN_PAUSE;
+                self.origin_rests_until = Instant::now() + self.origin_pause();
             }
         }
     }
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -28,8 +28,9 @@
 /// Bytes a second of one Mbit/s.
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
-/// Longest wait for a manifest from another loader; a few kilobytes within the fleet.
-const MANIFEST_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest wait for a manifest from another loader: a few kilobytes, which may have to wait for chunks
+/// on its link.
+const MANIFEST_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Largest manifest taken, in bytes.
 const MAX_MANIFEST: usize = 4 << 20;
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -1,7 +1,8 @@
 //! Keeps the engine on the newest version that was released.
 
-use std::sync::Arc;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::rendezvous::rank;
@@ -10,8 +11,9 @@
 use catalog::{Catalog, FIRST_VERSION, WeightsVersion};
 use log::{debug, info, warn};
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use tokio::sync::watch;
-use tokio::task::JoinHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use web::{Client, Dial};
 
 use crate::Cx;
@@ -37,6 +39,13 @@
 /// Time that each loader in the order has for bringing a manifest before the next asks the origin.
 const MANIFEST_TURN: Duration = Duration::from_millis(120);
 
+/// Time in which a loader sends a manifest of a hundred chunks, 3 KB, over 7.3 Mbit/s.
+const MANIFEST_SENT: Duration = Duration::from_millis(4);
+
+/// Time after which the first in the order asks the origin again; the second takes twice as long, and
+/// so on. With a hundred loaders that makes ten requests a second of some kilobytes.
+const MANIFEST_AGAIN: Duration = Duration::from_millis(500);
+
 /// Time between telling gateways that the engine leaves service and the order, in which the chunks are
 /// laid out too. Requests that have not begun by then wait until the engine has the new weights, or,
 /// should it freeze, begin on the old ones when it wakes. It costs nothing: the engine ends what runs
@@ -50,6 +59,8 @@
 struct Fetching {
     version: WeightsVersion,
     task: JoinHandle<()>,
+    /// Older versions that may still be on their way; given up when this one can be brought.
+    older: Vec<AbortHandle>,
 }
 
 /// An order that was given.
@@ -110,13 +121,15 @@
     /// Begins to bring a version. One that is on its way already is brought to its end first, unless
     /// the newer one can replace it in time.
     fn fetch(&mut self, catalog: &Catalog, model: &Model, version: WeightsVersion) {
+        let mut older = Vec::new();
         if let Some(current) = self.fetching.get(model) {
             let done = current.task.is_finished();
             if current.version >= version || !(done || self.can_skip(model, current.version)) {
                 return;
             }
             info!(target: PART, "{PART}: event=left version={} done={done} for={version}", current.version);
-            current.task.abort();
+            older.extend(current.older.iter().cloned());
+            older.push(current.task.abort_handle());
         }
         let Some(origin) = catalog.origin() else {
             return;
@@ -127,9 +140,14 @@
             version,
         };
         info!(target: PART, "{PART}: event=wanted model={model} version={version}");
-        let task = tokio::spawn(bring(self.cx.clone(), origin, self.client.clone()));
-        self.fetching
-            .insert(model.clone(), Fetching { version, task });
+        let client = self.client.clone();
+        let task = tokio::spawn(bring(self.cx.clone(), origin, client, older.clone()));
+        let fetching = Fetching {
+            version,
+            task,
+            older,
+        };
+        self.fetching.insert(model.clone(), fetching);
     }
 
     /// Whether a newer version can be everywhere before the bound of one that is left out. Without
@@ -226,9 +244,12 @@
     }
 }
 
-/// Brings a version: what lies at the engine first, then the rest from others.
-async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client) {
+/// Brings a version: what lies at the engine first, then the rest from others. Older versions that are
+/// on their way are given up once its manifest is here: while the origin is away they may still come
+/// from other loaders, and this one can't.
+async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client, older: Vec<AbortHandle>) {
     let manifest = manifest(&cx, &origin, &client).await;
+    older.iter().for_each(AbortHandle::abort);
     let set = Set::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
     if origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
@@ -245,30 +266,66 @@
     fetch(cx, set, origin, client).await;
 }
 
-/// The manifest: from the origin for the first in the order that all rank alike, from the first ones
-/// for the rest. Each asks the origin itself when those before it have had time to.
+/// The manifest: from the origin for the first in the order that all rank alike, from loaders that
+/// have it for the rest. Each asks the origin itself when those before it have had time to, and the
+/// later it comes the more seldom, so that an origin that was away isn't swamped when it returns.
 async fn manifest(cx: &Cx, origin: &OriginVersion, client: &Client) -> Manifest {
     let begun = Instant::now();
-    let mut tries = 0;
+    let mut drawn_at = None;
     loop {
         let before = before(cx, origin);
-        let asked = match begun.elapsed() >= MANIFEST_TURN * before.len() as u32 {
-            true => (cx.api.manifest)(origin.clone()).await,
+        let turn = MANIFEST_TURN * before.len() as u32;
+        let again = MANIFEST_AGAIN * (before.len() as u32 + 1);
+        let is_turn = match drawn_at {
+            None => begun.elapsed() >= turn,
+            Some(at) => Instant::now() >= at + again,
+        };
+        let asked = match is_turn {
+            true => {
+                drawn_at = Some(Instant::now());
+                (cx.api.manifest)(origin.clone()).await
+            }
             false => {
-                let first = before.iter().take(MANIFEST_HOLDERS).cycle().nth(tries);
-                let from = first.map(|m| m.passes_on);
+                let holders = manifest_holders(cx, origin, &before);
+                spread(loaders(cx).len(), holders.len()).await;
+                let from = holders.choose(&mut rand::rng()).copied();
                 ask_manifest(client, from.unwrap_or(cx.cfg.chunks), origin).await
             }
         };
         match asked {
-            Ok(manifest) => return manifest,
+            Ok(manifest) => {
+                info!(target: PART, "{PART}: event=manifest version={} took={:?}", origin.version, begun.elapsed());
+                return manifest;
+            }
             Err(e) => {
                 debug!(target: PART, "{PART}: event=no_manifest version={} why=\"{e}\"", origin.version);
                 let more = rand::rng().random_range(0.0..1.0);
                 tokio::time::sleep(MANIFEST_PAUSE.mul_f64(0.5 + more)).await;
             }
         }
-        tries += 1;
+    }
+}
+
+/// Waits for a while at random, so that the loaders which all want a manifest don't ask the few that
+/// have it at the same moment: each answer would come as late as the last.
+async fn spread(loaders: usize, holders: usize) {
+    let share = loaders as f64 / holders.max(1) as f64;
+    let more = rand::rng().random_range(0.0..1.0);
+    tokio::time::sleep(MANIFEST_SENT.mul_f64(share * more)).await;
+}
+
+/// Loaders that have a manifest, since they have told what they hold of its version; until any has,
+/// the first in the order.
+fn manifest_holders(cx: &Cx, origin: &OriginVersion, before: &[Member]) -> Vec<SocketAddr> {
+    let peers = cx.peers.lock().unwrap_or_else(PoisonError::into_inner);
+    let heard = peers.heard(&origin.model, origin.version, 0);
+    match heard.is_empty() {
+        true => before
+            .iter()
+            .take(MANIFEST_HOLDERS)
+            .map(|m| m.passes_on)
+            .collect(),
+        false => heard.into_keys().collect(),
     }
 }
 
