Count the time without a confirmed list where lists are taken; confirm lists by load notes

The revision of the list stands still while nothing but heartbeats is written, so three quiet seconds looked like an outage, and an upstream whose entry was removed was kept for two more.

Ruled out: a list that came late (it came 0.2 s after the removal).

Change: a copy notes how long the store had not confirmed the one before it; the roster is told that. Load notes carry the age of the sender's list, so a gateway that holds the same revision takes it for confirmed without a call.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -1,6 +1,7 @@
 //! Messages.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use base::{DomainName, Incarnation, Model, Revision, VmId};
 use catalog::ReleaseList;
@@ -63,6 +64,8 @@
     pub configuration: Revision,
     /// Revision of the list of upstreams it holds.
     pub upstreams: Revision,
+    /// Time since the store last confirmed that list.
+    pub upstreams_age: Duration,
     /// Where it passes its copies of documents on.
     pub copies_at: SocketAddr,
     /// Loads.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -37,8 +37,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// When the store confirmed the newest list; `None` before the first.
-    confirmed: Option<Instant>,
+    known: bool,
     entries: Map<InstanceId, Entry>,
     /// Until when missing entries are kept.
     keep_missing: Option<Instant>,
@@ -69,18 +68,18 @@
 
     /// Whether a list has ever come.
     pub fn is_known(&self) -> bool {
-        self.state().confirmed.is_some()
+        self.state().known
     }
 
-    /// Takes a whole list that the store confirmed at a moment; `true` where anything changed.
-    pub fn list(&self, all: Vec<Listed>, confirmed: Instant, now: Instant) -> bool {
+    /// Takes a whole list; `gap` is how long the store had not confirmed the one before when it
+    /// confirmed this one. `true` where anything changed.
+    pub fn list(&self, all: Vec<Listed>, gap: Duration, now: Instant) -> bool {
         let all = newest_at_each_address(all);
         let mut state = self.state();
-        let before = state.confirmed.unwrap_or(confirmed);
-        if confirmed.saturating_duration_since(before) > STORE_AWAY {
+        state.known = true;
+        if gap > STORE_AWAY {
             state.keep_missing = Some(now + self.return_time);
         }
-        state.confirmed = Some(confirmed.max(before));
         let mut before = std::mem::take(&mut state.entries);
         let mut changed = false;
         for listed in all {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -208,6 +208,7 @@
         number,
         configuration: cx.mirror.revision(cx.configuration),
         upstreams: cx.mirror.revision(cx.upstreams),
+        upstreams_age: cx.mirror.age(cx.upstreams).unwrap_or_default(),
         copies_at: cx.cfg.copies,
         loads,
     }
@@ -250,8 +251,10 @@
 }
 
 /// Copies the list of upstreams of another gateway of the failure domain where it is newer, unless
-/// that is under way.
+/// that is under way. Where it is the same, that the store confirmed it goes for this one too.
 fn follow_upstreams(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
+    cx.mirror
+        .confirm(cx.upstreams, note.upstreams, note.upstreams_age);
     if note.upstreams <= cx.mirror.revision(cx.upstreams) || cx.copying.swap(true, Relaxed) {
         return;
     }
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -26,6 +26,7 @@
         number,
         configuration: 1,
         upstreams: 1,
+        upstreams_age: Duration::ZERO,
         copies_at: upstream(0),
         loads,
     }
--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -18,6 +18,9 @@
     pub body: Bytes,
     /// When the store last confirmed it.
     pub confirmed: Instant,
+    /// Time from the last confirmation of the copy before this one to the first of this one; zero
+    /// where there was none before.
+    pub gap: Duration,
 }
 
 /// All copies of a process.
@@ -33,18 +36,20 @@
         let now = Instant::now();
         let confirmed = now.checked_sub(age).unwrap_or(now);
         let mut copies = self.lock();
-        match copies.get_mut(name) {
+        let gap = match copies.get_mut(name) {
             Some(copy) if copy.revision > revision => return false,
             Some(copy) if copy.revision == revision => {
                 copy.confirmed = copy.confirmed.max(confirmed);
                 return false;
             }
-            _ => {}
-        }
+            Some(copy) => confirmed.saturating_duration_since(copy.confirmed),
+            None => Duration::ZERO,
+        };
         let copy = Copy {
             revision,
             body,
             confirmed,
+            gap,
         };
         copies.insert(name, copy);
         drop(copies);
@@ -52,6 +57,15 @@
         true
     }
 
+    /// Notes that the store confirmed a revision `age` ago, where that is the one held.
+    pub fn confirm(&self, name: DocName, revision: Revision, age: Duration) {
+        let now = Instant::now();
+        let confirmed = now.checked_sub(age).unwrap_or(now);
+        if let Some(copy) = self.lock().get_mut(name).filter(|c| c.revision == revision) {
+            copy.confirmed = copy.confirmed.max(confirmed);
+        }
+    }
+
     /// The copy held.
     pub fn get(&self, name: DocName) -> Option<Copy> {
         self.lock().get(name).cloned()
