--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -39,6 +39,8 @@
     Stalled,
     /// Each read is passed on after a pause.
     Slow(Duration),
+    /// What comes back is held up; what goes there is carried.
+    Deaf,
     /// Every larger read that comes back has a byte changed.
     Corrupt,
 }
@@ -235,7 +237,9 @@
             LinkState::Corrupt if way.back && n > SMALL => buf[n - 1] ^= 1,
             _ => {}
         }
-        way.link.until(|s| s != LinkState::Stalled).await;
+        let back = way.back;
+        let carries = |s| s != LinkState::Stalled && !(back && s == LinkState::Deaf);
+        way.link.until(carries).await;
         if let Some(up) = &up {
             up.carry(n).await;
         }
