Loaders tell when their engine leaves for new weights; gateways send it what ends before

An engine that takes new weights first ends what runs, 2 s for its longest stream, with its other slots empty, and a third to a half of the engines are out at once.

Change: the turn of an engine is known as soon as its release is. Its loader tells gateways (leaves_in), and a request that by its caller's estimate would run past it weighs 4 requests more for each second that it would.

Test: an_upstream_says_how_long_it_stays_until_it_leaves_for_new_weights.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -27,6 +27,8 @@
     pub upstream: SocketAddr,
     /// Whether it takes no new requests while it changes weights.
     pub switching: bool,
+    /// Time until it is to leave service for new weights; `None` where that isn't planned.
+    pub leaves_in: Option<Duration>,
     /// What it holds.
     pub holdings: Vec<Holding>,
     /// Requests it runs.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -31,6 +31,13 @@
 /// Part of the objective that prompts ahead may take.
 const UNREAD_PART: f64 = 0.25;
 
+/// Weight of each second that a request is expected to run after its engine is to leave service for
+/// new weights, in requests: the engine has to end it first, with all of its other slots empty.
+const OVERRUN: f64 = 4.0;
+
+/// Time in which an engine with a full batch makes one token.
+const TOKEN_TIME: Duration = Duration::from_millis(12);
+
 /// Requests that a plain service may have in flight, against its slots.
 const PLAIN_FILL: f64 = 2.0;
 
@@ -128,7 +135,18 @@
         true => 0.0,
         false => OTHER_DOMAIN,
     };
-    (!full).then_some(f64::from(requests) + unread as f64 / TOKENS_PER_REQUEST + far)
+    let overrun = OVERRUN * overrun(job, upstream).as_secs_f64();
+    (!full).then_some(f64::from(requests) + unread as f64 / TOKENS_PER_REQUEST + far + overrun)
+}
+
+/// How long a request is expected to run after its engine is to leave service.
+fn overrun(job: &Job, upstream: &Upstream) -> Duration {
+    let Some(left) = upstream.leaves_in(Instant::now()) else {
+        return Duration::ZERO;
+    };
+    let tokens = job.call.expected_tokens.unwrap_or(job.call.max_tokens);
+    let runs = TOKEN_TIME * u32::try_from(tokens).unwrap_or(u32::MAX);
+    runs.saturating_sub(left)
 }
 
 fn waits_long(engine: &Engine, unread: u64, objective: Duration) -> bool {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -174,6 +174,15 @@
         held.version
     }
 
+    /// Time until it is to leave service for new weights, as its loader has told.
+    pub fn leaves_in(&self, now: Instant) -> Option<Duration> {
+        let state = self.state();
+        let (note, at) = state.note.as_ref()?;
+        let fresh = now.saturating_duration_since(*at) < NOTE_TIME;
+        let leaves_at = note.leaves_in.filter(|_| fresh).map(|time| *at + time)?;
+        Some(leaves_at.saturating_duration_since(now))
+    }
+
     /// This gateway's part of its load.
     pub fn load(&self) -> Load {
         let state = self.state();
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -46,6 +46,7 @@
         number,
         upstream: ([127, 0, 0, 1], 9000 + n).into(),
         switching,
+        leaves_in: None,
         holdings: vec![holding(Some(2))],
         running: 0,
         queued: 0,
@@ -191,3 +192,26 @@
 
     assert!(!at_once && later);
 }
+
+#[test]
+fn an_upstream_says_how_long_it_stays_until_it_leaves_for_new_weights() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![listed(1)], now);
+    let planned = EngineNote {
+        leaves_in: Some(Duration::from_secs(2)),
+        ..note(1, 1, false)
+    };
+
+    roster.note(planned, now);
+
+    let upstream = roster.of("llm", now).remove(0);
+    let second = Duration::from_secs(1);
+    assert_eq!(upstream.leaves_in(now + second), Some(second));
+    assert_eq!(upstream.leaves_in(now + second * 2), Some(Duration::ZERO));
+    assert_eq!(
+        upstream.leaves_in(now + second * 4),
+        None,
+        "the note is old"
+    );
+}
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -97,4 +97,6 @@
     pub(crate) look: Notify,
     /// Whether the engine is about to leave service for new weights.
     pub(crate) leaving: AtomicBool,
+    /// When its turn to do so comes; `None` where it has the newest weights.
+    pub(crate) leaves_at: Mutex<Option<Instant>>,
 }
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -52,6 +52,9 @@
 /// all the while, which takes longer.
 const LEAVE_NOTICE: Duration = Duration::from_millis(200);
 
+/// Change of an engine's turn that gateways aren't told.
+const PLAN_SLACK: Duration = Duration::from_millis(100);
+
 /// Time given to an order's effect before it is given again.
 const ORDER_TIME: Duration = Duration::from_secs(4);
 
@@ -169,6 +172,7 @@
         let wanted = set.filter(|set| held < Some(set.version));
         // An engine that has just taken a version and stands idle takes a newer one at once.
         let idle = state.running == 0 && self.cx.leaving.load(Ordering::Relaxed);
+        self.plan(model, held);
         match self.ordered {
             Some(ordered) if held >= Some(ordered.version) => {
                 self.ordered = None;
@@ -181,25 +185,49 @@
             _ => {}
         }
         match wanted {
-            Some(set) if idle || held.is_none() || Instant::now() >= self.turn(&set) => {
+            Some(set)
+                if idle
+                    || held.is_none()
+                    || Instant::now() >= self.turn(&set.model, set.version) =>
+            {
                 self.order(&set, held.is_some()).await;
             }
             _ => {}
         }
     }
 
-    fn turn(&self, set: &Set) -> Instant {
+    fn turn(&self, model: &Model, version: WeightsVersion) -> Instant {
         let others: Vec<VmId> = loaders(&self.cx).into_iter().map(|m| m.vm).collect();
-        let since = self.since(&set.model, set.version);
+        let since = self.since(model, version);
         begins(
             &self.cx.cfg.node.vm,
             &others,
-            set.version,
+            version,
             since.unwrap_or_else(Instant::now),
             self.cx.cfg.node.version_time,
         )
     }
 
+    /// Notes when an engine that serves is to leave service for the version that is being brought, so
+    /// that gateways are told before.
+    fn plan(&self, model: &Model, held: Option<WeightsVersion>) {
+        let coming = self.fetching.get(model).map(|f| f.version);
+        let coming = coming.filter(|version| held.is_some_and(|held| held < *version));
+        let turn = coming.map(|version| self.turn(model, version));
+        let mut leaves_at = self
+            .cx
+            .leaves_at
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        // Turns move by a little as loaders come and go; that is no news.
+        let same =
+            |at: Instant, turn: Instant| at.max(turn).duration_since(at.min(turn)) < PLAN_SLACK;
+        *leaves_at = match (*leaves_at, turn) {
+            (Some(at), Some(turn)) if same(at, turn) => Some(at),
+            (_, turn) => turn,
+        };
+    }
+
     /// Lays a version out and has the engine take it; one that `serves` gets notice.
     async fn order(&mut self, set: &Set, serves: bool) {
         let version = set.version;
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -36,6 +36,7 @@
         peers: std::sync::Mutex::new(Peers::default()),
         look: Notify::new(),
         leaving: AtomicBool::new(false),
+        leaves_at: std::sync::Mutex::new(None),
         cfg: wiring.cfg,
     });
     info!(target: PART, "{PART}: event=started vm={} engine={} incarnation={}", cx.cfg.node.vm, cx.cfg.engine, cx.incarnation);
--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -1,7 +1,7 @@
 //! Reads the engine's state and tells gateways.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::DomainName;
@@ -32,6 +32,7 @@
     let mut number = 0;
     let mut told = Instant::now();
     let mut told_far = Instant::now();
+    let mut told_plan = None;
     loop {
         let before = tx.borrow().clone();
         match (cx.api.state)(()).await {
@@ -40,6 +41,8 @@
                 let changed = before
                     .as_ref()
                     .is_none_or(|b| b.switching != state.switching || b.holdings != state.holdings);
+                let planned = leaves_at(&cx);
+                let replanned = std::mem::replace(&mut told_plan, planned) != planned;
                 if changed {
                     info!(target: PART, "{PART}: event=state switching={} orders={} holdings={:?} running={} queued={}", state.switching, state.orders, state.holdings, state.running, state.queued);
                 }
@@ -47,8 +50,9 @@
                     true => (SWITCHING_REPEAT, SWITCHING_REPEAT_FAR),
                     false => (REPEAT, REPEAT),
                 };
-                let near = changed || told.elapsed() >= repeat;
-                let far = changed || told_far.elapsed() >= repeat_far;
+                let news = changed || replanned;
+                let near = news || told.elapsed() >= repeat;
+                let far = news || told_far.elapsed() >= repeat_far;
                 if near || far {
                     number += 1;
                     send(&cx, number, &state, |domain| {
@@ -85,6 +89,10 @@
     }
 }
 
+fn leaves_at(cx: &Cx) -> Option<Instant> {
+    *cx.leaves_at.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Sends a note to the gateways of the failure domains that are to be told.
 fn send(cx: &Cx, number: u64, state: &EngineState, is_told: impl Fn(&DomainName) -> bool) {
     let note = EngineNote {
@@ -92,6 +100,7 @@
         number,
         upstream: cx.cfg.engine,
         switching: state.switching,
+        leaves_in: leaves_at(cx).map(|at| at.saturating_duration_since(Instant::now())),
         holdings: state.holdings.clone(),
         running: state.running,
         queued: state.queued,
