--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -101,6 +101,8 @@
         }
         tokio::select! {
             _ = tokio::time::sleep(TICK) => {}
+            // An engine that has taken its weights is back in service at once.
+            changed = keeper.state.changed() => if changed.is_err() { return },
             changed = known.changed() => if changed.is_err() { return },
         }
     }
