Gateways count failures at an upstream together, and leave one that fails most

Ruled out: capacity (other engines had room).

Change: load notes carry how requests lately ended at an upstream, fading over 2 s. One at which three failed and more than 0.6 of all is left alone by all. Where fewer fail it is still tried, since a request may be sent again and many upstreams may fail some at once (answers lost at 60% of them).

Tests: failures_of_all_gateways_count_together, what_happened_a_while_ago_counts_less.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -39,7 +39,7 @@
     pub releases: Revision,
 }
 
-/// One gateway's part of what an upstream runs.
+/// One gateway's part of what an upstream runs, and how it lately fared there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Address of the upstream.
@@ -48,6 +48,10 @@
     pub requests: u16,
     /// Prompt tokens of requests that have had no event yet.
     pub unread: u32,
+    /// Requests that lately failed there, older ones counting less.
+    pub failed: u16,
+    /// Requests that were lately answered, counted alike.
+    pub answered: u16,
 }
 
 /// What a gateway, or all gateways of a failure domain, have in flight at all upstreams; those left
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,6 +1,7 @@
 //! Chooses the upstream of a request.
 //!
-//! Candidates take new work, hold a version that may begin requests, and weren't tried yet. An
+//! Candidates take new work, hold a version that may begin requests, weren't tried yet, and don't fail
+//! most of what they get. An
 //! upstream is full when as many requests run there as it has slots, counting those of other
 //! gateways as they last told, or when so many prompts wait to be read that the first event would
 //! come too late. Of those with room the one with the least in flight is taken; the own failure
@@ -64,7 +65,10 @@
             Some((u, version))
         })
         .collect();
-    let sound: Vec<_> = fits.iter().filter(|(u, _)| !u.is_paused()).collect();
+    let sound: Vec<_> = fits
+        .iter()
+        .filter(|(u, _)| !u.is_paused() && !is_failing(cx, u))
+        .collect();
     let candidates: Vec<_> = match sound.is_empty() {
         true => fits.iter().collect(),
         false => sound,
@@ -117,6 +121,15 @@
     own.unread > 0 && cx.gateways() > 1
 }
 
+/// Whether an upstream fails most of what all gateways send there.
+fn is_failing(cx: &Cx, upstream: &Upstream) -> bool {
+    let own = upstream.load();
+    let mut ended = cx.loads.others(&upstream.addr).ended;
+    ended.failed += f64::from(own.failed);
+    ended.answered += f64::from(own.answered);
+    ended.is_failing()
+}
+
 /// What is in flight, in requests; `None` where the upstream is full.
 fn weight(cx: &Cx, job: &Job, service: &Service, upstream: &Upstream) -> Option<f64> {
     let own = upstream.load();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod handle;
 pub mod load;
 pub mod membership;
+pub mod outcomes;
 mod record;
 pub mod refusal;
 mod relay;
--- a/crates/gateway/src/load.rs
+++ b/crates/gateway/src/load.rs
@@ -1,4 +1,4 @@
-//! What other gateways have in flight at each upstream.
+//! What other gateways have in flight at each upstream, and how they lately fared there.
 //!
 //! Gateways of a failure domain tell each other after each change. To other domains, whose links are
 //! narrow and shared with requests and weights, one gateway tells the sum of its domain at intervals:
@@ -12,6 +12,8 @@
 use base::{DomainName, Map, VmId};
 use beacon::{Load, LoadNote};
 
+use crate::outcomes::Counts;
+
 /// A note older than this says nothing any more; notes come several times as often.
 const NOTE_TIME: Duration = Duration::from_millis(1500);
 
@@ -20,21 +22,25 @@
 
 /// Most upstreams in one note, so that it fits a datagram; those with the least in flight are left
 /// out.
-const MOST_LOADS: usize = 90;
+const MOST_LOADS: usize = 80;
 
 /// Requests of others at an upstream.
-#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Others {
     /// Requests.
     pub requests: u32,
     /// Prompt tokens not yet read.
     pub unread: u64,
+    /// How requests lately ended.
+    pub ended: Counts,
 }
 
 impl Others {
     fn add(&mut self, load: &Load) {
         self.requests += u32::from(load.requests);
         self.unread += u64::from(load.unread);
+        self.ended.failed += f64::from(load.failed);
+        self.ended.answered += f64::from(load.answered);
     }
 }
 
@@ -115,6 +121,9 @@
             upstream,
             requests: u16::try_from(sum.requests).unwrap_or(u16::MAX),
             unread: u32::try_from(sum.unread).unwrap_or(u32::MAX),
+            // Casts of floats saturate.
+            failed: sum.ended.failed as u16,
+            answered: sum.ended.answered as u16,
         });
         largest(loads.collect())
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -197,7 +197,7 @@
 fn own_loads(cx: &Cx) -> Vec<Load> {
     let all = cx.roster.all();
     let loads = all.iter().map(|u| u.load());
-    loads.filter(|l| l.requests > 0).collect()
+    loads.filter(|l| l.requests > 0 || l.failed > 0).collect()
 }
 
 fn load_note(cx: &Cx, number: u64, loads: Vec<Load>) -> LoadNote {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -9,6 +9,7 @@
 use catalog::{ServiceName, WeightsVersion};
 
 use crate::admission::Told;
+use crate::outcomes::Outcomes;
 
 /// Incarnation of an upstream, as the platform names it.
 pub type InstanceId = String;
@@ -81,6 +82,7 @@
     failures: u32,
     pauses: u32,
     paused_until: Option<Instant>,
+    outcomes: Outcomes,
 }
 
 /// An upstream.
@@ -113,6 +115,7 @@
                 failures: 0,
                 pauses: 0,
                 paused_until: None,
+                outcomes: Outcomes::new(Instant::now()),
             }),
         }
     }
@@ -186,10 +189,14 @@
     /// This gateway's part of its load.
     pub fn load(&self) -> Load {
         let state = self.state();
+        let counts = state.outcomes.counts(Instant::now());
         Load {
             upstream: self.addr,
             requests: state.requests.min(u32::from(u16::MAX)) as u16,
             unread: state.unread.min(u64::from(u32::MAX)) as u32,
+            // Casts of floats saturate.
+            failed: counts.failed.round() as u16,
+            answered: counts.answered.round() as u16,
         }
     }
 
@@ -201,9 +208,11 @@
 
     /// Notes how sending went; `true` where the upstream is left alone from now on.
     pub fn report(&self, health: Health) -> bool {
+        let now = Instant::now();
         let mut state = self.state();
         match health {
             Health::Answered => {
+                state.outcomes.answered(now);
                 state.failures = 0;
                 state.pauses = 0;
                 state.paused_until = None;
@@ -217,6 +226,7 @@
                 return true;
             }
         }
+        state.outcomes.failed(now);
         if state.failures < FAILURES_IN_A_ROW {
             return false;
         }
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -5,6 +5,7 @@
 
 use beacon::{Load, LoadNote};
 use gateway::load::{LoadBook, largest};
+use gateway::outcomes::Outcomes;
 
 fn upstream(n: u16) -> SocketAddr {
     ([127, 0, 0, 1], 9000 + n).into()
@@ -15,6 +16,8 @@
         upstream: upstream(n),
         requests,
         unread,
+        failed: 0,
+        answered: 0,
     }
 }
 
@@ -114,3 +117,39 @@
     let buf = beacon::encode(&beacon::Msg::DomainLoad(note)).expect("a note");
     assert!(buf.len() <= beacon::MAX_DATAGRAM, "{}", buf.len());
 }
+
+#[test]
+fn failures_of_all_gateways_count_together() {
+    let book = LoadBook::default();
+    let now = Instant::now();
+    let fared = |failed, answered| Load {
+        failed,
+        answered,
+        ..load(1, 0, 0)
+    };
+
+    book.take(note("b", "recife", 1, vec![fared(1, 0)]), now);
+    let few = book.others(&upstream(1)).ended;
+    book.take(note("c", "recife", 1, vec![fared(1, 1)]), now);
+    book.take_domain(note("x", "fortaleza", 1, vec![fared(2, 0)]), now);
+    let most = book.others(&upstream(1)).ended;
+    book.take_domain(note("y", "salvador", 1, vec![fared(0, 6)]), now);
+    let some = book.others(&upstream(1)).ended;
+
+    assert!(!few.is_failing(), "{few:?}");
+    assert!(most.is_failing(), "{most:?}");
+    assert!(!some.is_failing(), "{some:?}");
+}
+
+#[test]
+fn what_happened_a_while_ago_counts_less() {
+    let now = Instant::now();
+    let mut outcomes = Outcomes::new(now);
+    (0..5).for_each(|_| outcomes.failed(now));
+
+    let at_once = outcomes.counts(now);
+    let later = outcomes.counts(now + Duration::from_secs(4));
+
+    assert!(at_once.is_failing());
+    assert!(!later.is_failing(), "{later:?}");
+}
