--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance/mod.rs
@@ -7,6 +7,9 @@
 //! come too late. Of those with room the one with the least in flight is taken; the own failure
 //! domain goes first among equals.
 
+pub mod load;
+pub mod outcomes;
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -9,7 +9,7 @@
 use catalog::{ServiceName, WeightsVersion};
 
 use crate::admission::Told;
-use crate::outcomes::Outcomes;
+use crate::balance::outcomes::Outcomes;
 
 /// Incarnation of an upstream, as the platform names it.
 pub type InstanceId = String;
