--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -8,8 +8,10 @@
 /// Length of the part with faults.
 const SPAN: Duration = Duration::from_secs(4);
 
-/// Seeds that each run of the tests plays; one that ever broke a promise stays here, with its cause.
-const SEEDS: [Seed; 2] = [1, 2];
+/// Seeds that each run of the tests plays; one that ever broke a promise stays here, with its cause:
+/// in 211 a gateway was told to stop twice, which ends it at once with an error, and the soak took that
+/// for an end of its own.
+const SEEDS: [Seed; 3] = [1, 2, 211];
 
 fn options() -> Options {
     Options {
