--- a/crates/gateway/src/balance/mod.rs
+++ b/crates/gateway/src/balance/mod.rs
@@ -1,11 +1,11 @@
 //! Chooses the upstream of a request.
 //!
 //! Candidates take new work, hold a version that may begin requests, weren't tried yet, and don't fail
-//! most of what they get. An
-//! upstream is full when as many requests run there as it has slots, counting those of other
-//! gateways as they last told, or when so many prompts wait to be read that the first event would
-//! come too late. Of those with room the one with the least in flight is taken; the own failure
-//! domain goes first among equals.
+//! most of what they get. An upstream is full when as many requests run there as it has slots,
+//! counting those of other gateways as they last told, or when so many prompts wait to be read that
+//! the first event would come too late. Of those with room the one with the least in flight is taken;
+//! the own failure domain goes first among equals, and an engine that is to leave service before the
+//! request would end comes last.
 
 pub mod load;
 pub mod outcomes;
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -107,7 +107,13 @@
 
 #[test]
 fn a_note_keeps_the_largest_loads_where_not_all_fit() {
-    let loads: Vec<Load> = (0..200).map(|n| load(n, n, 0)).collect();
+    // The prompts and failures of a busy engine.
+    let busy = |n| Load {
+        failed: 120,
+        answered: 120,
+        ..load(n, n, 200_000)
+    };
+    let loads: Vec<Load> = (0..200).map(busy).collect();
 
     let kept = largest(loads);
 
