--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -158,10 +158,15 @@
 
 /// What was last told of a version that is being brought.
 struct Said {
+    /// Chunks held, as loaders of the own failure domain were last told.
     have: Vec<bool>,
+    /// When these were last told.
     near: Instant,
+    /// When those of other failure domains were.
     far: Instant,
+    /// Chunks drawn from the origin by then.
     drawn: u32,
+    /// Whether the others were asked for what they have a second time.
     asked_again: bool,
 }
 
