--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -104,8 +104,8 @@
     ),
     field(
         "release_poll",
-        Duration("15s", "50ms", "10m"),
-        "Time between two reads of the releases from the store; gateways tell them much sooner.",
+        Duration("1m", "50ms", "10m"),
+        "Time between two reads of the releases from the store; gateways tell them much sooner, and again each second.",
     ),
     field(
         "chunk_timeout",
