Draw in order again when the origin is back, and don't step in for it

Ruled out: manifests (all had them at 20.7 s).

Change: an origin that fails this loader isn't taken for a loader that doesn't do its part; the first chunk that anybody holds after a failure has all loaders draw what is left in order, from that moment.

--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -110,6 +110,11 @@
         self.have.insert(addr, have);
     }
 
+    /// Whether any agent is known to hold a chunk.
+    pub fn is_held(&self, i: usize) -> bool {
+        self.have.values().any(|have| have.get(i) == Some(&true))
+    }
+
     /// Notes that an agent has not what it was asked for.
     pub fn lacks(&mut self, addr: SocketAddr) {
         self.have.remove(&addr);
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -17,6 +17,7 @@
 
 use crate::Cx;
 use crate::api::{ApiError, OriginVersion};
+use crate::order::Order;
 use crate::peers::{BUSY, CHUNKS, Reach, announce, loaders};
 use crate::sets::Set;
 
@@ -93,8 +94,11 @@
     at_once: f64,
     from_origin: usize,
     origin_fetches: usize,
-    /// Time in which the origin's link carries a chunk.
-    chunk_time: Duration,
+    order: Order,
+    /// Whether the origin failed when it was last asked, and nothing has come from it since.
+    origin_away: bool,
+    /// Chunks that any loader held when it failed.
+    held_before: usize,
     origin_rests_until: Instant,
     begun: Instant,
     progress: Instant,
@@ -117,6 +121,7 @@
     let rule = rule(&cx);
     let origin_fetches = origin_fetches(&cx);
     let at_once = cx.cfg.fetches as f64;
+    let order = Order::new(chunk_time(&cx), &vec![false; set.len()], now);
     let mut fetch = Fetch {
         set,
         origin,
@@ -127,7 +132,9 @@
         at_once,
         from_origin: 0,
         origin_fetches,
-        chunk_time: chunk_time(&cx),
+        order,
+        origin_away: false,
+        held_before: 0,
         origin_rests_until: now,
         begun: now,
         progress: now,
@@ -268,6 +275,31 @@
         for (addr, heard) in heard {
             self.swarm.set_have(addr, heard.have);
         }
+        if self.origin_away && self.held() > self.held_before {
+            self.origin_is_back();
+        }
+    }
+
+    /// Chunks that this loader or another holds.
+    fn held(&self) -> usize {
+        self.is_held().iter().filter(|held| **held).count()
+    }
+
+    fn is_held(&self) -> Vec<bool> {
+        let own = self.set.have();
+        let held = |(i, own): (usize, &bool)| *own || self.swarm.is_held(i);
+        own.iter().enumerate().map(held).collect()
+    }
+
+    /// Has what is left drawn in order again, from now on. All loaders learn of the first chunk that
+    /// comes, so they begin at about the same moment.
+    fn origin_is_back(&mut self) {
+        let now = Instant::now();
+        self.origin_away = false;
+        self.origin_rests_until = now;
+        self.progress = now;
+        self.order = Order::new(self.order.chunk_time, &self.is_held(), now);
+        info!(target: PART, "{PART}: event=origin_back version={} held={}", self.set.version, self.held());
     }
 
     /// How long a loader may say nothing.
@@ -303,7 +335,10 @@
             match source {
                 Source::Origin => {
                     let rests = Instant::now() < self.origin_rests_until;
-                    if rests || !self.is_due(i) || self.from_origin >= self.origin_fetches {
+                    if rests
+                        || !self.order.is_due(i, Instant::now())
+                        || self.from_origin >= self.origin_fetches
+                    {
                         continue;
                     }
                     self.from_origin += 1;
@@ -327,13 +362,6 @@
         }
     }
 
-    /// Whether the origin's link is free for a chunk, if all loaders draw their chunks in order at the
-    /// rate of the link. Drawn all at once, they share the link, and the first comes as late as the
-    /// last; one after the other, each is passed on while the next is drawn.
-    fn is_due(&self, i: usize) -> bool {
-        self.begun.elapsed() >= self.chunk_time * i as u32
-    }
-
     fn origin_pause(&self) -> Duration {
         let loaders = self.swarm.peers().len() + 1;
         let more = (loaders as f64 / ORIGIN_PAUSE_LOADERS as f64).max(1.0);
@@ -372,6 +400,9 @@
             }
             (Ok(true), Source::Origin) => {
                 self.counts.origin += 1;
+                if self.origin_away {
+                    self.origin_is_back();
+                }
                 metrics::counter!("driftnotch_origin_chunks_total").increment(1);
             }
             (Ok(false), source) => {
@@ -396,7 +427,14 @@
                     debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
                 }
                 self.counts.failed += 1;
-                self.origin_rests_until = Instant::now() + self.origin_pause();
+                let now = Instant::now();
+                if !self.origin_away {
+                    self.origin_away = true;
+                    self.held_before = self.held();
+                }
+                // It fails those whose turn it is as well; they are not to be stepped in for.
+                self.progress = now;
+                self.origin_rests_until = now + self.origin_pause();
             }
         }
     }
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod api;
 mod fetch;
+pub mod order;
 mod peers;
 mod rollout;
 mod run;
