Take chunks of the own failure domain from a few loaders, one at a time

Cause: 76 loaders in three failure domains held a version 4.4 to 4.8 s after its release; the bound is 2.6 s. Chance decided who was served: of links up that send two chunks at a time to receivers drawn by lot, some receivers get three and some none.

Ruled out: fewer chunks asked for at once (4 and 2 or 3 at a sender: 5.2 s), one chunk sent at a time (5.2 s).

Change: of all loaders of the failure domain in the order of their VMs, a loader takes chunks from those 1, 2, 4, 8 ... places before it, one at a time from each. So each is asked by as many as it asks, and a chunk is everywhere after log2(n) steps. After 250 ms without a chunk all that hold one are asked, as before. A sender keeps 8 that ask (3 before), which are hardly ever more now.

--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -99,6 +99,7 @@
         permitted,
         settle: SETTLE,
         per_domain: agent.cfg.origin_copies == "domain",
+        few_sources: false,
         patience: agent.cfg.origin_patience,
         bad_chunks: agent.cfg.bad_chunks,
         bad_time: agent.cfg.bad_time,
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -37,6 +37,9 @@
     pub settle: Duration,
     /// One copy for each failure domain, not for the whole fleet.
     pub per_domain: bool,
+    /// Whether chunks of the own failure domain are taken from a few agents only, one at a time from
+    /// each, see [`sources`].
+    pub few_sources: bool,
     /// Wait before a chunk that is nowhere is drawn by one that wasn't chosen.
     pub patience: Duration,
     /// Bad chunks after which a source is left alone.
@@ -58,6 +61,8 @@
 #[derive(Debug, Default)]
 pub struct Swarm {
     duties: Mutex<Map<Digest, Duty>>,
+    /// Whom chunks are taken from, where these are a few; worked out once for a list of agents.
+    few: Mutex<Option<Set<SocketAddr>>>,
     active: Map<SocketAddr, u32>,
     peers: Vec<Peer>,
     have: Map<SocketAddr, Vec<bool>>,
@@ -86,6 +91,25 @@
 /// How long an agent that was busy is not asked.
 const BUSY_TIME: Duration = Duration::from_millis(20);
 
+/// Time without a chunk from others after which all that hold one are asked, not only a few.
+const FEW_TIME: Duration = Duration::from_millis(250);
+
+/// The few that an agent takes chunks from: of all in the order of their VMs, those 1, 2, 4, 8 ... places
+/// before it. Every agent is asked by as many others as it asks itself, so links up and down are filled
+/// alike and nobody has to be told to ask again; and a chunk is everywhere after as many steps as the
+/// number of agents has binary digits.
+pub fn sources<'a>(own: &VmId, others: &[&'a Peer]) -> Vec<&'a Peer> {
+    let mut sorted = others.to_vec();
+    sorted.sort_by(|a, b| a.vm.cmp(&b.vm));
+    let place = sorted.partition_point(|p| p.vm < *own);
+    let n = sorted.len() + 1;
+    let steps = (0..usize::BITS).map(|bit| 1_usize << bit);
+    let back = steps.take_while(|step| *step < n);
+    // Without this agent itself, those after it stand one place lower.
+    back.map(|step| sorted[(place + n - step) % n - usize::from(place < step)])
+        .collect()
+}
+
 impl Swarm {
     /// Takes the list of agents that fetch or hold the version; the own VM is left out.
     pub fn set_peers(&mut self, own: &str, peers: Vec<Peer>) {
@@ -96,6 +120,7 @@
         }
         self.peers = peers;
         self.duties = Mutex::default();
+        self.few = Mutex::default();
         let known: Set<SocketAddr> = self.peers.iter().map(|p| p.addr).collect();
         self.have.retain(|addr, _| known.contains(addr));
     }
@@ -157,6 +182,7 @@
     fn shun(&mut self, addr: SocketAddr) {
         if self.shunned.insert(addr) {
             self.duties = Mutex::default();
+            self.few = Mutex::default();
         }
     }
 
@@ -190,10 +216,15 @@
         stalled: Duration,
     ) -> Option<Choice> {
         let near = self.holders(i, rule, |p| p.domain == rule.domain);
-        if let Some(addr) = self.pick(&near) {
-            return Some(Choice {
+        if !near.is_empty() {
+            let holders = near.len();
+            let asked = match rule.few_sources && stalled < FEW_TIME {
+                true => self.idle_sources(near, rule),
+                false => near,
+            };
+            return self.pick(&asked).map(|addr| Choice {
                 source: Source::Peer(addr),
-                urgency: (2, near.len()),
+                urgency: (2, holders),
             });
         }
         if waited < rule.settle {
@@ -241,6 +272,31 @@
         }
     }
 
+    /// Those among the holders of a chunk that this agent takes chunks from, and takes none from now.
+    fn idle_sources(&self, mut holders: Vec<SocketAddr>, rule: &Rule) -> Vec<SocketAddr> {
+        let mut few = self.few.lock().unwrap_or_else(PoisonError::into_inner);
+        let few = few.get_or_insert_with(|| self.find_sources(rule));
+        holders.retain(|addr| few.contains(addr) && self.is_idle(*addr));
+        holders
+    }
+
+    fn is_idle(&self, addr: SocketAddr) -> bool {
+        self.active.get(&addr).is_none_or(|n| *n == 0)
+    }
+
+    /// Whether a chunk that was chosen to come from an agent may still be asked for: another may have
+    /// been since.
+    pub fn may_begin(&self, addr: SocketAddr, rule: &Rule, stalled: Duration) -> bool {
+        !rule.few_sources || stalled >= FEW_TIME || self.is_idle(addr)
+    }
+
+    fn find_sources(&self, rule: &Rule) -> Set<SocketAddr> {
+        let near = self.counted_on().filter(|p| p.domain == rule.domain);
+        let near: Vec<&Peer> = near.collect();
+        let sources = sources(&rule.vm, &near);
+        sources.into_iter().map(|p| p.addr).collect()
+    }
+
     /// Permitted failure domains in which an agent can be counted on, in an order that all know.
     fn domains<'a>(&self, rule: &'a Rule) -> Vec<&'a DomainName> {
         let counts = |domain: &&DomainName| {
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -244,6 +244,7 @@
         permitted,
         settle: cx.cfg.settle_time,
         per_domain: false,
+        few_sources: true,
         patience: cx.cfg.origin_patience,
         bad_chunks: cx.cfg.bad_chunks,
         bad_time: cx.cfg.bad_time,
@@ -343,7 +344,12 @@
                     }
                     self.from_origin += 1;
                 }
-                Source::Peer(addr) => self.swarm.begun(addr),
+                Source::Peer(addr) => {
+                    if !self.swarm.may_begin(addr, &self.rule, stalled) {
+                        continue;
+                    }
+                    self.swarm.begun(addr);
+                }
             }
             self.in_flight.insert(i);
             let (cx, set) = (self.cx.clone(), self.set.clone());
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -125,7 +125,7 @@
     ),
     field(
         "serves",
-        Count(3, 1, 256),
+        Count(8, 1, 256),
         "Chunks that others may have asked for at once; loaders that ask beyond that are told to ask \
          again, and turn to those that have got the chunk meanwhile.",
     ),
