Tell those that take chunks from a loader of each at once

Change: a loader tells those few that take chunks from it as each comes, and looks at what it hears at once, at most each 10 ms; all others of the failure domain hear every 150 ms. That is also fewer datagrams.

Tests: those that take from an agent are those whose source it is.

--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -99,14 +99,30 @@
 /// alike and nobody has to be told to ask again; and a chunk is everywhere after as many steps as the
 /// number of agents has binary digits.
 pub fn sources<'a>(own: &VmId, others: &[&'a Peer]) -> Vec<&'a Peer> {
+    at_steps(own, others, |n, step| n - step)
+}
+
+/// The few that take chunks from an agent, see [`sources`].
+pub fn takers<'a>(own: &VmId, others: &[&'a Peer]) -> Vec<&'a Peer> {
+    at_steps(own, others, |_, step| step)
+}
+
+/// Those of a ring of `n` that stand so many places after an agent as `ahead` makes of each power of two.
+fn at_steps<'a>(
+    own: &VmId,
+    others: &[&'a Peer],
+    ahead: impl Fn(usize, usize) -> usize,
+) -> Vec<&'a Peer> {
     let mut sorted = others.to_vec();
     sorted.sort_by(|a, b| a.vm.cmp(&b.vm));
     let place = sorted.partition_point(|p| p.vm < *own);
     let n = sorted.len() + 1;
     let steps = (0..usize::BITS).map(|bit| 1_usize << bit);
-    let back = steps.take_while(|step| *step < n);
-    // Without this agent itself, those after it stand one place lower.
-    back.map(|step| sorted[(place + n - step) % n - usize::from(place < step)])
+    let steps = steps.take_while(|step| *step < n);
+    // The agent itself is left out of the list, so those after it stand one place lower there.
+    let at = |step| (place + ahead(n, step)) % n;
+    steps
+        .map(|step| sorted[at(step) - usize::from(at(step) > place)])
         .collect()
 }
 
@@ -291,12 +307,20 @@
     }
 
     fn find_sources(&self, rule: &Rule) -> Set<SocketAddr> {
-        let near = self.counted_on().filter(|p| p.domain == rule.domain);
-        let near: Vec<&Peer> = near.collect();
-        let sources = sources(&rule.vm, &near);
+        let sources = sources(&rule.vm, &self.near(rule));
         sources.into_iter().map(|p| p.addr).collect()
     }
 
+    /// The few that take chunks from this agent.
+    pub fn takers(&self, rule: &Rule) -> Vec<&Peer> {
+        takers(&rule.vm, &self.near(rule))
+    }
+
+    fn near(&self, rule: &Rule) -> Vec<&Peer> {
+        let near = self.counted_on().filter(|p| p.domain == rule.domain);
+        near.collect()
+    }
+
     /// Permitted failure domains in which an agent can be counted on, in an order that all know.
     fn domains<'a>(&self, rule: &'a Rule) -> Vec<&'a DomainName> {
         let counts = |domain: &&DomainName| {
--- a/crates/agent/tests/sources.rs
+++ b/crates/agent/tests/sources.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use agent::swarm::sources;
+use agent::swarm::{sources, takers};
 use base::Set;
 use proptest::prelude::*;
 use wire::Peer;
@@ -18,16 +18,19 @@
     (0..n).map(peer).collect()
 }
 
-/// Whom each agent takes chunks from, as places in the list.
-fn graph(agents: &[Peer]) -> Vec<Vec<usize>> {
+/// How some of all agents are chosen for one.
+type Choose = for<'a> fn(&String, &[&'a Peer]) -> Vec<&'a Peer>;
+
+/// Whom each agent is connected with, as places in the list.
+fn graph(agents: &[Peer], choose: Choose) -> Vec<Vec<usize>> {
     let place = |vm: &str| {
         let found = agents.iter().position(|p| p.vm == vm);
         found.expect("an agent of the list")
     };
     let of = |own: &Peer| {
         let others: Vec<&Peer> = agents.iter().filter(|p| p.vm != own.vm).collect();
-        let sources = sources(&own.vm, &others);
-        sources.iter().map(|p| place(&p.vm)).collect()
+        let chosen = choose(&own.vm, &others);
+        chosen.iter().map(|p| place(&p.vm)).collect()
     };
     agents.iter().map(of).collect()
 }
@@ -49,7 +52,7 @@
 proptest! {
     #[test]
     fn each_is_asked_by_as_many_as_it_asks(n in 1_u16..100) {
-        let graph = graph(&agents(n));
+        let graph = graph(&agents(n), sources);
 
         let mut asked = vec![0; graph.len()];
         graph.iter().flatten().for_each(|source| asked[*source] += 1);
@@ -62,9 +65,22 @@
         }
     }
 
+    #[test]
+    fn those_that_take_from_an_agent_are_those_whose_source_it_is(n in 1_u16..100) {
+        let agents = agents(n);
+
+        let sources = graph(&agents, sources);
+        let takers = graph(&agents, takers);
+
+        for (i, takers) in takers.iter().enumerate() {
+            prop_assert!(takers.iter().all(|taker| sources[*taker].contains(&i)));
+            prop_assert_eq!(takers.len(), sources[i].len());
+        }
+    }
+
     #[test]
     fn a_chunk_is_everywhere_after_as_many_steps_as_the_number_has_binary_digits(n in 1_u16..100) {
-        let graph = graph(&agents(n));
+        let graph = graph(&agents(n), sources);
 
         for first in 0..graph.len() {
             let digits = (u16::BITS - n.leading_zeros()) as usize;
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -18,7 +18,7 @@
 use crate::Cx;
 use crate::api::{ApiError, OriginVersion};
 use crate::order::Order;
-use crate::peers::{BUSY, CHUNKS, Reach, announce, loaders};
+use crate::peers::{BUSY, CHUNKS, Reach, announce, announce_to, loaders};
 use crate::sets::Set;
 
 /// Log prefix of this part.
@@ -40,6 +40,9 @@
 /// Time between two looks at what has become available, and between two announcements.
 const TICK: Duration = Duration::from_millis(40);
 
+/// Shortest time between two looks at what others have said.
+const LEARN_PAUSE: Duration = Duration::from_millis(10);
+
 /// Time after which a loader that brings a version says so again.
 const SAY_AGAIN: Duration = Duration::from_millis(150);
 
@@ -102,6 +105,8 @@
     origin_rests_until: Instant,
     begun: Instant,
     progress: Instant,
+    /// When it was last looked at what others have said.
+    learned: Instant,
     counts: Counts,
 }
 
@@ -138,6 +143,7 @@
         origin_rests_until: now,
         begun: now,
         progress: now,
+        learned: now,
         counts: Counts::default(),
         cx,
     };
@@ -150,9 +156,13 @@
         fetch.start(&mut fetching);
         tokio::select! {
             Some(fetched) = fetching.join_next(), if !fetching.is_empty() => match fetched {
-                Ok(fetched) => fetch.took(fetched),
+                Ok(fetched) => {
+                    fetch.took(fetched);
+                    said.say_to_takers(&fetch);
+                }
                 Err(e) => warn!(target: PART, "{PART}: event=task_failed why=\"{e}\""),
             },
+            () = heard(&fetch.cx, fetch.learned) => fetch.learn(),
             _ = ticks.tick() => {
                 fetch.learn();
                 said.say(&fetch);
@@ -163,9 +173,16 @@
     info!(target: PART, "{PART}: event=whole model={} version={} took={:?} {:?}", fetch.set.model, fetch.set.version, fetch.begun.elapsed(), fetch.counts);
 }
 
+/// Waits until another loader has said something, and at least a while after what was said before that
+/// was taken.
+async fn heard(cx: &Cx, learned: Instant) {
+    cx.heard.notified().await;
+    tokio::time::sleep_until((learned + LEARN_PAUSE).into()).await;
+}
+
 /// What was last told of a version that is being brought.
 struct Said {
-    /// Chunks held, as loaders of the own failure domain were last told.
+    /// Chunks held, as those that take chunks from here were last told.
     have: Vec<bool>,
     /// When these were last told.
     near: Instant,
@@ -188,19 +205,28 @@
         }
     }
 
-    /// Tells other loaders what has come since: those near of every chunk, those far of chunks that
-    /// were drawn from the origin, and all again after a while.
-    fn say(&mut self, fetch: &Fetch) {
+    /// Tells those that take chunks from here of each chunk as it comes.
+    fn say_to_takers(&mut self, fetch: &Fetch) {
         let have = fetch.set.have();
+        if have != self.have {
+            let takers = fetch.swarm.takers(&fetch.rule);
+            let takers: Vec<SocketAddr> = takers.iter().map(|p| p.addr).collect();
+            announce_to(&fetch.cx, &fetch.set, &takers);
+            self.have = have;
+        }
+    }
+
+    /// Tells other loaders what has come since: those near after a while, those far of chunks that were
+    /// drawn from the origin, and all again after a longer one.
+    fn say(&mut self, fetch: &Fetch) {
         if !self.asked_again && fetch.begun.elapsed() > SETTLED / 2 {
             // What others have is asked for once more, in case the first was lost.
             self.asked_again = true;
             announce(&fetch.cx, &fetch.set, true, Reach::All);
             return;
         }
-        if have != self.have || self.near.elapsed() >= SAY_AGAIN {
+        if self.near.elapsed() >= SAY_AGAIN {
             announce(&fetch.cx, &fetch.set, false, Reach::Near);
-            self.have = have;
             self.near = Instant::now();
         }
         if fetch.counts.origin != self.drawn || self.far.elapsed() >= SAY_AGAIN_FAR {
@@ -255,6 +281,7 @@
     /// Takes what other loaders have said since. Those that bring the version too say so again and
     /// again; one that has fallen silent is not counted on, and what fell to it falls to others.
     fn learn(&mut self) {
+        self.learned = Instant::now();
         let known = self.cx.peers.lock().unwrap_or_else(PoisonError::into_inner);
         let heard = known.heard(&self.set.model, self.set.version, self.set.len());
         drop(known);
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -94,6 +94,8 @@
     pub(crate) beacon: Beacon,
     pub(crate) sets: Sets,
     pub(crate) peers: Mutex<Peers>,
+    /// Told when another loader said what it has.
+    pub(crate) heard: Notify,
     /// Told when the engine's state should be read at once.
     pub(crate) look: Notify,
     /// Whether the engine is about to leave service for new weights.
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -112,6 +112,14 @@
     cx.beacon.send(&msg, told.map(|m| m.beacon));
 }
 
+/// Tells some loaders, by where they serve, which chunks of a version are held here.
+pub(crate) fn announce_to(cx: &Cx, set: &Set, serving: &[SocketAddr]) {
+    let members = loaders(cx);
+    let told = members.iter().filter(|m| serving.contains(&m.passes_on));
+    cx.beacon
+        .send(&chunk_map(cx, set, false), told.map(|m| m.beacon));
+}
+
 /// Tells one loader which chunks of a version are held here, if any are.
 pub(crate) fn answer(cx: &Cx, map: &ChunkMap, to: SocketAddr) {
     if let Some(set) = cx.sets.get(&map.model, map.version) {
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -34,6 +34,7 @@
         beacon,
         sets: Sets::default(),
         peers: std::sync::Mutex::new(Peers::default()),
+        heard: Notify::new(),
         look: Notify::new(),
         leaving: AtomicBool::new(false),
         leaves_at: std::sync::Mutex::new(None),
@@ -71,6 +72,7 @@
                 }
                 let mut peers = cx.peers.lock().unwrap_or_else(|e| e.into_inner());
                 peers.take(map);
+                cx.heard.notify_one();
             }
             (Msg::Releases(list), from) => {
                 let revision = list.revision;
