Have the first requests of a gateway that starts wait for the configuration

Ruled out: engines (they outlast a kill with their weights), the list of upstreams (for it requests wait already, a fifth of their objective).

Change: such a request waits up to 90 ms (setting `start_wait`), which is within a quarter of the shortest objective, and is refused then as before.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -52,8 +52,7 @@
     arrived: Instant,
     record: &mut Record,
 ) -> Result<(Job, Arc<Service>), Refusal> {
-    let catalog = cx.catalog.borrow().clone();
-    let catalog = catalog.ok_or(Refusal::NotReady(NOT_READY_RETRY))?;
+    let catalog = configuration(cx).await?;
     let (head, body) = req.into_parts();
     let call = (cx.codec.call)(&head).map_err(|e| Refusal::BadHead(e.to_string()))?;
     record.id.clone_from(&call.id);
@@ -89,6 +88,17 @@
     Ok((job, service))
 }
 
+/// The configuration in force. A process that has just started waits for it a moment: it usually has it
+/// within 30 ms, and callers come back at once to one that was down.
+async fn configuration(cx: &Cx) -> Result<Arc<Catalog>, Refusal> {
+    let mut catalog = cx.catalog.clone();
+    let known = catalog.wait_for(Option::is_some);
+    let known = tokio::time::timeout(cx.cfg.start_wait, known).await;
+    let known = known.ok().and_then(Result::ok);
+    let known = known.and_then(|catalog| catalog.clone());
+    known.ok_or(Refusal::NotReady(NOT_READY_RETRY))
+}
+
 /// The workspace that holds the caller's key.
 fn tenant(catalog: &Catalog, call: &Call, public: bool) -> Result<Option<Arc<Tenant>>, Refusal> {
     let Access::Keys(keys) = &catalog.access else {
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -12,7 +12,7 @@
 use catalog::WeightsVersion;
 
 /// Part of the bound after which the first engine begins, if it has the weights by then.
-const FIRST_PART: f64 = 0.45;
+const FIRST_PART: f64 = 0.38;
 
 /// Part of the bound after which the last engine begins: it must end what runs, and take the
 /// weights, before the bound.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -65,6 +65,12 @@
         Duration("1200ms", "100ms", "1m"),
         "Silence of an upstream after which a request that may run twice is sent to another.",
     ),
+    field(
+        "start_wait",
+        Duration("90ms", "0ms", "30s"),
+        "Longest wait of a request for the first configuration of a process that has just started. Keep \
+         it below a quarter of the shortest latency objective.",
+    ),
     field(
         "retry_window",
         Duration("10s", "1s", "10m"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -239,6 +239,7 @@
         return_time: Duration = duration,
         connect_timeout: Duration = duration,
         stall_time: Duration = duration,
+        start_wait: Duration = duration,
         retry_window: Duration = duration,
         retry_ratio: f64 = ratio,
         retry_slack: u64 = number,
