--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -7,18 +7,18 @@
 use agent::swarm::{Rule, Source, Swarm};
 use base::{Digest, Set as HashSet};
 use beacon::Member;
-use bytes::Bytes;
 use log::{debug, info, warn};
 use rand::RngExt;
 use rand::seq::SliceRandom;
 use tokio::task::JoinSet;
-use web::{Client, empty, read_body};
+use web::Client;
 use wire::Peer;
 
 use crate::Cx;
-use crate::api::{ApiError, OriginVersion};
+use crate::api::OriginVersion;
+use crate::bring::{Fetched, NoChunk, bring};
 use crate::order::Order;
-use crate::peers::{BUSY, CHUNKS, Reach, announce, announce_to, loaders};
+use crate::peers::{Reach, announce, announce_to, loaders};
 use crate::sets::Set;
 
 /// Log prefix of this part.
@@ -66,24 +66,6 @@
 /// Loaders that may each ask an origin that is away five times a second.
 const ORIGIN_PAUSE_LOADERS: usize = 16;
 
-/// What bringing one chunk came to.
-struct Fetched {
-    i: usize,
-    source: Source,
-    took: Duration,
-    result: Result<Bytes, NoChunk>,
-}
-
-/// Why a chunk did not come.
-enum NoChunk {
-    /// The loader passes on as many as it may.
-    Busy,
-    /// The loader doesn't hold it.
-    Absent,
-    /// No whole answer came.
-    Failed(ApiError),
-}
-
 /// Fetch of one version.
 struct Fetch {
     cx: Arc<Cx>,
@@ -472,39 +454,3 @@
         }
     }
 }
-
-/// Brings one chunk.
-async fn bring(
-    cx: &Cx,
-    set: &Set,
-    origin: OriginVersion,
-    client: &Client,
-    i: usize,
-    source: Source,
-) -> Result<Bytes, NoChunk> {
-    let failed = |e: &dyn std::fmt::Display| NoChunk::Failed(ApiError(e.to_string()));
-    let within = cx.cfg.chunk_timeout;
-    let addr = match source {
-        Source::Origin => {
-            let drawn = (cx.api.chunk)((origin, i));
-            return match tokio::time::timeout(within, drawn).await {
-                Ok(drawn) => drawn.map_err(NoChunk::Failed),
-                Err(_) => Err(failed(&"the origin gave no chunk in time")),
-            };
-        }
-        Source::Peer(addr) => addr,
-    };
-    let path = format!("{CHUNKS}{}/{}/{i}", set.model, set.version);
-    let req = hyper::Request::get(path).body(empty());
-    let req = req.map_err(|e| failed(&e))?;
-    let sent = client.send(addr, req, within).await;
-    let res = sent.map_err(|e| failed(&e))?;
-    match res.status().as_u16() {
-        200 => {}
-        BUSY => return Err(NoChunk::Busy),
-        404 => return Err(NoChunk::Absent),
-        other => return Err(failed(&format!("status {other}"))),
-    }
-    let body = read_body(res.into_body(), cx.cfg.chunk_bytes as usize, within).await;
-    body.map_err(|e| failed(&e))
-}
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -7,6 +7,7 @@
 //! the platform; [`api`] holds the functions for it.
 
 pub mod api;
+mod bring;
 mod fetch;
 pub mod order;
 mod peers;
--- a/crates/loader/src/order.rs
+++ b/crates/loader/src/order.rs
@@ -1,7 +1,7 @@
 //! When each chunk is to be drawn from the origin.
 //!
 //! Drawn all at once, chunks share the origin's link, and the first comes as late as the last. Drawn one
-//! after the other, each is passed on while the next is on its way. Loaders don't agree on it: all begin
+//! after the other, each is passed on while the next is on its way. Loaders need not agree on it: all begin
 //! at about the same moment and know the rate of the link.
 
 use std::time::{Duration, Instant};
