--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 //! documents it holds; who is told of a newer one copies it. Other domains are told by one gateway. A
 //! release is told to loaders as it becomes known, and again to one whose note shows that it missed it.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::{Duration, Instant};
@@ -30,8 +31,9 @@
 /// 125 ms three domains with 76 engines tell each other 0.3 Mbit/s.
 const DOMAIN_LOAD_INTERVAL: Duration = Duration::from_millis(125);
 
-/// Time in which the store usually brings what another gateway knows already.
-const STORE_LEAD: Duration = Duration::from_millis(120);
+/// Time in which the store usually brings what another gateway knows already: watches of the
+/// configuration are up to 0.6 s apart.
+const STORE_LEAD: Duration = Duration::from_millis(700);
 
 /// Longest wait for another process's copy of a document.
 const COPY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -117,12 +119,19 @@
     }
 }
 
-/// Brings the configuration of another gateway where it is newer.
+/// Brings the configuration of another gateway where it is newer, unless that is under way: a note
+/// comes every few milliseconds, and each copy takes a part of two links.
 fn follow(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
     let wanted = note.configuration;
-    if wanted > cx.mirror.revision(cx.configuration) {
-        tokio::spawn(catch_up(cx.clone(), client.clone(), note.copies_at, wanted));
+    let behind = wanted > cx.mirror.revision(cx.configuration);
+    if !behind || cx.catching_up.swap(true, Relaxed) {
+        return;
     }
+    let (cx, client, from) = (cx.clone(), client.clone(), note.copies_at);
+    tokio::spawn(async move {
+        catch_up(&cx, &client, from, wanted).await;
+        cx.catching_up.store(false, Relaxed);
+    });
 }
 
 /// Copies the list of upstreams of another gateway of the failure domain where it is newer, unless
@@ -144,12 +153,12 @@
 }
 
 /// Takes a newer configuration from another gateway, unless the store brings it meanwhile.
-async fn catch_up(cx: Arc<Cx>, client: Client, from: std::net::SocketAddr, wanted: Revision) {
+async fn catch_up(cx: &Cx, client: &Client, from: SocketAddr, wanted: Revision) {
     tokio::time::sleep(STORE_LEAD).await;
     if cx.mirror.revision(cx.configuration) >= wanted {
         return;
     }
-    let asked = mirror::ask(&cx.mirror, cx.configuration, &client, from, COPY_TIMEOUT).await;
+    let asked = mirror::ask(&cx.mirror, cx.configuration, client, from, COPY_TIMEOUT).await;
     match asked {
         Ok(newer) => {
             info!(target: PART, "{PART}: event=caught_up from={from} newer={newer}");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,6 +69,8 @@
     pub upstreams: DocName,
     /// Whether that list is being copied from another gateway.
     pub copying: AtomicBool,
+    /// Whether a newer configuration is waited for or copied from another gateway.
+    pub catching_up: AtomicBool,
     /// Documents passed on to others.
     pub documents: Vec<DocName>,
     /// Incarnation of this process.
@@ -107,6 +109,7 @@
             configuration: wiring.configuration,
             upstreams: wiring.upstreams,
             copying: AtomicBool::new(false),
+            catching_up: AtomicBool::new(false),
             documents: wiring.documents,
             peers: wiring.peers,
             stop: wiring.stop,
