Take the configuration from few gateways of a failure domain, and of it only what changed

Cause: each of 39 gateways watched the configuration at the store and each of 45 loaders read it at its start, over links of 27 Mbit/s for everything.

A gateway that starts is answered at once by those that are up; the first up reads. A body is read on as long as it keeps coming; connections are probed, so that one that fell silent shows. What can't be decoded is named by its path and leaves what is in force. Manifests are asked for after 50 ms a place, not 120.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -66,6 +66,8 @@
     pub incarnation: Incarnation,
     /// Grows with each note of that incarnation.
     pub number: u64,
+    /// Whether it reaches the platform's store.
+    pub reaches_store: bool,
     /// Revision of the configuration it holds.
     pub configuration: Revision,
     /// Revision of the list of upstreams it holds.
--- a/crates/gateway/src/balance/load.rs
+++ b/crates/gateway/src/balance/load.rs
@@ -71,16 +71,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes a note of a gateway of the own failure domain, unless a newer one is known.
-    pub fn take(&self, note: LoadNote, now: Instant) {
+    /// Takes a note of a gateway of the own failure domain, unless a newer one is known; `true` where
+    /// that gateway wasn't heard lately, or has started anew.
+    pub fn take(&self, note: LoadNote, now: Instant) -> bool {
         let mut state = self.state();
         let known = state.near.get(&note.from);
+        let same = |h: &Heard| h.note.incarnation == note.incarnation && !h.is_old(now);
+        let appeared = !known.is_some_and(same);
         if known.is_none_or(|known| known.is_before(&note, now)) {
             state
                 .near
                 .insert(note.from.clone(), Heard { note, at: now });
             state.sum(now);
         }
+        appeared
     }
 
     /// Takes the sum of another failure domain, unless a newer one of the same gateway is known.
@@ -103,10 +107,14 @@
     /// Rank of a gateway among those of its failure domain that were heard lately, by VM. The first,
     /// 0, does for the others what one can do for all.
     pub fn rank(&self, own: &VmId, now: Instant) -> usize {
+        self.state().before(own, now).count()
+    }
+
+    /// The same among those that reach the store.
+    pub fn store_rank(&self, own: &VmId, now: Instant) -> usize {
         let state = self.state();
-        let heard = |h: &&Heard| now.saturating_duration_since(h.at) < HEARD_TIME;
-        let heard = state.near.values().filter(heard);
-        heard.filter(|h| h.note.from < *own).count()
+        let before = state.before(own, now);
+        before.filter(|note| note.reaches_store).count()
     }
 
     /// The sum of the own failure domain, with what this gateway has in flight itself.
@@ -152,6 +160,13 @@
 }
 
 impl State {
+    /// Notes of the gateways of the failure domain that were heard lately and come before one by VM.
+    fn before(&self, own: &VmId, now: Instant) -> impl Iterator<Item = &LoadNote> {
+        let heard = move |h: &&Heard| now.saturating_duration_since(h.at) < HEARD_TIME;
+        let heard = self.near.values().filter(heard);
+        heard.map(|h| &h.note).filter(move |note| note.from < *own)
+    }
+
     /// Forgets old notes and adds the others up.
     fn sum(&mut self, now: Instant) {
         self.near.retain(|_, heard| !heard.is_old(now));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -11,7 +11,8 @@
 
 use base::Revision;
 use beacon::{Beacon, Load, LoadNote, Msg};
-use log::{info, warn};
+use log::{debug, info, warn};
+use mirror::DocName;
 use web::{Client, Dial};
 
 use crate::Cx;
@@ -40,16 +41,16 @@
 
 /// Tells other gateways of the failure domain what is in flight here, and which documents.
 pub(crate) async fn tell(cx: Arc<Cx>, beacon: Beacon) {
-    let mut number = 0;
     let mut documents = cx.mirror.changes();
+    let mut peers = cx.peers.clone();
     loop {
         tokio::select! {
+            Ok(()) = peers.changed() => {}
             _ = cx.admission.changed() => tokio::time::sleep(LOAD_DELAY).await,
             Ok(()) = documents.changed() => {}
             _ = tokio::time::sleep(LOAD_REPEAT) => {}
         }
-        number += 1;
-        let note = load_note(&cx, number, largest(own_loads(&cx)));
+        let note = load_note(&cx, largest(own_loads(&cx)));
         let to = cx.peers.borrow().near_gateways.clone();
         beacon.send(&Msg::Load(note), to);
     }
@@ -58,14 +59,12 @@
 /// Tells gateways of other failure domains what this one has in flight, while this gateway is the
 /// first of it.
 pub(crate) async fn tell_domain(cx: Arc<Cx>, beacon: Beacon) {
-    let mut number = 0;
     loop {
         tokio::time::sleep(DOMAIN_LOAD_INTERVAL).await;
         if cx.loads.rank(&cx.cfg.node.vm, Instant::now()) > 0 {
             continue;
         }
-        number += 1;
-        let note = load_note(&cx, number, cx.loads.domain(&own_loads(&cx)));
+        let note = load_note(&cx, cx.loads.domain(&own_loads(&cx)));
         let to = cx.peers.borrow().far_gateways.clone();
         beacon.send(&Msg::DomainLoad(note), to);
     }
@@ -77,12 +76,13 @@
     loads.filter(|l| l.requests > 0 || l.failed > 0).collect()
 }
 
-fn load_note(cx: &Cx, number: u64, loads: Vec<Load>) -> LoadNote {
+fn load_note(cx: &Cx, loads: Vec<Load>) -> LoadNote {
     LoadNote {
         from: cx.cfg.node.vm.clone(),
         domain: cx.cfg.node.domain.clone(),
         incarnation: cx.incarnation,
-        number,
+        number: cx.notes.fetch_add(1, Relaxed),
+        reaches_store: *cx.reaches_store.borrow(),
         configuration: cx.mirror.revision(cx.configuration),
         upstreams: cx.mirror.revision(cx.upstreams),
         upstreams_age: cx.mirror.age(cx.upstreams).unwrap_or_default(),
@@ -98,9 +98,13 @@
         let (msg, from) = beacon.next().await;
         match msg {
             Msg::Load(note) => {
-                follow(&cx, &client, &note);
+                copy_configuration(&cx, &client, &note);
                 follow_upstreams(&cx, &client, &note);
-                cx.loads.take(note, Instant::now());
+                if cx.loads.take(note, Instant::now()) {
+                    // One that has started is to know at once who is up, and what to copy.
+                    let own = load_note(&cx, largest(own_loads(&cx)));
+                    beacon.send(&Msg::Load(own), [from]);
+                }
             }
             Msg::DomainLoad(note) => {
                 follow(&cx, &client, &note);
@@ -119,7 +123,22 @@
     }
 }
 
-/// Brings the configuration of another gateway where it is newer, unless that is under way: a note
+/// Copies the configuration of another gateway of the failure domain where it is newer, unless that is
+/// under way: only the first gateways read the store.
+fn copy_configuration(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
+    let behind = note.configuration > cx.mirror.revision(cx.configuration);
+    if !behind || cx.copying_configuration.swap(true, Relaxed) {
+        return;
+    }
+    let (cx, client, from) = (cx.clone(), client.clone(), note.copies_at);
+    tokio::spawn(async move {
+        let copied = copy(&cx, &client, cx.configuration, from).await;
+        cx.not_copied.store(!copied, Relaxed);
+        cx.copying_configuration.store(false, Relaxed);
+    });
+}
+
+/// Brings the configuration of another failure domain where it is newer, unless that is under way: a note
 /// comes every few milliseconds, and each copy takes a part of two links.
 fn follow(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
     let wanted = note.configuration;
@@ -144,27 +163,31 @@
     }
     let (cx, client, from) = (cx.clone(), client.clone(), note.copies_at);
     tokio::spawn(async move {
-        let asked = mirror::ask(&cx.mirror, cx.upstreams, &client, from, COPY_TIMEOUT).await;
-        if let Err(e) = asked {
-            warn!(target: PART, "{PART}: event=not_copied table={} from={from} why=\"{e}\"", cx.upstreams);
-        }
+        copy(&cx, &client, cx.upstreams, from).await;
         cx.copying.store(false, Relaxed);
     });
 }
 
-/// Takes a newer configuration from another gateway, unless the store brings it meanwhile.
+/// Takes a newer configuration from another failure domain, unless the own one has it meanwhile.
 async fn catch_up(cx: &Cx, client: &Client, from: SocketAddr, wanted: Revision) {
     tokio::time::sleep(STORE_LEAD).await;
-    if cx.mirror.revision(cx.configuration) >= wanted {
-        return;
+    if cx.mirror.revision(cx.configuration) < wanted {
+        copy(cx, client, cx.configuration, from).await;
     }
-    let asked = mirror::ask(&cx.mirror, cx.configuration, client, from, COPY_TIMEOUT).await;
-    match asked {
+}
+
+/// Takes another gateway's copy of a document; `false` where none came.
+async fn copy(cx: &Cx, client: &Client, name: DocName, from: SocketAddr) -> bool {
+    let asked = mirror::ask(&cx.mirror, name, client, from, COPY_TIMEOUT).await;
+    match &asked {
         Ok(newer) => {
-            info!(target: PART, "{PART}: event=caught_up from={from} newer={newer}");
+            debug!(target: PART, "{PART}: event=copied table={name} from={from} newer={newer}");
+        }
+        Err(e) => {
+            warn!(target: PART, "{PART}: event=not_copied table={name} from={from} why=\"{e}\"");
         }
-        Err(e) => warn!(target: PART, "{PART}: event=catch_up_failed from={from} why=\"{e}\""),
     }
+    asked.is_ok()
 }
 
 /// Tells loaders of each release as it becomes known.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,7 +26,7 @@
 pub mod upstream;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 
 use base::Incarnation;
 use catalog::Catalog;
@@ -69,8 +69,16 @@
     pub upstreams: DocName,
     /// Whether that list is being copied from another gateway.
     pub copying: AtomicBool,
-    /// Whether a newer configuration is waited for or copied from another gateway.
+    /// Load notes sent so far.
+    pub notes: AtomicU64,
+    /// Whether the configuration is being copied from a gateway of the own failure domain.
+    pub copying_configuration: AtomicBool,
+    /// Whether a newer configuration is known of, and the last try to copy it failed.
+    pub not_copied: AtomicBool,
+    /// Whether a newer configuration is waited for, or copied from another failure domain.
     pub catching_up: AtomicBool,
+    /// Whether the platform's store can be reached.
+    pub reaches_store: watch::Receiver<bool>,
     /// Documents passed on to others.
     pub documents: Vec<DocName>,
     /// Incarnation of this process.
@@ -109,7 +117,11 @@
             configuration: wiring.configuration,
             upstreams: wiring.upstreams,
             copying: AtomicBool::new(false),
+            notes: AtomicU64::new(1),
+            copying_configuration: AtomicBool::new(false),
+            not_copied: AtomicBool::new(false),
             catching_up: AtomicBool::new(false),
+            reaches_store: wiring.reaches_store,
             documents: wiring.documents,
             peers: wiring.peers,
             stop: wiring.stop,
@@ -146,6 +158,8 @@
     pub upstreams: DocName,
     /// Documents passed on to others.
     pub documents: Vec<DocName>,
+    /// Whether the platform's store can be reached.
+    pub reaches_store: watch::Receiver<bool>,
     /// Other processes.
     pub peers: watch::Receiver<Peers>,
     /// Turns true when a planned stop begins.
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -27,6 +27,7 @@
         domain: domain.to_owned(),
         incarnation: 5,
         number,
+        reaches_store: true,
         configuration: 1,
         upstreams: 1,
         upstreams_age: Duration::ZERO,
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -36,8 +36,10 @@
 /// Loaders at the head of the order that others ask.
 const MANIFEST_HOLDERS: usize = 2;
 
-/// Time that each loader in the order has for bringing a manifest before the next asks the origin.
-const MANIFEST_TURN: Duration = Duration::from_millis(120);
+/// Time that each loader in the order has for bringing a manifest before the next asks the origin. A
+/// manifest of 4 KB is there 30 ms after it was asked for, and after a loss of power those that come
+/// first may still be dark.
+const MANIFEST_TURN: Duration = Duration::from_millis(50);
 
 /// Time in which a loader sends a manifest of a hundred chunks, 3 KB, over 7.3 Mbit/s.
 const MANIFEST_SENT: Duration = Duration::from_millis(4);
@@ -86,6 +88,7 @@
 pub(crate) async fn keep(cx: Arc<Cx>, state: watch::Receiver<Option<EngineState>>) {
     let client = Client::new(Dial::within(cx.cfg.chunk_timeout));
     let mut known = cx.known.subscribe();
+    let mut configured = cx.catalog.clone();
     let mut keeper = Keeper {
         cx,
         client,
@@ -95,6 +98,7 @@
     };
     loop {
         known.borrow_and_update();
+        configured.borrow_and_update();
         let catalog = keeper.cx.catalog.borrow().clone();
         if let Some(catalog) = catalog {
             keeper.step(&catalog).await;
@@ -104,6 +108,7 @@
             // An engine that has taken its weights is back in service at once.
             changed = keeper.state.changed() => if changed.is_err() { return },
             changed = known.changed() => if changed.is_err() { return },
+            changed = configured.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/crates/mirror/src/ask.rs
+++ b/crates/mirror/src/ask.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use web::{Client, empty, read_body};
+use bytes::Bytes;
+use web::{Client, empty, read_steadily};
 
-use crate::serve::Passed;
+use crate::pack::unpack;
+use crate::serve::{Passed, PassedBody};
 use crate::{DocName, Mirror, PATH};
 
 /// Largest copy taken, in bytes.
@@ -24,7 +26,8 @@
 
 impl std::error::Error for AskError {}
 
-/// Asks a process for its copy and takes it; `true` where it was newer than the one held.
+/// Asks a process for its copy and takes it; `true` where it was newer than the one held. An answer that
+/// keeps coming is read on, however long it is; one that pauses for `within` is given up.
 pub async fn ask(
     mirror: &Mirror,
     name: DocName,
@@ -43,16 +46,29 @@
     if !res.status().is_success() {
         return Err(AskError(format!("{from} answered {}", res.status())));
     }
-    let buf = read_body(res.into_body(), MAX_COPY, within)
+    let buf = read_steadily(res.into_body(), MAX_COPY, within)
         .await
         .map_err(|e| AskError(e.to_string()))?;
     let passed: Passed = postcard::from_bytes(&buf).map_err(|e| AskError(e.to_string()))?;
-    Ok(match passed.body.is_empty() {
-        // The same revision: take it again for its age.
-        true => match mirror.get(name).filter(|c| c.revision == passed.revision) {
-            Some(copy) => mirror.take(name, copy.revision, copy.body, passed.age),
-            None => false,
-        },
-        false => mirror.take(name, passed.revision, passed.body.into(), passed.age),
-    })
+    match passed.body {
+        Some(body) => {
+            let body = unpacked(mirror, name, &body)?;
+            Ok(mirror.take(name, passed.revision, body, passed.age))
+        }
+        // The same revision: its age is news.
+        None => {
+            mirror.confirm(name, passed.revision, passed.age);
+            Ok(false)
+        }
+    }
+}
+
+fn unpacked(mirror: &Mirror, name: DocName, body: &PassedBody) -> Result<Bytes, AskError> {
+    let against = match body.against {
+        0 => Bytes::new(),
+        revision => mirror
+            .body_of(name, revision)
+            .ok_or_else(|| AskError(format!("it was packed against revision {revision}")))?,
+    };
+    unpack(&body.bytes, &against, body.length.min(MAX_COPY)).map_err(|e| AskError(e.to_string()))
 }
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -3,10 +3,12 @@
 //! A document has a name, a revision, a body, and an age: how long ago the store confirmed, to
 //! whichever process asked it, that nothing newer was in force. A copy is only ever replaced by a
 //! newer revision; the same revision confirmed later only makes it younger. Processes that are cut
-//! off from the store [`ask`] others for their copies.
+//! off from the store [`ask`] others for their copies; of a document that both hold in an earlier revision
+//! only what changed since travels.
 
 mod ask;
 mod copy;
+mod pack;
 mod serve;
 
 pub use ask::{AskError, ask};
--- a/crates/mirror/src/serve.rs
+++ b/crates/mirror/src/serve.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 use web::{Request, Response, full, text};
 
-use crate::{Copy, DocName, Mirror};
+use crate::pack::PackError;
+use crate::{DocName, Mirror};
 
 /// Path of a document is this and its name.
 pub const PATH: &str = "/mirror/";
@@ -17,8 +18,18 @@
 pub(crate) struct Passed {
     pub(crate) revision: Revision,
     pub(crate) age: Duration,
-    /// Empty where the asker holds the revision already.
-    pub(crate) body: Vec<u8>,
+    /// Packed; `None` where the asker holds the revision already.
+    pub(crate) body: Option<PassedBody>,
+}
+
+/// A packed body.
+#[derive(Debug, Serialize, Deserialize)]
+pub(crate) struct PassedBody {
+    /// Revision of the asker's that it is packed against; 0 for none.
+    pub(crate) against: Revision,
+    /// Length of the body, in bytes.
+    pub(crate) length: usize,
+    pub(crate) bytes: Vec<u8>,
 }
 
 /// Answers `GET /mirror/NAME?REVISION`; leaves the body out where the asker has that revision.
@@ -27,24 +38,36 @@
     let Some(name) = names.iter().find(|n| Some(**n) == name) else {
         return text(404, "no such document\n");
     };
-    let Some(copy) = mirror.get(name) else {
-        return text(503, "no copy yet; ask again\n");
-    };
     let held = req.uri().query().and_then(|q| q.parse().ok()).unwrap_or(0);
-    match postcard::to_stdvec(&pass(copy, held)) {
+    let passed = match pass(mirror, name, held) {
+        Ok(Some(passed)) => passed,
+        Ok(None) => return text(503, "no copy yet; ask again\n"),
+        Err(e) => return text(500, format!("{e}\n")),
+    };
+    match postcard::to_stdvec(&passed) {
         Ok(buf) => Response::new(full(Bytes::from(buf))),
         Err(e) => text(500, format!("the copy can't be encoded: {e}\n")),
     }
 }
 
-fn pass(copy: Copy, held: Revision) -> Passed {
-    let body = match copy.revision > held {
-        true => copy.body.to_vec(),
-        false => Vec::new(),
+fn pass(mirror: &Mirror, name: DocName, known: Revision) -> Result<Option<Passed>, PackError> {
+    let Some(copy) = mirror.get(name) else {
+        return Ok(None);
     };
-    Passed {
+    let body = match copy.revision > known {
+        true => {
+            let packed = mirror.packed(name, known)?;
+            Some(PassedBody {
+                against: packed.against,
+                length: copy.body.len(),
+                bytes: packed.body.to_vec(),
+            })
+        }
+        false => None,
+    };
+    Ok(Some(Passed {
         revision: copy.revision,
         age: copy.confirmed.elapsed(),
         body,
-    }
+    }))
 }
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -56,3 +56,27 @@
         },
     }
 }
+
+/// Reads a body to its end, within a size, as long as some of it comes within each `pause`. A large body
+/// on a narrow link takes its time; one that stops coming is given up.
+pub async fn read_steadily<B>(body: B, limit: usize, pause: Duration) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
+    let mut body = body;
+    let mut read = BytesMut::new();
+    loop {
+        let frame = match tokio::time::timeout(pause, body.frame()).await {
+            Ok(Some(frame)) => frame.map_err(BodyError::Broken)?,
+            Ok(None) => return Ok(read.freeze()),
+            Err(_) => return Err(BodyError::Slow(pause)),
+        };
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if read.len() + data.len() > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        read.extend_from_slice(data);
+    }
+}
--- a/crates/web/src/client.rs
+++ b/crates/web/src/client.rs
@@ -17,6 +17,16 @@
 /// How long an idle connection is kept.
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
+/// Time without a packet after which a connection is probed, and between two probes: one that fell
+/// silent for good shows in no other way.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Probes without an answer after which a connection is given up.
+const PROBES: u32 = 3;
+
+/// Time after which a connection whose packets aren't acknowledged is given up.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(2);
+
 /// Why no answer came.
 #[derive(Debug, Display)]
 pub enum SendError {
@@ -80,6 +90,10 @@
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(dial.timeout));
         connector.set_local_address(dial.source);
+        connector.set_keepalive(Some(PROBE_INTERVAL));
+        connector.set_keepalive_interval(Some(PROBE_INTERVAL));
+        connector.set_keepalive_retries(Some(PROBES));
+        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
         let pool = Pool::builder(TokioExecutor::new())
             .pool_max_idle_per_host(match dial.keep {
                 true => IDLE_PER_HOST,
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -4,7 +4,7 @@
 pub mod client;
 pub mod server;
 
-pub use body::{Body, BodyError, empty, full, read_body};
+pub use body::{Body, BodyError, empty, full, read_body, read_steadily};
 pub use client::{Client, Dial, SendError};
 pub use server::{Bounds, Stop, serve};
 
