Serve callers that can be in time before late ones; decisions under load in a crate of their own

Cause: in overload (12 engines answer 142 requests a second of 190) a caller who was refused came back 1.5 s later and took the place of one who had just come: of 165 answers a second 75 to 120 were in time. As many are refused, whoever goes first.

Change: a request whose caller has less time left than callers of its route usually state was tried before; if its objective has passed it goes after those that can be in time, and leaves an eighth of each engine's slots free for them. Line, placement, outcomes, retry budget and times to come back are plain structs in crates/decide; the circle of admission, balance and upstream is gone.

--- /dev/null
+++ b/crates/decide/src/age.rs
@@ -0,0 +1,63 @@
+//! How long ago a caller first asked.
+//!
+//! A request doesn't say whether it is a first try. It does say how long its caller still waits, and
+//! callers of a route usually begin with the same time: one that has 4.4 s left where others have 6 s was
+//! refused or not answered 1.6 s ago. Where callers of a route state all kinds of times, nothing follows
+//! from them, and each request counts as a first try.
+
+use std::time::{Duration, Instant};
+
+/// Time after which the longest time stated is forgotten, should no caller state it any more.
+const FORGET: Duration = Duration::from_secs(10);
+
+/// Part of the longest time stated that still counts as the same: the head of a first try has travelled
+/// for up to 8 ms of 6 s, and on a narrow link some times that.
+const SAME_PART: f64 = 0.97;
+
+/// Weight of one request in the share of those that state the longest time.
+const NEWEST: f64 = 0.02;
+
+/// Share of requests that must state the longest time for the others to count as tries again. When all
+/// were refused once, half of them are first tries.
+const LEAST_SHARE: f64 = 0.25;
+
+/// What callers of one route state.
+#[derive(Debug, Clone)]
+pub struct Stated {
+    longest: Duration,
+    seen: Instant,
+    share: f64,
+}
+
+impl Stated {
+    /// Nothing is known before the first request.
+    pub fn new(now: Instant) -> Stated {
+        Stated {
+            longest: Duration::ZERO,
+            seen: now,
+            share: 1.0,
+        }
+    }
+
+    /// Takes the time that a caller waits, and tells how long ago it first asked; zero where that can't
+    /// be told.
+    pub fn waited(&mut self, patience: Duration, now: Instant) -> Duration {
+        let forgotten = now.saturating_duration_since(self.seen) > FORGET;
+        if patience > self.longest || forgotten {
+            self.longest = patience;
+        }
+        let is_longest = patience >= self.longest.mul_f64(SAME_PART);
+        if is_longest {
+            self.seen = now;
+        }
+        let newest = match is_longest {
+            true => 1.0,
+            false => 0.0,
+        };
+        self.share += NEWEST * (newest - self.share);
+        match is_longest || self.share < LEAST_SHARE {
+            true => Duration::ZERO,
+            false => self.longest - patience,
+        }
+    }
+}
--- /dev/null
+++ b/crates/decide/src/lib.rs
@@ -0,0 +1,30 @@
+//! Decisions under load: who is served next, where, who is refused, and when to come back.
+//!
+//! Plain structs and functions over counters and an [`Instant`](std::time::Instant) that is handed in,
+//! without a network, tasks or a clock of their own, so that a test can play any load against them.
+//!
+//! - [`age`]: how long ago a caller first asked, and so whether it can still be served in its objective.
+//! - [`line`]: requests that wait, for how long, and which of them is next.
+//! - [`placement`]: the upstream of a request.
+//! - [`come_back`]: when a caller that is refused is told to come back.
+//! - [`outcomes`]: which upstreams are left alone, since they fail most of what they get.
+//! - [`retry`]: the budget of requests sent again.
+
+pub mod age;
+pub mod come_back;
+pub mod line;
+pub mod outcomes;
+pub mod placement;
+pub mod retry;
+
+/// Whether a request can still be served within its objective, counted from its caller's first try.
+///
+/// In overload each late answer takes the place of one in time: as many callers are refused, whoever goes
+/// first. So those that can be in time go first, and late ones get what they leave over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It can be served in time.
+    Timely,
+    /// Its objective has passed or will have by the first event.
+    Late,
+}
--- /dev/null
+++ b/crates/decide/tests/age.rs
@@ -0,0 +1,67 @@
+//! Which requests count as tries again.
+
+use std::time::{Duration, Instant};
+
+use decide::age::Stated;
+
+const FIRST: Duration = Duration::from_millis(6000);
+
+/// Takes `n` requests whose callers wait for a time.
+fn take(stated: &mut Stated, n: usize, patience: Duration, now: Instant) {
+    for _ in 0..n {
+        stated.waited(patience, now);
+    }
+}
+
+#[test]
+fn a_caller_that_waits_for_less_than_the_others_asked_before() {
+    let now = Instant::now();
+    let mut stated = Stated::new(now);
+    take(&mut stated, 50, FIRST, now);
+
+    let again = stated.waited(Duration::from_millis(4400), now);
+    let delayed = stated.waited(Duration::from_millis(5990), now);
+
+    assert_eq!(again, Duration::from_millis(1600));
+    assert_eq!(delayed, Duration::ZERO);
+}
+
+#[test]
+fn it_does_so_also_when_every_caller_is_refused_once() {
+    let now = Instant::now();
+    let mut stated = Stated::new(now);
+
+    for _ in 0..500 {
+        stated.waited(FIRST, now);
+        let again = stated.waited(Duration::from_millis(4300), now);
+        assert_eq!(again, Duration::from_millis(1700));
+    }
+}
+
+#[test]
+fn nothing_follows_where_callers_state_all_kinds_of_times() {
+    let now = Instant::now();
+    let mut stated = Stated::new(now);
+    for i in 0..1000 {
+        let ms = 1000 + i * 1237 % 5000;
+        stated.waited(Duration::from_millis(ms), now);
+    }
+
+    let any = stated.waited(Duration::from_millis(2000), now);
+
+    assert_eq!(any, Duration::ZERO);
+}
+
+#[test]
+fn a_time_that_no_caller_states_any_more_is_forgotten() {
+    let now = Instant::now();
+    let mut stated = Stated::new(now);
+    take(&mut stated, 10, FIRST, now);
+    let later = now + Duration::from_secs(11);
+    take(&mut stated, 1, Duration::from_secs(3), later);
+
+    let waited = stated.waited(Duration::from_millis(2950), later);
+
+    assert_eq!(waited, Duration::ZERO, "3 s is the longest now");
+    assert!(stated.waited(Duration::from_millis(2000), later) > Duration::ZERO);
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,6 +7,7 @@
 use base::Model;
 use bytes::Bytes;
 use catalog::{ApiKey, Route, ServiceName, Tenant, WeightsVersion};
+use decide::Standing;
 use hyper::HeaderMap;
 use hyper::http::{request, response};
 
@@ -109,6 +110,8 @@
     pub service: ServiceName,
     /// Who called; `None` on public routes without a known key.
     pub tenant: Option<Arc<Tenant>>,
+    /// Whether it can still be served in its objective.
+    pub standing: Standing,
     /// When its head was read.
     pub arrived: Instant,
     /// When it gets its final answer at the latest.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,7 +16,7 @@
 use web::{Client, Dial};
 
 use crate::Cx;
-use crate::balance::load::largest;
+use crate::loads::largest;
 
 /// Log prefix of this part.
 const PART: &str = "gossip";
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use catalog::{Access, Catalog, Service, Tenant};
+use catalog::{Access, Catalog, Route, Service, Tenant};
+use decide::Standing;
 use hyper::http::request;
 use log::debug;
 use rand::RngExt;
@@ -68,6 +69,8 @@
     }
     let patience = call.patience.unwrap_or(route.timeout).min(route.timeout);
     record.patience_ms = patience.as_millis() as u64;
+    let waited = cx.ages.waited(&route.name, call.patience, arrived);
+    record.waited_ms = waited.as_millis() as u64;
     let body = read(&catalog, &head, body, patience).await?;
     let service = route.service(rand::rng().random_range(0.0..1.0)).clone();
     record.service.clone_from(&service);
@@ -75,7 +78,9 @@
         .service(&service)
         .ok_or(Refusal::NoUpstream(NOT_READY_RETRY))?
         .clone();
+    let standing = standing(&call, &route, &service, waited);
     let job = Job {
+        standing,
         call,
         head,
         body,
@@ -88,6 +93,16 @@
     Ok((job, service))
 }
 
+/// Whether a request whose caller first asked so long ago can still have its first event in time.
+fn standing(call: &Call, route: &Route, service: &Service, waited: Duration) -> Standing {
+    let engine = service.engine.as_ref();
+    let read = engine.map_or(Duration::ZERO, |e| e.prompt_time(call.prompt_tokens));
+    match waited + read < route.objective {
+        true => Standing::Timely,
+        false => Standing::Late,
+    }
+}
+
 /// The configuration in force. A process that has just started waits for it a moment: it usually has it
 /// within 30 ms, and callers come back at once to one that was down.
 async fn configuration(cx: &Cx) -> Result<Arc<Catalog>, Refusal> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,25 +2,26 @@
 //!
 //! A request is followed through these modules in order: [`serve`] accepts its connection,
 //! [`handle`] finds its route and workspace and reads its body, [`admission`] waits for a slot that
-//! [`balance`] chooses, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
+//! [`balance`] chooses by the decisions in the crate `decide`, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
 //! [`record`] says in one log line what became of it.
 //!
 //! What a request says of itself travels in headers whose names belong to the platform; [`Codec`]
 //! holds the functions that read and write them.
 
 pub mod admission;
-pub mod balance;
+mod ages;
+mod balance;
 pub mod call;
 mod connection;
 pub mod events;
 mod gossip;
 mod handle;
+pub mod loads;
 pub mod membership;
 mod record;
 pub mod refusal;
 mod relay;
 pub mod release;
-pub mod retry;
 mod send;
 mod serve;
 pub mod upstream;
@@ -35,11 +36,12 @@
 use tokio::sync::watch;
 
 use crate::admission::Admission;
-use crate::balance::load::LoadBook;
+use crate::ages::Ages;
 use crate::call::Codec;
+use crate::loads::LoadBook;
 use crate::membership::Roster;
 use crate::release::Releases;
-use crate::retry::RetryBudget;
+use decide::retry::RetryBudget;
 
 pub use serve::run;
 
@@ -57,6 +59,8 @@
     pub releases: Releases,
     /// Requests waiting for a slot.
     pub admission: Admission,
+    /// How long ago callers first asked.
+    pub ages: Ages,
     /// Budget of requests sent again.
     pub budget: RetryBudget,
     /// What other gateways have in flight.
@@ -109,6 +113,7 @@
             roster: Roster::new(cfg.node.domain.clone(), cfg.return_time),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
+            ages: Ages::default(),
             loads: LoadBook::default(),
             incarnation: base::unix_ms(),
             codec: wiring.codec,
--- a/crates/gateway/src/balance/load.rs
+++ b/crates/gateway/src/loads.rs
@@ -12,7 +12,7 @@
 use base::{DomainName, Map, VmId};
 use beacon::{Load, LoadNote};
 
-use crate::balance::outcomes::Counts;
+use decide::outcomes::Counts;
 
 /// A note older than this says nothing any more; notes come several times as often.
 const NOTE_TIME: Duration = Duration::from_millis(1500);
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -36,6 +36,8 @@
     pub revision: u64,
     /// Milliseconds the caller waits.
     pub patience_ms: u64,
+    /// Milliseconds since the caller first asked, as far as that can be told.
+    pub waited_ms: u64,
     /// Upstreams it was sent to, and what came of each.
     pub tries: String,
     /// Milliseconds until the first event.
@@ -57,6 +59,7 @@
             workspace: String::new(),
             revision: 0,
             patience_ms: 0,
+            waited_ms: 0,
             tries: String::new(),
             first_event_ms: None,
             longest_gap_ms: 0,
@@ -99,8 +102,8 @@
         }
         info!(
             target: PART,
-            "{PART}: id={} route={} service={} workspace={} revision={} patience_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
-            self.id, self.route, self.service, self.workspace, self.revision, self.patience_ms, self.tries, self.longest_gap_ms,
+            "{PART}: id={} route={} service={} workspace={} revision={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
+            self.id, self.route, self.service, self.workspace, self.revision, self.patience_ms, self.waited_ms, self.tries, self.longest_gap_ms,
         );
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,8 +8,8 @@
 use beacon::{EngineNote, Holding, Load};
 use catalog::{ServiceName, WeightsVersion};
 
-use crate::admission::Told;
-use crate::balance::outcomes::Outcomes;
+use decide::outcomes::Outcomes;
+use tokio::sync::Notify;
 
 /// Incarnation of an upstream, as the platform names it.
 pub type InstanceId = String;
@@ -237,6 +237,15 @@
     }
 }
 
+/// What is told when requests begin and end.
+#[derive(Debug, Clone)]
+pub struct Told {
+    /// A slot was freed.
+    pub freed: Arc<Notify>,
+    /// What is in flight has changed.
+    pub changed: Arc<Notify>,
+}
+
 /// A request counted at an upstream until it is dropped.
 #[derive(Debug)]
 pub struct Slot {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -3,10 +3,10 @@
 use std::time::{Duration, Instant};
 
 use catalog::{Release, ReleaseList};
+use decide::retry::RetryBudget;
 use gateway::events::Events;
 use gateway::refusal::Refusal;
 use gateway::release::Releases;
-use gateway::retry::RetryBudget;
 use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(10);
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant};
 
 use beacon::{Load, LoadNote};
-use gateway::balance::load::{LoadBook, largest};
-use gateway::balance::outcomes::Outcomes;
+use decide::outcomes::Outcomes;
+use gateway::loads::{LoadBook, largest};
 
 fn upstream(n: u16) -> SocketAddr {
     ([127, 0, 0, 1], 9000 + n).into()
