Bring an older version to its end where it is nearly here, and take it while the newer one doesn't come

Ruled out: links (chunks that one loader held went on to all); the manifest (there after 60 ms).

Change: an older version of which loaders hold three quarters together is brought on beside the newer one. An engine waits for the newer one while its chunks come on in time; where they stall, or would come after the last turn of the older one, it takes the older at its own turn, if that still serves for a while.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -285,7 +285,9 @@
         for (addr, heard) in heard {
             self.swarm.set_have(addr, heard.have);
         }
-        if self.origin_away && self.held() > self.held_before {
+        let held = self.held();
+        self.set.set_obtainable(held);
+        if self.origin_away && held > self.held_before {
             self.origin_is_back();
         }
     }
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -26,7 +26,7 @@
 pub(crate) const BUSY: u16 = 429;
 
 /// Bytes a second of one Mbit/s.
-const BYTES_PER_MBIT: f64 = 125_000.0;
+pub(crate) const BYTES_PER_MBIT: f64 = 125_000.0;
 
 /// Longest wait for a manifest from another loader: a few kilobytes, which may have to wait for chunks
 /// on its link.
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -19,10 +19,10 @@
 use crate::Cx;
 use crate::api::{ApiError, EngineState, Manifest, OriginVersion, Start, Started};
 use crate::fetch::fetch;
-use crate::peers::{Reach, announce, ask_manifest, loaders};
+use crate::peers::{BYTES_PER_MBIT, Reach, announce, ask_manifest, loaders};
 use crate::sets::Set;
 use crate::stage::{lay_out, read_again, read_back};
-use crate::turn::{begins, can_skip};
+use crate::turn::{Coming, begins, can_skip, is_kept, last_turn};
 
 /// Log prefix of this part.
 const PART: &str = "rollout";
@@ -65,7 +65,14 @@
     version: WeightsVersion,
     task: JoinHandle<()>,
     /// Older versions that may still be on their way; given up when this one can be brought.
-    older: Vec<AbortHandle>,
+    older: Vec<Older>,
+}
+
+/// An older version that may still be on its way.
+#[derive(Debug, Clone)]
+struct Older {
+    version: WeightsVersion,
+    task: AbortHandle,
 }
 
 /// An order that was given.
@@ -139,7 +146,10 @@
             }
             info!(target: PART, "{PART}: event=left version={} done={done} for={version}", current.version);
             older.extend(current.older.iter().cloned());
-            older.push(current.task.abort_handle());
+            older.push(Older {
+                version: current.version,
+                task: current.task.abort_handle(),
+            });
         }
         let Some(origin) = catalog.origin() else {
             return;
@@ -177,9 +187,11 @@
         let held = held.and_then(|h| h.version);
         let set = self.cx.sets.newest_whole(model);
         let wanted = set.filter(|set| held < Some(set.version));
+        let wanted = wanted.filter(|set| held.is_none() || !self.waits_for_newer(set));
         // An engine that has just taken a version and stands idle takes a newer one at once.
         let idle = state.running == 0 && self.cx.leaving.load(Ordering::Relaxed);
-        self.plan(model, held);
+        let next = wanted.as_ref().map(|set| set.version);
+        self.plan(model, held, next);
         match self.ordered {
             Some(ordered) if held >= Some(ordered.version) => {
                 self.ordered = None;
@@ -203,6 +215,29 @@
         }
     }
 
+    /// Whether an engine that serves had better wait for a newer version than one that is here whole.
+    fn waits_for_newer(&self, older: &Set) -> bool {
+        let newer = self.fetching.get(&older.model).map(|f| f.version);
+        let Some(newer) = newer.filter(|version| *version > older.version) else {
+            return false;
+        };
+        let bound = self.cx.cfg.node.version_time;
+        let (Some(since), Some(older_since)) = (
+            self.since(&older.model, newer),
+            self.since(&older.model, older.version),
+        ) else {
+            return false;
+        };
+        let set = self.cx.sets.get(&older.model, newer);
+        let coming = Coming {
+            missing: set.as_ref().map_or(older.len(), |s| s.missing()),
+            chunk_time: chunk_time(&self.cx, older),
+            stood_still: set.map_or_else(|| since.elapsed(), |s| s.stood_still()),
+            since,
+        };
+        !coming.is_too_late(last_turn(older_since, bound), bound, Instant::now())
+    }
+
     fn turn(&self, model: &Model, version: WeightsVersion) -> Instant {
         let others: Vec<VmId> = loaders(&self.cx).into_iter().map(|m| m.vm).collect();
         let since = self.since(model, version);
@@ -215,10 +250,11 @@
         )
     }
 
-    /// Notes when an engine that serves is to leave service for the version that is being brought, so
-    /// that gateways are told before.
-    fn plan(&self, model: &Model, held: Option<WeightsVersion>) {
+    /// Notes when an engine that serves is to leave service for the version that it takes next, or that
+    /// is being brought, so that gateways are told before.
+    fn plan(&self, model: &Model, held: Option<WeightsVersion>, next: Option<WeightsVersion>) {
         let coming = self.fetching.get(model).map(|f| f.version);
+        let coming = next.or(coming);
         let coming = coming.filter(|version| held.is_some_and(|held| held < *version));
         let turn = coming.map(|version| self.turn(model, version));
         let mut leaves_at = self
@@ -282,9 +318,9 @@
 /// Brings a version: what lies at the engine first, then the rest from others. Older versions that are
 /// on their way are given up once its manifest is here: while the origin is away they may still come
 /// from other loaders, and this one can't.
-async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client, older: Vec<AbortHandle>) {
+async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client, older: Vec<Older>) {
     let manifest = manifest(&cx, &origin, &client).await;
-    older.iter().for_each(AbortHandle::abort);
+    give_up(&cx, &origin.model, older);
     let set = Set::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
     if origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
@@ -301,6 +337,19 @@
     fetch(cx, set, origin, client).await;
 }
 
+/// Stops bringing older versions, but for those that are nearly here.
+fn give_up(cx: &Cx, model: &Model, older: Vec<Older>) {
+    for Older { version, task } in older {
+        let set = cx.sets.get(model, version);
+        let obtainable = set.map_or(0.0, |set| set.obtainable());
+        let kept = is_kept(obtainable);
+        info!(target: PART, "{PART}: event=older version={version} obtainable={obtainable:.2} kept={kept}");
+        if !kept {
+            task.abort();
+        }
+    }
+}
+
 /// The manifest: from the origin for the first in the order that all rank alike, from loaders that
 /// have it for the rest. Each asks the origin itself when those before it have had time to, and the
 /// later it comes the more seldom, so that an origin that was away isn't swamped when it returns.
@@ -341,6 +390,13 @@
     }
 }
 
+/// Time in which the VM's link carries a chunk of a set.
+fn chunk_time(cx: &Cx, set: &Set) -> Duration {
+    let bytes = set.get(0).map_or(0, |chunk| chunk.len());
+    let rate = cx.cfg.link_mbps * BYTES_PER_MBIT;
+    Duration::from_secs_f64(bytes as f64 / rate.max(1.0))
+}
+
 /// Waits for a while at random, so that the loaders which all want a manifest don't ask the few that
 /// have it at the same moment: each answer would come as late as the last.
 async fn spread(loaders: usize, holders: usize) {
--- a/crates/loader/src/sets.rs
+++ b/crates/loader/src/sets.rs
@@ -1,6 +1,8 @@
 //! Chunks of weights held in memory, by model and version.
 
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 use base::Model;
 use bytes::Bytes;
@@ -22,6 +24,10 @@
     /// Manifest.
     pub manifest: Manifest,
     chunks: Mutex<Vec<Option<Bytes>>>,
+    /// Chunks that this loader or another holds.
+    obtainable: AtomicUsize,
+    /// When the last chunk came; when it was begun before that.
+    progress: Mutex<Instant>,
 }
 
 impl Set {
@@ -33,6 +39,8 @@
             version,
             manifest,
             chunks,
+            obtainable: AtomicUsize::new(0),
+            progress: Mutex::new(Instant::now()),
         }
     }
 
@@ -51,10 +59,37 @@
         let good = self.is_chunk(i, &buf);
         if good {
             self.lock()[i] = Some(buf);
+            *self.progress() = Instant::now();
         }
         good
     }
 
+    fn progress(&self) -> MutexGuard<'_, Instant> {
+        self.progress.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time since the last chunk came.
+    pub fn stood_still(&self) -> Duration {
+        self.progress().elapsed()
+    }
+
+    /// Chunks that aren't held.
+    pub fn missing(&self) -> usize {
+        self.lock().iter().filter(|c| c.is_none()).count()
+    }
+
+    /// Notes how many chunks this loader or another holds.
+    pub fn set_obtainable(&self, chunks: usize) {
+        self.obtainable.store(chunks, Relaxed);
+    }
+
+    /// Part of the chunks that this loader or another holds.
+    pub fn obtainable(&self) -> f64 {
+        let own = self.len() - self.missing();
+        let chunks = self.obtainable.load(Relaxed).max(own);
+        chunks as f64 / self.len().max(1) as f64
+    }
+
     /// A chunk.
     pub fn get(&self, i: usize) -> Option<Bytes> {
         self.lock().get(i).cloned().flatten()
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -23,6 +23,19 @@
 /// each other.
 const ROLLOUT_PART: f64 = 0.68;
 
+/// Part of an older version's chunks that loaders hold together from which on it is brought to its end
+/// beside a newer one: little of it has still to be drawn, and should the origin go away it is all there
+/// is. Two releases 2 s apart with an origin that fails between them left 12 engines without a version
+/// that may run for 5 s.
+const KEPT_PART: f64 = 0.75;
+
+/// Time without a chunk after which a version doesn't come on: chunks come each 30 to 150 ms.
+const STALLED: Duration = Duration::from_millis(300);
+
+/// Part of the bound in which an engine that is given an order serves again. Of 8 s it is 2 s: it ends what
+/// runs in 1.0 to 1.7 s and takes the weights in 0.3 s.
+const SWITCH_PART: f64 = 0.25;
+
 /// Place of a VM among all that take a version, from 0 for the first to 1 for the last.
 pub fn place(own: &VmId, others: &[VmId], version: WeightsVersion) -> f64 {
     let key = version.to_le_bytes();
@@ -44,6 +57,43 @@
     since + bound.mul_f64(FIRST_PART + (LAST_PART - FIRST_PART) * place)
 }
 
+/// Whether an older version, of which loaders hold a part together, is brought to its end beside a newer.
+pub fn is_kept(obtainable: f64) -> bool {
+    obtainable >= KEPT_PART
+}
+
+/// When an engine may begin on an older version at the latest to serve by it before the bound.
+pub fn last_turn(since: Instant, bound: Duration) -> Instant {
+    since + bound.mul_f64(LAST_PART)
+}
+
+/// A newer version that is on its way.
+#[derive(Debug, Clone, Copy)]
+pub struct Coming {
+    /// Chunks that are missing here.
+    pub missing: usize,
+    /// Time in which the VM's link carries a chunk.
+    pub chunk_time: Duration,
+    /// Time since the last chunk came.
+    pub stood_still: Duration,
+    /// When the version became known.
+    pub since: Instant,
+}
+
+impl Coming {
+    /// Whether an engine takes an older version that is here whole, instead of waiting for this one: this
+    /// one won't be here by `needed`, or by now, and the older one serves for long enough until its own
+    /// bound.
+    pub fn is_too_late(&self, needed: Instant, bound: Duration, now: Instant) -> bool {
+        let switch = bound.mul_f64(SWITCH_PART);
+        let stalled = self.missing > 0 && self.stood_still > STALLED;
+        let here_at = now + self.chunk_time * u32::try_from(self.missing).unwrap_or(u32::MAX);
+        let is_late = stalled || here_at > needed.max(now + switch);
+        let serves_until = self.since + bound;
+        is_late && serves_until > now + 2 * switch
+    }
+}
+
 /// Whether a version released so long ago may be left out for one that was released just now: whether
 /// the newer one can be everywhere before the bound of the older one.
 pub fn can_skip(elapsed: Duration, bound: Duration) -> bool {
--- a/crates/loader/tests/turns.rs
+++ b/crates/loader/tests/turns.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use loader::api::Manifest;
 use loader::sets::{Set, Sets};
-use loader::turn::{begins, can_skip, place};
+use loader::turn::{Coming, begins, can_skip, is_kept, last_turn, place};
 use proptest::prelude::*;
 use sha2::{Digest, Sha256};
 
@@ -72,6 +72,47 @@
     assert!(!can_skip(late - skew, BOUND) && !can_skip(late + skew, BOUND));
 }
 
+/// A newer version, released 2 s after an older one, of which so many chunks are missing.
+fn coming(missing: usize, stood_still_ms: u64, since: Instant) -> Coming {
+    Coming {
+        missing,
+        chunk_time: Duration::from_millis(35),
+        stood_still: Duration::from_millis(stood_still_ms),
+        since,
+    }
+}
+
+#[test]
+fn an_engine_waits_for_a_newer_version_that_comes_on() {
+    let older = Instant::now();
+    let newer = older + Duration::from_secs(2);
+    let needed = last_turn(older, BOUND);
+    let now = older + Duration::from_secs(3);
+
+    let too_late = |c: Coming| c.is_too_late(needed, BOUND, now);
+
+    assert!(!too_late(coming(60, 50, newer)));
+    assert!(!too_late(coming(0, 5000, newer)), "it is whole");
+    assert!(too_late(coming(60, 400, newer)), "the origin is away");
+    assert!(too_late(coming(200, 50, newer)), "the link is narrow");
+}
+
+#[test]
+fn an_older_version_that_would_serve_for_a_moment_only_is_not_taken() {
+    let older = Instant::now();
+    let newer = older + Duration::from_secs(2);
+    let needed = last_turn(older, BOUND);
+    let now = newer + BOUND - Duration::from_secs(3);
+
+    assert!(!coming(60, 5000, newer).is_too_late(needed, BOUND, now));
+}
+
+#[test]
+fn an_older_version_is_kept_where_little_of_it_is_missing() {
+    assert!(is_kept(1.0) && is_kept(0.8));
+    assert!(!is_kept(0.5) && !is_kept(0.0));
+}
+
 #[test]
 fn a_lone_vm_begins_with_the_first() {
     assert_eq!(place(&"vm-0".to_owned(), &[], 2), 0.0);
