--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -70,6 +70,8 @@
     pub reaches_store: bool,
     /// Revision of the configuration it holds.
     pub configuration: Revision,
+    /// Revision of the list of our own processes it holds.
+    pub members: Revision,
     /// Revision of the list of upstreams it holds.
     pub upstreams: Revision,
     /// Time since the store last confirmed that list.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -15,8 +15,8 @@
 use mirror::DocName;
 use web::{Client, Dial};
 
-use crate::Cx;
 use crate::loads::largest;
+use crate::{Cx, Followed};
 
 /// Log prefix of this part.
 const PART: &str = "gossip";
@@ -83,9 +83,10 @@
         incarnation: cx.incarnation,
         number: cx.notes.fetch_add(1, Relaxed),
         reaches_store: *cx.reaches_store.borrow(),
-        configuration: cx.mirror.revision(cx.configuration),
-        upstreams: cx.mirror.revision(cx.upstreams),
-        upstreams_age: cx.mirror.age(cx.upstreams).unwrap_or_default(),
+        configuration: cx.mirror.revision(cx.configuration.name),
+        members: cx.mirror.revision(cx.members.name),
+        upstreams: cx.mirror.revision(cx.upstreams.name),
+        upstreams_age: cx.mirror.age(cx.upstreams.name).unwrap_or_default(),
         copies_at: cx.cfg.copies,
         loads,
     }
@@ -97,15 +98,7 @@
     loop {
         let (msg, from) = beacon.next().await;
         match msg {
-            Msg::Load(note) => {
-                copy_configuration(&cx, &client, &note);
-                follow_upstreams(&cx, &client, &note);
-                if cx.loads.take(note, Instant::now()) {
-                    // One that has started is to know at once who is up, and what to copy.
-                    let own = load_note(&cx, largest(own_loads(&cx)));
-                    beacon.send(&Msg::Load(own), [from]);
-                }
-            }
+            Msg::Load(note) => hear(&cx, &client, &beacon, note, from),
             Msg::DomainLoad(note) => {
                 follow(&cx, &client, &note);
                 cx.loads.take_domain(note, Instant::now());
@@ -123,18 +116,42 @@
     }
 }
 
-/// Copies the configuration of another gateway of the failure domain where it is newer, unless that is
-/// under way: only the first gateways read the store.
-fn copy_configuration(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
-    let behind = note.configuration > cx.mirror.revision(cx.configuration);
-    if !behind || cx.copying_configuration.swap(true, Relaxed) {
+/// Takes what a gateway of the failure domain tells: its load, and which documents it holds.
+fn hear(cx: &Arc<Cx>, client: &Client, beacon: &Beacon, note: LoadNote, sender: SocketAddr) {
+    // That the store confirmed the list goes for this process too.
+    cx.mirror
+        .confirm(cx.upstreams.name, note.upstreams, note.upstreams_age);
+    let from = note.copies_at;
+    copy_newer(cx, client, |cx| &cx.configuration, note.configuration, from);
+    copy_newer(cx, client, |cx| &cx.upstreams, note.upstreams, from);
+    copy_newer(cx, client, |cx| &cx.members, note.members, from);
+    if cx.loads.take(note, Instant::now()) {
+        // One that has started is to know at once who is up, and what to copy.
+        let own = load_note(cx, largest(own_loads(cx)));
+        beacon.send(&Msg::Load(own), [sender]);
+    }
+}
+
+/// Copies a document of another gateway of the failure domain where it is newer, unless that is under
+/// way: only the first gateways read the store.
+fn copy_newer(
+    cx: &Arc<Cx>,
+    client: &Client,
+    followed: fn(&Cx) -> &Followed,
+    revision: Revision,
+    from: SocketAddr,
+) {
+    let Followed { name, copying, .. } = followed(cx);
+    let behind = revision > cx.mirror.revision(name);
+    if !behind || copying.swap(true, Relaxed) {
         return;
     }
-    let (cx, client, from) = (cx.clone(), client.clone(), note.copies_at);
+    let (cx, client) = (cx.clone(), client.clone());
     tokio::spawn(async move {
-        let copied = copy(&cx, &client, cx.configuration, from).await;
-        cx.not_copied.store(!copied, Relaxed);
-        cx.copying_configuration.store(false, Relaxed);
+        let followed = followed(&cx);
+        let copied = copy(&cx, &client, followed.name, from).await;
+        followed.not_copied.store(!copied, Relaxed);
+        followed.copying.store(false, Relaxed);
     });
 }
 
@@ -142,7 +159,7 @@
 /// comes every few milliseconds, and each copy takes a part of two links.
 fn follow(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
     let wanted = note.configuration;
-    let behind = wanted > cx.mirror.revision(cx.configuration);
+    let behind = wanted > cx.mirror.revision(cx.configuration.name);
     if !behind || cx.catching_up.swap(true, Relaxed) {
         return;
     }
@@ -153,26 +170,11 @@
     });
 }
 
-/// Copies the list of upstreams of another gateway of the failure domain where it is newer, unless
-/// that is under way. Where it is the same, that the store confirmed it goes for this one too.
-fn follow_upstreams(cx: &Arc<Cx>, client: &Client, note: &LoadNote) {
-    cx.mirror
-        .confirm(cx.upstreams, note.upstreams, note.upstreams_age);
-    if note.upstreams <= cx.mirror.revision(cx.upstreams) || cx.copying.swap(true, Relaxed) {
-        return;
-    }
-    let (cx, client, from) = (cx.clone(), client.clone(), note.copies_at);
-    tokio::spawn(async move {
-        copy(&cx, &client, cx.upstreams, from).await;
-        cx.copying.store(false, Relaxed);
-    });
-}
-
 /// Takes a newer configuration from another failure domain, unless the own one has it meanwhile.
 async fn catch_up(cx: &Cx, client: &Client, from: SocketAddr, wanted: Revision) {
     tokio::time::sleep(STORE_LEAD).await;
-    if cx.mirror.revision(cx.configuration) < wanted {
-        copy(cx, client, cx.configuration, from).await;
+    if cx.mirror.revision(cx.configuration.name) < wanted {
+        copy(cx, client, cx.configuration.name, from).await;
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -67,18 +67,14 @@
     pub loads: LoadBook,
     /// Copies of documents.
     pub mirror: Mirror,
-    /// Document with the configuration.
-    pub configuration: DocName,
-    /// Document with the list of upstreams.
-    pub upstreams: DocName,
-    /// Whether that list is being copied from another gateway.
-    pub copying: AtomicBool,
+    /// The configuration.
+    pub configuration: Followed,
+    /// The list of upstreams.
+    pub upstreams: Followed,
+    /// The list of our own processes.
+    pub members: Followed,
     /// Load notes sent so far.
     pub notes: AtomicU64,
-    /// Whether the configuration is being copied from a gateway of the own failure domain.
-    pub copying_configuration: AtomicBool,
-    /// Whether a newer configuration is known of, and the last try to copy it failed.
-    pub not_copied: AtomicBool,
     /// Whether a newer configuration is waited for, or copied from another failure domain.
     pub catching_up: AtomicBool,
     /// Whether the platform's store can be reached.
@@ -93,6 +89,27 @@
     pub stop: watch::Receiver<bool>,
 }
 
+/// A document that is copied from other gateways of the failure domain.
+#[derive(Debug)]
+pub struct Followed {
+    /// Document.
+    pub name: DocName,
+    /// Whether it is being copied.
+    copying: AtomicBool,
+    /// Whether a newer revision is known of, and the last try to copy it failed.
+    pub not_copied: AtomicBool,
+}
+
+impl Followed {
+    fn new(name: DocName) -> Followed {
+        Followed {
+            name,
+            copying: AtomicBool::new(false),
+            not_copied: AtomicBool::new(false),
+        }
+    }
+}
+
 /// Addresses of other processes.
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
@@ -119,12 +136,10 @@
             codec: wiring.codec,
             catalog: wiring.catalog,
             mirror: wiring.mirror,
-            configuration: wiring.configuration,
-            upstreams: wiring.upstreams,
-            copying: AtomicBool::new(false),
+            configuration: Followed::new(wiring.configuration),
+            upstreams: Followed::new(wiring.upstreams),
+            members: Followed::new(wiring.members),
             notes: AtomicU64::new(1),
-            copying_configuration: AtomicBool::new(false),
-            not_copied: AtomicBool::new(false),
             catching_up: AtomicBool::new(false),
             reaches_store: wiring.reaches_store,
             documents: wiring.documents,
@@ -161,6 +176,8 @@
     pub configuration: DocName,
     /// Document with the list of upstreams.
     pub upstreams: DocName,
+    /// Document with the list of our own processes.
+    pub members: DocName,
     /// Documents passed on to others.
     pub documents: Vec<DocName>,
     /// Whether the platform's store can be reached.
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -28,6 +28,7 @@
         incarnation: 5,
         number,
         reaches_store: true,
+        members: 0,
         configuration: 1,
         upstreams: 1,
         upstreams_age: Duration::ZERO,
