Stop bringing an older version once the newer one is whole

A version that loaders had three quarters of is brought on beside a newer one; a chunk of it that nobody can have would have been asked for until the process ends.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -2,8 +2,9 @@
 //!
 //! A request is followed through these modules in order: [`serve`] accepts its connection,
 //! [`handle`] finds its route and workspace and reads its body, [`admission`] waits for a slot that
-//! [`balance`] chooses by the decisions in the crate `decide`, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
-//! [`record`] says in one log line what became of it.
+//! [`balance`] chooses, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
+//! [`record`] says in one log line what became of it. Who is next, where, and who is refused is decided
+//! by the crate `decide`.
 //!
 //! What a request says of itself travels in headers whose names belong to the platform; [`Codec`]
 //! holds the functions that read and write them.
@@ -31,6 +32,7 @@
 
 use base::Incarnation;
 use catalog::Catalog;
+use decide::retry::RetryBudget;
 use mirror::{DocName, Mirror};
 use settings::GatewayCfg;
 use tokio::sync::watch;
@@ -41,7 +43,6 @@
 use crate::loads::LoadBook;
 use crate::membership::Roster;
 use crate::release::Releases;
-use decide::retry::RetryBudget;
 
 pub use serve::run;
 
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -316,11 +316,11 @@
 }
 
 /// Brings a version: what lies at the engine first, then the rest from others. Older versions that are
-/// on their way are given up once its manifest is here: while the origin is away they may still come
-/// from other loaders, and this one can't.
+/// on their way are given up once its manifest is here, or, where they are nearly here, once it is whole:
+/// while the origin is away they may still come from other loaders, and this one can't.
 async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client, older: Vec<Older>) {
     let manifest = manifest(&cx, &origin, &client).await;
-    give_up(&cx, &origin.model, older);
+    let kept = give_up(&cx, &origin.model, older);
     let set = Set::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
     if origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
@@ -335,19 +335,23 @@
         announce(&cx, &set, false, Reach::All);
     }
     fetch(cx, set, origin, client).await;
+    kept.iter().for_each(AbortHandle::abort);
 }
 
-/// Stops bringing older versions, but for those that are nearly here.
-fn give_up(cx: &Cx, model: &Model, older: Vec<Older>) {
+/// Stops bringing older versions, but for those that are nearly here; returns what still brings these.
+fn give_up(cx: &Cx, model: &Model, older: Vec<Older>) -> Vec<AbortHandle> {
+    let mut brings = Vec::new();
     for Older { version, task } in older {
         let set = cx.sets.get(model, version);
         let obtainable = set.map_or(0.0, |set| set.obtainable());
         let kept = is_kept(obtainable);
         info!(target: PART, "{PART}: event=older version={version} obtainable={obtainable:.2} kept={kept}");
-        if !kept {
-            task.abort();
+        match kept {
+            true => brings.push(task),
+            false => task.abort(),
         }
     }
+    brings
 }
 
 /// The manifest: from the origin for the first in the order that all rank alike, from loaders that
