--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -235,7 +235,8 @@
             stood_still: set.map_or_else(|| since.elapsed(), |s| s.stood_still()),
             since,
         };
-        !coming.is_too_late(last_turn(older_since, bound), bound, Instant::now())
+        let (needed, over) = (last_turn(older_since, bound), older_since + bound);
+        !coming.is_too_late(needed, over, bound, Instant::now())
     }
 
     fn turn(&self, model: &Model, version: WeightsVersion) -> Instant {
--- a/crates/loader/src/turn.rs
+++ b/crates/loader/src/turn.rs
@@ -83,14 +83,20 @@
 impl Coming {
     /// Whether an engine takes an older version that is here whole, instead of waiting for this one: this
     /// one won't be here by `needed`, or by now, and the older one serves for long enough until its own
-    /// bound.
-    pub fn is_too_late(&self, needed: Instant, bound: Duration, now: Instant) -> bool {
+    /// bound. An engine that serves nothing since `over` loses nothing by taking it.
+    pub fn is_too_late(
+        &self,
+        needed: Instant,
+        over: Instant,
+        bound: Duration,
+        now: Instant,
+    ) -> bool {
         let switch = bound.mul_f64(SWITCH_PART);
         let stalled = self.missing > 0 && self.stood_still > STALLED;
         let here_at = now + self.chunk_time * u32::try_from(self.missing).unwrap_or(u32::MAX);
         let is_late = stalled || here_at > needed.max(now + switch);
         let serves_until = self.since + bound;
-        is_late && serves_until > now + 2 * switch
+        is_late && (now >= over || serves_until > now + 2 * switch)
     }
 }
 
