--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -58,6 +58,8 @@
     let call = (cx.codec.call)(&head).map_err(|e| Refusal::BadHead(e.to_string()))?;
     record.id.clone_from(&call.id);
     record.revision = catalog.revision;
+    let age = cx.mirror.age(cx.configuration.name).unwrap_or_default();
+    record.confirmed_ms = age.as_millis() as u64;
     let route = catalog
         .route(&call.host, head.uri.path())
         .ok_or(Refusal::NoRoute)?
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod call;
 mod connection;
 pub mod events;
+mod gauges;
 mod gossip;
 mod handle;
 pub mod loads;
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -10,7 +10,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Map, VmId};
+use base::{DomainName, Map, Revision, VmId};
 use beacon::{Load, LoadNote};
 
 use decide::outcomes::Counts;
@@ -118,6 +118,14 @@
         before.filter(|note| note.reaches_store).count()
     }
 
+    /// Newest revision of the configuration that a gateway tells, near or far.
+    pub fn newest_configuration(&self, now: Instant) -> Revision {
+        let state = self.state();
+        let all = state.near.values().chain(state.far.values());
+        let recent = all.filter(|h| !h.is_old(now));
+        recent.map(|h| h.note.configuration).max().unwrap_or(0)
+    }
+
     /// The sum of the own failure domain, with what this gateway has in flight itself.
     pub fn domain(&self, own: &[Load]) -> Vec<Load> {
         let state = self.state();
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -34,6 +34,8 @@
     pub workspace: String,
     /// Revision of the configuration that decided.
     pub revision: u64,
+    /// Milliseconds since the store had confirmed it.
+    pub confirmed_ms: u64,
     /// Milliseconds the caller waits.
     pub patience_ms: u64,
     /// Milliseconds since the caller first asked, as far as that can be told.
@@ -58,6 +60,7 @@
             service: String::new(),
             workspace: String::new(),
             revision: 0,
+            confirmed_ms: 0,
             patience_ms: 0,
             waited_ms: 0,
             tries: String::new(),
@@ -96,14 +99,17 @@
         let route = self.route.clone();
         metrics::counter!("driftnotch_requests_total", "route" => route.clone(), "ending" => ending)
             .increment(1);
+        if let Ending::Refused(_, why) = self.ending {
+            metrics::counter!("driftnotch_refusals_total", "why" => why).increment(1);
+        }
         if let Some(ms) = self.first_event_ms {
             metrics::histogram!("driftnotch_first_event_seconds", "route" => route)
                 .record(ms as f64 / 1000.0);
         }
         info!(
             target: PART,
-            "{PART}: id={} route={} service={} workspace={} revision={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
-            self.id, self.route, self.service, self.workspace, self.revision, self.patience_ms, self.waited_ms, self.tries, self.longest_gap_ms,
+            "{PART}: id={} route={} service={} workspace={} revision={} confirmed_ms={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
+            self.id, self.route, self.service, self.workspace, self.revision, self.confirmed_ms, self.patience_ms, self.waited_ms, self.tries, self.longest_gap_ms,
         );
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use web::{Bounds, Request, Response, text};
 
 use crate::Cx;
+use crate::gauges::gauges;
 use crate::gossip::{listen, release, tell, tell_domain};
 use crate::handle::handle;
 
@@ -60,6 +61,7 @@
             async move { res }
         },
     ));
+    tokio::spawn(gauges(cx.clone()));
     tokio::spawn(tell(cx.clone(), beacon.clone()));
     tokio::spawn(tell_domain(cx.clone(), beacon.clone()));
     tokio::spawn(release(cx.clone(), beacon.clone()));
