Deny a route or a key only by a configuration that was confirmed lately

Cause: a gateway answered 404 and 401 from whatever copy of the configuration it held. One whose next version was on its way, or whose answers from the store were held back, denied proper requests for as long as that lasted, and a denial ends a request for good.

Ruled out: to refuse everything by age (what a copy allows may be served while the store is away); load notes as confirmations (one that lay in a socket while its receiver stood still says nothing of now); to ask the store from every gateway (an answer may be the whole configuration, over the links that were full).

Change: a denial needs a copy confirmed within half of config_time (decide::denial). Where it is older, the gateway that reads the store for the failure domain is asked, one question at a time, and has its own copy confirmed by the store if that is older too; the request waits up to start_wait. Where nothing confirms it, the answer is 503 with a time to come back, at once for 0.25 s after a failed try. If a newer configuration comes of it, the request is served by that.

--- /dev/null
+++ b/crates/decide/src/denial.rs
@@ -0,0 +1,70 @@
+//! Whether a request may be denied by the configuration that is held.
+//!
+//! That a route or a key isn't in a copy says something about the configuration in force only as far as the
+//! copy is known to be in force. A change may be on its way for seconds: behind a narrow link, a reader that
+//! is slow, a connection that fell silent. To deny a proper request ends it for good, while its caller would
+//! come back after a refusal; so a denial needs a confirmation that is young enough, and where none can be had
+//! the request is refused. What a copy allows is served by a copy of any age.
+//!
+//! The load it answers: callers who err, or who try many routes and keys, ask for many denials a second. One
+//! confirmation holds for all of them for a while, and after one that failed they are refused at once.
+
+use std::time::{Duration, Instant};
+
+/// Largest age of a copy that denies, as a part of the time in which a change is to be in force. The other
+/// part is left for requests that are on their way: a change is in force for requests sent that time after
+/// it was accepted. At 2 s this allows for 1 s, and costs at most a call each second to the store for each
+/// failure domain.
+const OLDEST_PART: f64 = 0.5;
+
+/// Time after a failed try to have the copy confirmed in which none is begun; the store is asked again about
+/// as often by all else while it is away.
+const FAILED_REST: Duration = Duration::from_millis(250);
+
+/// What to do with a request that the copy doesn't allow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// The copy was confirmed lately: deny it.
+    Deny,
+    /// Have the copy confirmed, and look again.
+    Confirm,
+    /// Nothing has confirmed it just now: refuse it.
+    Refuse,
+}
+
+/// What is known of confirmations.
+#[derive(Debug)]
+pub struct Denials {
+    oldest: Duration,
+    failed: Option<Instant>,
+}
+
+impl Denials {
+    /// Denials where a change is to be in force within `config_time`.
+    pub fn new(config_time: Duration) -> Denials {
+        Denials {
+            oldest: config_time.mul_f64(OLDEST_PART),
+            failed: None,
+        }
+    }
+
+    /// Largest age of a copy that denies.
+    pub fn oldest(&self) -> Duration {
+        self.oldest
+    }
+
+    /// What to do where the copy in force was confirmed `age` ago.
+    pub fn verdict(&self, age: Duration, now: Instant) -> Verdict {
+        let rests = |failed: Instant| now.saturating_duration_since(failed) < FAILED_REST;
+        match self.failed {
+            _ if age <= self.oldest => Verdict::Deny,
+            Some(failed) if rests(failed) => Verdict::Refuse,
+            _ => Verdict::Confirm,
+        }
+    }
+
+    /// Notes that no confirmation could be had.
+    pub fn failed(&mut self, now: Instant) {
+        self.failed = Some(now);
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,11 +7,13 @@
 //! - [`line`]: requests that wait, for how long, and which of them is next.
 //! - [`placement`]: the upstream of a request.
 //! - [`come_back`]: when a caller that is refused is told to come back.
+//! - [`denial`]: whether a request may be denied by the configuration that is held.
 //! - [`outcomes`]: which upstreams are left alone, since they fail most of what they get.
 //! - [`retry`]: the budget of requests sent again.
 
 pub mod age;
 pub mod come_back;
+pub mod denial;
 pub mod line;
 pub mod outcomes;
 pub mod placement;
--- /dev/null
+++ b/crates/gateway/src/confirm.rs
@@ -0,0 +1,164 @@
+//! Confirmations of the configuration, before a request is denied by it.
+//!
+//! Whoever reads the store for the failure domain is asked, one question at a time for all requests that
+//! wait; that gateway has its own copy confirmed by the store where it is too old. Only where that fails is
+//! the store asked from here: an answer may be the whole configuration, and the link to the store is shared.
+//! Ages count from the moment at which a question left, so they are never too low.
+
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use decide::denial::{Denials, Verdict};
+use log::{debug, warn};
+use tokio::sync::Notify;
+use tokio::sync::watch;
+use web::{Client, Dial, Request};
+
+use crate::Cx;
+
+/// Log prefix of this part.
+const PART: &str = "confirm";
+
+/// Longest wait for another gateway: it asks the store, whose answers take up to 0.2 s while it is slow.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// What is known of confirmations, and who is asked for them.
+#[derive(Debug)]
+pub struct Confirmations {
+    denials: Mutex<Denials>,
+    /// Told that a question is over, whatever came of it.
+    over: watch::Sender<bool>,
+    /// Has what reads the store read it at once.
+    store: Arc<Notify>,
+    client: Client,
+}
+
+impl Confirmations {
+    /// Nothing asked yet; a change is to be in force within `config_time`.
+    pub fn new(config_time: Duration, store: Arc<Notify>) -> Confirmations {
+        Confirmations {
+            denials: Mutex::new(Denials::new(config_time)),
+            over: watch::Sender::new(true),
+            store,
+            client: Client::new(Dial::within(ASK_TIMEOUT)),
+        }
+    }
+
+    fn denials(&self) -> MutexGuard<'_, Denials> {
+        self.denials.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn oldest(&self) -> Duration {
+        self.denials().oldest()
+    }
+}
+
+/// Time since the store confirmed the configuration in force here; the longest there is where a newer one is
+/// held but not in force yet, or none is.
+pub(crate) fn age(cx: &Cx) -> Duration {
+    let held = cx.mirror.get(cx.configuration.name);
+    let in_force = cx.configuration.in_force.load(Relaxed);
+    let held = held.filter(|copy| copy.revision == in_force);
+    held.map_or(Duration::MAX, |copy| copy.confirmed.elapsed())
+}
+
+/// What to do with a request that the configuration in force here doesn't allow.
+pub(crate) fn verdict(cx: &Cx) -> Verdict {
+    cx.confirmations.denials().verdict(age(cx), Instant::now())
+}
+
+/// Waits until the configuration was confirmed or a newer one is in force, or until it is known that
+/// neither can be had now; `until` at the latest.
+pub(crate) async fn confirmed(cx: &Arc<Cx>, until: Instant) {
+    let mut confirmed = cx.mirror.confirmations();
+    let mut catalog = cx.catalog.clone();
+    catalog.mark_unchanged();
+    let mut over = cx.confirmations.over.subscribe();
+    if cx.confirmations.over.send_replace(false) {
+        tokio::spawn(ask(cx.clone()));
+    }
+    let news = async {
+        tokio::select! {
+            _ = confirmed.changed() => {}
+            _ = catalog.changed() => {}
+            _ = over.wait_for(|over| *over) => {}
+        }
+    };
+    if tokio::time::timeout_at(until.into(), news).await.is_err() {
+        debug!(target: PART, "{PART}: event=late");
+    }
+}
+
+/// Has the configuration confirmed.
+async fn ask(cx: Arc<Cx>) {
+    let reaches_store = *cx.reaches_store.borrow();
+    let own = &cx.cfg.node.vm;
+    let reader = cx.loads.reader(own, reaches_store, Instant::now());
+    if let Some(reader) = reader {
+        ask_gateway(&cx, reader).await;
+    }
+    if !is_confirmed(&cx) {
+        read_store(&cx, cx.confirmations.oldest()).await;
+    }
+    if !is_confirmed(&cx) {
+        warn!(target: PART, "{PART}: event=unconfirmed revision={} reaches_store={reaches_store}", cx.mirror.revision(cx.configuration.name));
+        cx.confirmations.denials().failed(Instant::now());
+    }
+    cx.confirmations.over.send_replace(true);
+}
+
+async fn ask_gateway(cx: &Cx, from: std::net::SocketAddr) {
+    let (name, oldest) = (cx.configuration.name, cx.confirmations.oldest());
+    let client = &cx.confirmations.client;
+    let asked = mirror::ask_confirmed(&cx.mirror, name, client, from, ASK_TIMEOUT, oldest);
+    match asked.await {
+        Ok(newer) => debug!(target: PART, "{PART}: event=asked from={from} newer={newer}"),
+        Err(e) => debug!(target: PART, "{PART}: event=not_asked from={from} why=\"{e}\""),
+    }
+}
+
+/// Whether the copy held was confirmed lately; it may not be in force yet.
+fn is_confirmed(cx: &Cx) -> bool {
+    let age = cx.mirror.age(cx.configuration.name);
+    age.is_some_and(|age| age <= cx.confirmations.oldest())
+}
+
+/// Has the store read from here, and waits until the copy is at most so old, or for as long as the store may
+/// take.
+async fn read_store(cx: &Cx, oldest: Duration) {
+    let mut confirmed = cx.mirror.confirmations();
+    let mut changed = cx.mirror.changes();
+    cx.confirmations.store.notify_one();
+    let young = || {
+        cx.mirror
+            .age(cx.configuration.name)
+            .is_some_and(|age| age <= oldest)
+    };
+    let news = async {
+        while !young() {
+            tokio::select! {
+                _ = confirmed.changed() => {}
+                _ = changed.changed() => {}
+            }
+        }
+    };
+    if tokio::time::timeout(cx.cfg.node.store_timeout, news)
+        .await
+        .is_err()
+    {
+        debug!(target: PART, "{PART}: event=store_late");
+    }
+}
+
+/// Has the configuration confirmed before it is passed on to a process that wants it so; a process that asks
+/// is never asked back.
+pub(crate) async fn before_passing_on(cx: &Cx, req: &Request) {
+    let Some(oldest) = mirror::oldest_wanted(req) else {
+        return;
+    };
+    let age = cx.mirror.age(cx.configuration.name);
+    if age.is_none_or(|age| age > oldest) {
+        read_store(cx, oldest).await;
+    }
+}
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use catalog::{Access, Catalog, Route, Service, Tenant};
 use decide::Standing;
+use decide::denial::Verdict;
 use hyper::http::request;
 use log::debug;
 use rand::RngExt;
@@ -14,6 +15,7 @@
 use crate::Cx;
 use crate::admission::{slot, wait_until};
 use crate::call::{Call, Job};
+use crate::confirm::{confirmed, verdict};
 use crate::record::{Ending, Record};
 use crate::refusal::Refusal;
 use crate::relay::{self, Stream};
@@ -23,7 +25,7 @@
 /// Log prefix of this part.
 const PART: &str = "handle";
 
-/// When to come back to a gateway that knows no configuration yet.
+/// When to come back to a gateway that knows no configuration yet, or can't have it confirmed.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
 /// When to come back where no upstream took the request.
@@ -48,24 +50,20 @@
 
 /// Finds route, workspace and service, and reads the body.
 async fn admit(
-    cx: &Cx,
+    cx: &Arc<Cx>,
     req: Request,
     arrived: Instant,
     record: &mut Record,
 ) -> Result<(Job, Arc<Service>), Refusal> {
-    let catalog = configuration(cx).await?;
     let (head, body) = req.into_parts();
     let call = (cx.codec.call)(&head).map_err(|e| Refusal::BadHead(e.to_string()))?;
     record.id.clone_from(&call.id);
-    record.revision = catalog.revision;
-    let age = cx.mirror.age(cx.configuration.name).unwrap_or_default();
-    record.confirmed_ms = age.as_millis() as u64;
-    let route = catalog
-        .route(&call.host, head.uri.path())
-        .ok_or(Refusal::NoRoute)?
-        .clone();
-    record.route.clone_from(&route.name);
-    let tenant = tenant(&catalog, &call, route.public)?;
+    let until = arrived + cx.cfg.start_wait;
+    let Allowed {
+        catalog,
+        route,
+        tenant,
+    } = allowed(cx, &call, head.uri.path(), until, record).await?;
     if let Some(tenant) = &tenant {
         record.workspace.clone_from(&tenant.workspace);
     }
@@ -95,6 +93,58 @@
     Ok((job, service))
 }
 
+/// What the configuration allows a request.
+struct Allowed {
+    catalog: Arc<Catalog>,
+    route: Arc<Route>,
+    tenant: Option<Arc<Tenant>>,
+}
+
+/// Finds route and workspace. A request that the configuration doesn't allow is denied only where it was
+/// confirmed lately: a change that allows it may be on its way.
+async fn allowed(
+    cx: &Arc<Cx>,
+    call: &Call,
+    path: &str,
+    until: Instant,
+    record: &mut Record,
+) -> Result<Allowed, Refusal> {
+    loop {
+        let catalog = configuration(cx).await?;
+        record.revision = catalog.revision;
+        let age = cx.mirror.age(cx.configuration.name).unwrap_or_default();
+        record.confirmed_ms = age.as_millis() as u64;
+        let denial = match look_up(catalog, call, path, record) {
+            Ok(allowed) => return Ok(allowed),
+            Err(denial) => denial,
+        };
+        match verdict(cx) {
+            Verdict::Deny => return Err(denial),
+            Verdict::Confirm if Instant::now() < until => confirmed(cx, until).await,
+            Verdict::Confirm | Verdict::Refuse => {
+                return Err(Refusal::Unconfirmed(NOT_READY_RETRY));
+            }
+        }
+    }
+}
+
+fn look_up(
+    catalog: Arc<Catalog>,
+    call: &Call,
+    path: &str,
+    record: &mut Record,
+) -> Result<Allowed, Refusal> {
+    let route = catalog.route(&call.host, path).ok_or(Refusal::NoRoute)?;
+    let route = route.clone();
+    record.route.clone_from(&route.name);
+    let tenant = tenant(&catalog, call, route.public)?;
+    Ok(Allowed {
+        catalog,
+        route,
+        tenant,
+    })
+}
+
 /// Whether a request whose caller first asked so long ago can still have its first event in time.
 fn standing(call: &Call, route: &Route, service: &Service, waited: Duration) -> Standing {
     let engine = service.engine.as_ref();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod ages;
 mod balance;
 pub mod call;
+mod confirm;
 mod connection;
 pub mod events;
 mod gauges;
@@ -36,11 +37,12 @@
 use decide::retry::RetryBudget;
 use mirror::{DocName, Mirror};
 use settings::GatewayCfg;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::admission::Admission;
 use crate::ages::Ages;
 use crate::call::Codec;
+use crate::confirm::Confirmations;
 use crate::loads::LoadBook;
 use crate::membership::Roster;
 use crate::release::Releases;
@@ -71,6 +73,8 @@
     pub mirror: Mirror,
     /// The configuration.
     pub configuration: Followed,
+    /// Confirmations of it.
+    pub confirmations: Confirmations,
     /// The list of upstreams.
     pub upstreams: Followed,
     /// The list of our own processes.
@@ -96,6 +100,8 @@
 pub struct Followed {
     /// Document.
     pub name: DocName,
+    /// Revision that is in force; 0 for none.
+    pub in_force: AtomicU64,
     /// Whether it is being copied.
     copying: AtomicBool,
     /// Whether a newer revision is known of, and the last try to copy it failed.
@@ -106,6 +112,7 @@
     fn new(name: DocName) -> Followed {
         Followed {
             name,
+            in_force: AtomicU64::new(0),
             copying: AtomicBool::new(false),
             not_copied: AtomicBool::new(false),
         }
@@ -139,6 +146,7 @@
             catalog: wiring.catalog,
             mirror: wiring.mirror,
             configuration: Followed::new(wiring.configuration),
+            confirmations: Confirmations::new(cfg.config_time, wiring.read_store),
             upstreams: Followed::new(wiring.upstreams),
             members: Followed::new(wiring.members),
             notes: AtomicU64::new(1),
@@ -185,6 +193,8 @@
     pub documents: Vec<DocName>,
     /// Whether the platform's store can be reached.
     pub reaches_store: watch::Receiver<bool>,
+    /// Has the configuration read from the store at once.
+    pub read_store: Arc<Notify>,
     /// Other processes.
     pub peers: watch::Receiver<Peers>,
     /// Turns true when a planned stop begins.
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -126,6 +126,19 @@
         recent.map(|h| h.note.configuration).max().unwrap_or(0)
     }
 
+    /// Where to ask for what the store has now: the first gateway of the failure domain that reaches the
+    /// store, or one of another domain. `None` where that is this gateway itself, or nobody.
+    pub fn reader(&self, own: &VmId, reaches_store: bool, now: Instant) -> Option<SocketAddr> {
+        let state = self.state();
+        let near = state.heard(now).filter(|note| note.reaches_store);
+        let first = near.min_by(|a, b| a.from.cmp(&b.from));
+        match first {
+            Some(note) if !reaches_store || note.from < *own => Some(note.copies_at),
+            None if !reaches_store => state.far_reader(now),
+            _ => None,
+        }
+    }
+
     /// The sum of the own failure domain, with what this gateway has in flight itself.
     pub fn domain(&self, own: &[Load]) -> Vec<Load> {
         let state = self.state();
@@ -174,17 +187,32 @@
         later || note.from != self.note.from || self.is_old(now)
     }
 
+    /// Whether it was heard lately.
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.at) < HEARD_TIME
+    }
+
     fn is_old(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.at) >= NOTE_TIME
     }
 }
 
 impl State {
-    /// Notes of the gateways of the failure domain that were heard lately and come before one by VM.
+    /// Notes of the gateways of the failure domain that were heard lately.
+    fn heard(&self, now: Instant) -> impl Iterator<Item = &LoadNote> {
+        let heard = move |h: &&Heard| h.is_recent(now);
+        self.near.values().filter(heard).map(|h| &h.note)
+    }
+
+    /// Those that come before one by VM.
     fn before(&self, own: &VmId, now: Instant) -> impl Iterator<Item = &LoadNote> {
-        let heard = move |h: &&Heard| now.saturating_duration_since(h.at) < HEARD_TIME;
-        let heard = self.near.values().filter(heard);
-        heard.map(|h| &h.note).filter(move |note| note.from < *own)
+        self.heard(now).filter(move |note| note.from < *own)
+    }
+
+    /// Where a gateway of another failure domain that reaches the store passes copies on.
+    fn far_reader(&self, now: Instant) -> Option<SocketAddr> {
+        let mut far = self.far.values().filter(|h| h.is_recent(now));
+        far.find(|h| h.note.reaches_store).map(|h| h.note.copies_at)
     }
 
     /// Forgets old notes and adds the others up.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -27,6 +27,8 @@
     BrokenBody,
     /// no configuration is known yet; come back soon
     NotReady(Duration),
+    /// the configuration here may be out of date, and does not allow the request; come back soon
+    Unconfirmed(Duration),
     /// all upstreams are busy; come back later
     Busy(Duration),
     /// no upstream can run the request now; come back later
@@ -54,6 +56,7 @@
             Refusal::TooLarge(_) => 413,
             Refusal::BrokenBody => 400,
             Refusal::NotReady(_)
+            | Refusal::Unconfirmed(_)
             | Refusal::Busy(_)
             | Refusal::NoUpstream(_)
             | Refusal::NotTaken(_)
@@ -67,6 +70,7 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::NotReady(after)
+            | Refusal::Unconfirmed(after)
             | Refusal::Busy(after)
             | Refusal::NoUpstream(after)
             | Refusal::NotTaken(after)
@@ -85,6 +89,7 @@
             Refusal::SlowBody => "slow_body",
             Refusal::BrokenBody => "broken_body",
             Refusal::NotReady(_) => "not_ready",
+            Refusal::Unconfirmed(_) => "unconfirmed",
             Refusal::Busy(_) => "busy",
             Refusal::NoUpstream(_) => "no_upstream",
             Refusal::NotTaken(_) => "not_taken",
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use web::{Bounds, Request, Response, text};
 
 use crate::Cx;
+use crate::confirm::before_passing_on;
 use crate::gauges::gauges;
 use crate::gossip::{listen, release, tell, tell_domain};
 use crate::handle::handle;
@@ -57,8 +58,11 @@
         Bounds::internal(),
         internal_stop,
         move |req| {
-            let res = mirror::serve(&passing.mirror, &passing.documents, &req);
-            async move { res }
+            let cx = passing.clone();
+            async move {
+                before_passing_on(&cx, &req).await;
+                mirror::serve(&cx.mirror, &cx.documents, &req)
+            }
         },
     ));
     tokio::spawn(gauges(cx.clone()));
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -173,3 +173,38 @@
     assert_eq!(to[2], to[0]);
     assert_eq!(to[3], to[1]);
 }
+
+/// A note of a gateway that passes copies on at an address of its own.
+fn reader(from: &str, domain: &str, reaches_store: bool, n: u16) -> LoadNote {
+    LoadNote {
+        reaches_store,
+        copies_at: upstream(n),
+        ..note(from, domain, 1, Vec::new())
+    }
+}
+
+#[test]
+fn the_first_gateway_that_reaches_the_store_is_asked_what_the_store_has() {
+    let book = LoadBook::default();
+    let now = Instant::now();
+    book.take(reader("b", "recife", false, 1), now);
+    book.take(reader("c", "recife", true, 2), now);
+    book.take_domain(reader("x", "fortaleza", true, 3), now);
+
+    assert_eq!(book.reader(&"d".to_owned(), true, now), Some(upstream(2)));
+    assert_eq!(book.reader(&"a".to_owned(), true, now), None);
+    assert_eq!(book.reader(&"a".to_owned(), false, now), Some(upstream(2)));
+}
+
+#[test]
+fn another_failure_domain_is_asked_only_where_nobody_here_reaches_the_store() {
+    let book = LoadBook::default();
+    let now = Instant::now();
+    book.take(reader("b", "recife", false, 1), now);
+    book.take_domain(reader("x", "fortaleza", true, 3), now);
+
+    assert_eq!(book.reader(&"c".to_owned(), false, now), Some(upstream(3)));
+    assert_eq!(book.reader(&"c".to_owned(), true, now), None);
+    let later = now + Duration::from_secs(60);
+    assert_eq!(book.reader(&"c".to_owned(), false, later), None);
+}
--- a/crates/mirror/src/ask.rs
+++ b/crates/mirror/src/ask.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use web::{Client, empty, read_steadily};
@@ -36,7 +36,34 @@
     within: Duration,
 ) -> Result<bool, AskError> {
     let held = mirror.revision(name);
-    let req = hyper::Request::get(format!("{PATH}{name}?{held}"))
+    take(mirror, name, client, from, within, held.to_string()).await
+}
+
+/// The same for a copy that the store confirmed at most `oldest` ago; the process asked has it confirmed
+/// where its own is older, and answers after `within` at the latest.
+pub async fn ask_confirmed(
+    mirror: &Mirror,
+    name: DocName,
+    client: &Client,
+    from: SocketAddr,
+    within: Duration,
+    oldest: Duration,
+) -> Result<bool, AskError> {
+    let held = mirror.revision(name);
+    let query = format!("{held}&{}", oldest.as_millis());
+    take(mirror, name, client, from, within, query).await
+}
+
+async fn take(
+    mirror: &Mirror,
+    name: DocName,
+    client: &Client,
+    from: SocketAddr,
+    within: Duration,
+    query: String,
+) -> Result<bool, AskError> {
+    let sent = Instant::now();
+    let req = hyper::Request::get(format!("{PATH}{name}?{query}"))
         .body(empty())
         .map_err(|e| AskError(e.to_string()))?;
     let res = client
@@ -50,14 +77,16 @@
         .await
         .map_err(|e| AskError(e.to_string()))?;
     let passed: Passed = postcard::from_bytes(&buf).map_err(|e| AskError(e.to_string()))?;
+    // The answer may have been on its way all the while.
+    let age = passed.age + sent.elapsed();
     match passed.body {
         Some(body) => {
             let body = unpacked(mirror, name, &body)?;
-            Ok(mirror.take(name, passed.revision, body, passed.age))
+            Ok(mirror.take(name, passed.revision, body, age))
         }
         // The same revision: its age is news.
         None => {
-            mirror.confirm(name, passed.revision, passed.age);
+            mirror.confirm(name, passed.revision, age);
             Ok(false)
         }
     }
--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -51,6 +51,7 @@
 pub struct Mirror {
     documents: Arc<Mutex<Map<DocName, Held>>>,
     changed: Arc<watch::Sender<()>>,
+    confirmed: Arc<watch::Sender<()>>,
 }
 
 impl Mirror {
@@ -63,6 +64,7 @@
             Some(held) if held.copy.revision > revision => return false,
             Some(held) if held.copy.revision == revision => {
                 held.copy.confirmed = held.copy.confirmed.max(confirmed);
+                self.confirmed.send_replace(());
                 return false;
             }
             Some(held) => confirmed.saturating_duration_since(held.copy.confirmed),
@@ -91,6 +93,7 @@
             .filter(|held| held.copy.revision == revision);
         if let Some(held) = same {
             held.copy.confirmed = held.copy.confirmed.max(confirmed);
+            self.confirmed.send_replace(());
         }
     }
 
@@ -117,6 +120,11 @@
         self.changed.subscribe()
     }
 
+    /// Told of every confirmation of the revision of any document that is held.
+    pub fn confirmations(&self) -> watch::Receiver<()> {
+        self.confirmed.subscribe()
+    }
+
     /// The body for a process that holds a revision, packed once for all that hold the same.
     pub(crate) fn packed(&self, name: DocName, known: Revision) -> Result<Packed, PackError> {
         let mut documents = self.lock();
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -11,9 +11,9 @@
 mod pack;
 mod serve;
 
-pub use ask::{AskError, ask};
+pub use ask::{AskError, ask, ask_confirmed};
 pub use copy::{Copy, Mirror};
-pub use serve::{PATH, serve};
+pub use serve::{PATH, oldest_wanted, serve};
 
 /// Name of a document.
 pub type DocName = &'static str;
--- a/crates/mirror/src/serve.rs
+++ b/crates/mirror/src/serve.rs
@@ -32,13 +32,22 @@
     pub(crate) bytes: Vec<u8>,
 }
 
+/// Largest age that an asker wants the store to have confirmed a copy at, in `GET
+/// /mirror/NAME?REVISION&MILLISECONDS`; `None` where it takes any.
+pub fn oldest_wanted(req: &Request) -> Option<Duration> {
+    let (_, oldest) = req.uri().query()?.split_once('&')?;
+    oldest.parse().ok().map(Duration::from_millis)
+}
+
 /// Answers `GET /mirror/NAME?REVISION`; leaves the body out where the asker has that revision.
 pub fn serve(mirror: &Mirror, names: &[DocName], req: &Request) -> Response {
     let name = req.uri().path().strip_prefix(PATH);
     let Some(name) = names.iter().find(|n| Some(**n) == name) else {
         return text(404, "no such document\n");
     };
-    let held = req.uri().query().and_then(|q| q.parse().ok()).unwrap_or(0);
+    let query = req.uri().query().unwrap_or_default();
+    let revision = query.split('&').next().and_then(|q| q.parse().ok());
+    let held = revision.unwrap_or(0);
     let passed = match pass(mirror, name, held) {
         Ok(Some(passed)) => passed,
         Ok(None) => return text(503, "no copy yet; ask again\n"),
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -68,8 +68,15 @@
     field(
         "start_wait",
         Duration("90ms", "0ms", "30s"),
-        "Longest wait of a request for the first configuration of a process that has just started. Keep \
-         it below a quarter of the shortest latency objective.",
+        "Longest wait of a request for the first configuration of a process that has just started, or \
+         for a confirmation of one that doesn't allow it. Keep it below a quarter of the shortest latency \
+         objective.",
+    ),
+    field(
+        "config_time",
+        Duration("2s", "10ms", "1m"),
+        "Time in which an accepted change of the configuration is to be in force. A route or key is \
+         denied only by a copy of the configuration that was confirmed within half of it.",
     ),
     field(
         "retry_window",
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -240,6 +240,7 @@
         connect_timeout: Duration = duration,
         stall_time: Duration = duration,
         start_wait: Duration = duration,
+        config_time: Duration = duration,
         retry_window: Duration = duration,
         retry_ratio: f64 = ratio,
         retry_slack: u64 = number,
