--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -98,7 +98,8 @@
     if let Some(reader) = reader {
         ask_gateway(&cx, reader).await;
     }
-    if !is_confirmed(&cx) {
+    // A store that can't be reached is asked again and again by all else; none waits for it here.
+    if reaches_store && !is_confirmed(&cx) {
         read_store(&cx, cx.confirmations.oldest()).await;
     }
     if !is_confirmed(&cx) {
