--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -1,8 +1,9 @@
 //! Confirmations of the configuration, before a request is denied by it.
 //!
 //! Whoever reads the store for the failure domain is asked, one question at a time for all requests that
-//! wait; that gateway has its own copy confirmed by the store where it is too old. Only where that fails is
-//! the store asked from here: an answer may be the whole configuration, and the link to the store is shared.
+//! wait; that gateway has its own copy confirmed by the store where it is too old. No other asks the store: an
+//! answer may be the whole configuration, and the link to the store is shared. A reader that stands still is
+//! replaced by the next in rank within a second.
 //! Ages count from the moment at which a question left, so they are never too low.
 
 use std::sync::atomic::Ordering::Relaxed;
@@ -20,7 +21,11 @@
 /// Log prefix of this part.
 const PART: &str = "confirm";
 
-/// Longest wait for another gateway: it asks the store, whose answers take up to 0.2 s while it is slow.
+/// Longest wait of another gateway's question for the store, whose answers take up to 0.2 s while it is
+/// slow. What the copy here is worth is told then, so that the other knows that this one isn't gone.
+const PASSING_WAIT: Duration = Duration::from_millis(250);
+
+/// Longest wait for another gateway: for as long as it may wait itself, and the way there and back.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// What is known of confirmations, and who is asked for them.
@@ -95,12 +100,14 @@
     let reaches_store = *cx.reaches_store.borrow();
     let own = &cx.cfg.node.vm;
     let reader = cx.loads.reader(own, reaches_store, Instant::now());
-    if let Some(reader) = reader {
-        ask_gateway(&cx, reader).await;
-    }
-    // A store that can't be reached is asked again and again by all else; none waits for it here.
-    if reaches_store && !is_confirmed(&cx) {
-        read_store(&cx, cx.confirmations.oldest()).await;
+    match reader {
+        Some(reader) => ask_gateway(&cx, reader).await,
+        None if reaches_store => {
+            let wait = cx.cfg.node.store_timeout;
+            read_store(&cx, cx.confirmations.oldest(), wait).await;
+        }
+        // A store that can't be reached is asked again and again by all else; none waits for it here.
+        None => {}
     }
     if !is_confirmed(&cx) {
         warn!(target: PART, "{PART}: event=unconfirmed revision={} reaches_store={reaches_store}", cx.mirror.revision(cx.configuration.name));
@@ -125,9 +132,8 @@
     age.is_some_and(|age| age <= cx.confirmations.oldest())
 }
 
-/// Has the store read from here, and waits until the copy is at most so old, or for as long as the store may
-/// take.
-async fn read_store(cx: &Cx, oldest: Duration) {
+/// Has the store read from here, and waits until the copy is at most so old.
+async fn read_store(cx: &Cx, oldest: Duration, wait: Duration) {
     let mut confirmed = cx.mirror.confirmations();
     let mut changed = cx.mirror.changes();
     cx.confirmations.store.notify_one();
@@ -144,10 +150,7 @@
             }
         }
     };
-    if tokio::time::timeout(cx.cfg.node.store_timeout, news)
-        .await
-        .is_err()
-    {
+    if tokio::time::timeout(wait, news).await.is_err() {
         debug!(target: PART, "{PART}: event=store_late");
     }
 }
@@ -160,6 +163,6 @@
     };
     let age = cx.mirror.age(cx.configuration.name);
     if age.is_none_or(|age| age > oldest) {
-        read_store(cx, oldest).await;
+        read_store(cx, oldest, PASSING_WAIT).await;
     }
 }
