Tests of copies packed for many, in a burst and against another body; they fail

Cause, by reading: a copy is packed on the one thread that a gateway has for all its requests, under the lock that each look at a copy takes; three earlier bodies are kept; nothing tells whether the body that a copy was packed against is the one that the asker holds.

Ruled out: a test that looks at a copy from a second thread. Gateways run all tasks on one thread, so that packing holds up requests whether or not it holds the lock.

Change: serving a copy may wait, so that the first test can tell; nothing waits yet. Three tests: another request is answered while a copy is packed (the only thread that could pack beside is held by the test); after 26 changes only what changed travels; a process that holds another body under the same revision gets the right one.

Measured: all three fail. The copy is packed before the other request is answered; 175,013 bytes travel after the burst, the whole 175,023; the third takes a body that is neither.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -61,7 +61,7 @@
             let cx = passing.clone();
             async move {
                 before_passing_on(&cx, &req).await;
-                mirror::serve(&cx.mirror, &cx.documents, &req)
+                mirror::serve(&cx.mirror, &cx.documents, &req).await
             }
         },
     ));
--- a/crates/mirror/src/serve.rs
+++ b/crates/mirror/src/serve.rs
@@ -40,7 +40,7 @@
 }
 
 /// Answers `GET /mirror/NAME?REVISION`; leaves the body out where the asker has that revision.
-pub fn serve(mirror: &Mirror, names: &[DocName], req: &Request) -> Response {
+pub async fn serve(mirror: &Mirror, names: &[DocName], req: &Request) -> Response {
     let name = req.uri().path().strip_prefix(PATH);
     let Some(name) = names.iter().find(|n| Some(**n) == name) else {
         return text(404, "no such document\n");
--- a/crates/mirror/tests/pass.rs
+++ b/crates/mirror/tests/pass.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use mirror::Mirror;
 use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 use web::{Bounds, Client, Dial};
 
@@ -15,10 +16,11 @@
 
 const PATIENCE: Duration = Duration::from_secs(20);
 
-/// A process that passes its copies on, and how many bytes it has sent.
+/// A process that passes its copies on, how often it was asked, and how many bytes it has answered.
 struct Peer {
     mirror: Mirror,
     addr: SocketAddr,
+    asked: Arc<AtomicUsize>,
     sent: Arc<AtomicUsize>,
     _stop: watch::Sender<bool>,
 }
@@ -27,17 +29,22 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("an address");
     let (_stop, rx) = watch::channel(false);
-    let (mirror, sent) = (Mirror::default(), Arc::new(AtomicUsize::new(0)));
-    let (passing, counted) = (mirror.clone(), sent.clone());
+    let (mirror, asked, sent) = <(Mirror, Arc<AtomicUsize>, Arc<AtomicUsize>)>::default();
+    let (passing, arrived, counted) = (mirror.clone(), asked.clone(), sent.clone());
     tokio::spawn(web::serve(listener, Bounds::internal(), rx, move |req| {
-        let res = mirror::serve(&passing, &[NAME], &req);
-        let length = hyper::body::Body::size_hint(res.body()).exact();
-        counted.fetch_add(length.expect("a length") as usize, Relaxed);
-        async move { res }
+        arrived.fetch_add(1, Relaxed);
+        let (passing, counted) = (passing.clone(), counted.clone());
+        async move {
+            let res = mirror::serve(&passing, &[NAME], &req).await;
+            let length = hyper::body::Body::size_hint(res.body()).exact();
+            counted.fetch_add(length.expect("a length") as usize, Relaxed);
+            res
+        }
     }));
     Peer {
         mirror,
         addr,
+        asked,
         sent,
         _stop,
     }
@@ -52,14 +59,31 @@
     (0..20_000).map(line).collect::<String>().into()
 }
 
-async fn ask(own: &Mirror, peer: &Peer) -> usize {
+/// Asks for the copy of a process at an address.
+async fn ask_at(own: Mirror, addr: SocketAddr) -> bool {
     let client = Client::new(Dial::within(PATIENCE));
+    let asked = mirror::ask(&own, NAME, &client, addr, PATIENCE).await;
+    asked.expect("a copy")
+}
+
+/// The same; returns how many bytes it answered.
+async fn ask(own: &Mirror, peer: &Peer) -> usize {
     let before = peer.sent.load(Relaxed);
-    let asked = mirror::ask(own, NAME, &client, peer.addr, PATIENCE).await;
-    asked.expect("a copy");
+    ask_at(own.clone(), peer.addr).await;
     peer.sent.load(Relaxed) - before
 }
 
+fn numbered(revision: u64) -> Bytes {
+    document(&format!("number {revision}"))
+}
+
+/// One thread for all tasks, as gateways have it, and one more for what would hold them up.
+fn one_thread() -> Runtime {
+    let mut builder = Builder::new_current_thread();
+    builder.enable_all().max_blocking_threads(1);
+    builder.build().expect("a runtime")
+}
+
 #[tokio::test]
 async fn only_what_changed_travels_to_a_process_that_holds_an_earlier_revision() {
     let (peer, own) = (peer().await, Mirror::default());
@@ -82,13 +106,13 @@
     let (peer, own) = (peer().await, Mirror::default());
     own.take(NAME, 1, document("one"), Duration::ZERO);
     for revision in 2..10 {
-        let body = document(&format!("number {revision}"));
+        let body = numbered(revision);
         peer.mirror.take(NAME, revision, body, Duration::ZERO);
     }
 
     ask(&own, &peer).await;
 
-    assert_eq!(own.get(NAME).expect("a copy").body, document("number 9"));
+    assert_eq!(own.get(NAME).expect("a copy").body, numbered(9));
 }
 
 #[tokio::test]
@@ -101,3 +125,62 @@
 
     assert_eq!(own.get(NAME).expect("a copy").body, document("two"));
 }
+
+/// Changes in quick succession, and one more.
+const BURST: u64 = 27;
+
+#[tokio::test]
+async fn only_what_changed_travels_to_a_process_that_slept_through_a_burst_of_changes() {
+    let (peer, own, follower) = (peer().await, Mirror::default(), Mirror::default());
+    peer.mirror.take(NAME, 1, numbered(1), Duration::ZERO);
+    let whole = ask(&own, &peer).await;
+    for revision in 2..=BURST {
+        let body = numbered(revision);
+        peer.mirror.take(NAME, revision, body, Duration::ZERO);
+        ask(&follower, &peer).await;
+    }
+
+    let changed = ask(&own, &peer).await;
+
+    assert_eq!(own.get(NAME).expect("a copy").body, numbered(BURST));
+    assert!(changed < whole / 100, "{changed} of {whole}");
+}
+
+#[test]
+fn another_request_is_answered_while_a_copy_is_packed() {
+    one_thread().block_on(async {
+        let (peer, own, other) = (peer().await, Mirror::default(), Mirror::default());
+        peer.mirror.take(NAME, 2, document("two"), Duration::ZERO);
+        own.take(NAME, 1, document("one"), Duration::ZERO);
+        other.take(NAME, 2, document("two"), Duration::ZERO);
+        // Whatever leaves the thread of all tasks waits until it is let go on.
+        let (go_on, held) = std::sync::mpsc::channel::<()>();
+        let blocker = tokio::task::spawn_blocking(move || held.recv());
+        let asking = tokio::spawn(ask_at(own.clone(), peer.addr));
+        while peer.asked.load(Relaxed) == 0 {
+            tokio::task::yield_now().await;
+        }
+
+        ask_at(other, peer.addr).await;
+
+        let answered = peer.sent.load(Relaxed);
+        assert!(answered < 50, "{answered} bytes: the copy was packed first");
+        go_on.send(()).expect("the blocker waits");
+        blocker.await.expect("no panic").expect("let go on");
+        assert!(asking.await.expect("no panic"), "no newer copy came");
+        assert_eq!(own.get(NAME).expect("a copy").body, document("two"));
+    });
+}
+
+#[tokio::test]
+async fn a_process_that_holds_another_body_under_the_same_revision_gets_the_whole() {
+    let (peer, own) = (peer().await, Mirror::default());
+    peer.mirror.take(NAME, 1, numbered(1), Duration::ZERO);
+    peer.mirror.take(NAME, 2, numbered(2), Duration::ZERO);
+    let unlike = numbered(1).iter().rev().copied().collect();
+    own.take(NAME, 1, unlike, Duration::ZERO);
+
+    ask(&own, &peer).await;
+
+    assert_eq!(own.get(NAME).expect("a copy").body, numbered(2));
+}
