Pack against the earlier body in place, and keep no more than what was packed

Cause: the earlier body was loaded as a dictionary, which copies it and fills a table apart from the one that packing uses; and what zstd returns was kept in a buffer as large as the body, 313 KB for 106 bytes at 1,600 routes.

Ruled out: a table as large as the body where there is no earlier one.

Change: the earlier body is referred to as a prefix; packed bytes are copied out of the buffer.

--- a/crates/mirror/src/pack.rs
+++ b/crates/mirror/src/pack.rs
@@ -1,15 +1,15 @@
 //! Documents packed for the way to another process.
 //!
 //! A body is compressed against an earlier revision that the receiver holds, where both hold the same
-//! one, so that only what changed travels. Of a configuration of 1,600 routes (0.5 MB) one changed route
+//! one, so that only what changed travels. Of a configuration of 1,600 routes (0.3 MB) one changed route
 //! travels as some 100 bytes.
 
 use bytes::Bytes;
 use displaydoc::Display;
-use zstd::bulk::{Compressor, Decompressor};
-use zstd::zstd_safe::{CParameter, DParameter};
+use zstd::zstd_safe::{CCtx, CParameter, DCtx, DParameter, compress_bound, get_error_name};
 
-/// Level of compression: the fastest. A configuration of 1,600 routes takes 2 ms of a whole core.
+/// Level of compression: the fastest. A configuration of 1,600 routes takes 0.3 ms of a whole core
+/// against an earlier one, 0.6 ms against none.
 const LEVEL: i32 = 1;
 
 /// Distance over which repetitions are found, as a power of two: 16 MiB, the largest body and the one
@@ -23,22 +23,27 @@
 #[derive(Debug, Display)]
 pub enum PackError {
     /// the document can't be packed: {0}
-    Pack(std::io::Error),
+    Pack(&'static str),
     /// the packed document can't be read: {0}; ask another process
-    Unpack(std::io::Error),
+    Unpack(&'static str),
 }
 
 impl std::error::Error for PackError {}
 
 /// Packs a body against an earlier one; an empty earlier one stands for none.
 pub(crate) fn pack(body: &[u8], against: &[u8]) -> Result<Bytes, PackError> {
-    let packed = || {
-        let mut compressor = Compressor::with_dictionary(LEVEL, against)?;
-        compressor.set_parameter(CParameter::WindowLog(WINDOW_LOG))?;
-        compressor.set_parameter(CParameter::HashLog(hash_log(against.len())))?;
-        compressor.compress(body)
+    let mut packed = Vec::with_capacity(compress_bound(body.len()));
+    let mut pack = || {
+        let mut cx = CCtx::create();
+        cx.set_parameter(CParameter::CompressionLevel(LEVEL))?;
+        cx.set_parameter(CParameter::WindowLog(WINDOW_LOG))?;
+        cx.set_parameter(CParameter::HashLog(hash_log(against.len())))?;
+        cx.ref_prefix(against)?;
+        cx.compress2(&mut packed, body)
     };
-    packed().map(Bytes::from).map_err(PackError::Pack)
+    pack().map_err(|code| PackError::Pack(get_error_name(code)))?;
+    // The buffer is as large as the body, however little of it is used.
+    Ok(Bytes::copy_from_slice(&packed))
 }
 
 /// Size of a table with an entry for each second byte of an earlier body, as a power of two. With fewer,
@@ -50,10 +55,13 @@
 
 /// Unpacks a body of at most `limit` bytes that was packed against an earlier one.
 pub(crate) fn unpack(packed: &[u8], against: &[u8], limit: usize) -> Result<Bytes, PackError> {
-    let unpacked = || {
-        let mut decompressor = Decompressor::with_dictionary(against)?;
-        decompressor.set_parameter(DParameter::WindowLogMax(WINDOW_LOG))?;
-        decompressor.decompress(packed, limit)
+    let mut body = Vec::with_capacity(limit);
+    let mut unpack = || {
+        let mut cx = DCtx::create();
+        cx.set_parameter(DParameter::WindowLogMax(WINDOW_LOG))?;
+        cx.ref_prefix(against)?;
+        cx.decompress(&mut body, packed)
     };
-    unpacked().map(Bytes::from).map_err(PackError::Unpack)
+    unpack().map_err(|code| PackError::Unpack(get_error_name(code)))?;
+    Ok(Bytes::from(body))
 }
