Pack copies beside the thread that serves requests

Cause: a copy was packed on the one thread that runs all tasks of a gateway, under the lock of all copies; and its revision was read apart from its body, so that on several threads an answer could name one revision and hold the body of the next.

Ruled out: packing outside of the lock on the same thread, which holds up requests as before; all askers packing at once, which takes memory by the size of the body for each.

Earlier bodies get a file of their own.

--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -5,15 +5,13 @@
 
 use base::{Map, Revision};
 use bytes::Bytes;
-use tokio::sync::watch;
+use tokio::sync::{self, watch};
+use tokio::task::spawn_blocking;
 
 use crate::DocName;
+use crate::earlier::Earlier;
 use crate::pack::{PackError, pack};
 
-/// Earlier bodies kept of each document, so that a process some revisions behind gets only what
-/// changed since. In quick succession a process is up to three behind.
-const EARLIER: usize = 3;
-
 /// A copy of a document.
 #[derive(Debug, Clone)]
 pub struct Copy {
@@ -32,15 +30,15 @@
 #[derive(Debug)]
 struct Held {
     copy: Copy,
-    /// Earlier bodies, the newest last.
-    earlier: Vec<(Revision, Bytes)>,
+    earlier: Earlier,
     /// The body packed against the revision that an asker holds; 0 for none.
     packed: Map<Revision, Bytes>,
 }
 
-/// A body packed against an earlier revision.
+/// A copy packed against an earlier revision.
 #[derive(Debug)]
 pub(crate) struct Packed {
+    pub(crate) copy: Copy,
     /// Revision that it is packed against; 0 for none.
     pub(crate) against: Revision,
     pub(crate) body: Bytes,
@@ -52,6 +50,8 @@
     documents: Arc<Mutex<Map<DocName, Held>>>,
     changed: Arc<watch::Sender<()>>,
     confirmed: Arc<watch::Sender<()>>,
+    /// Held while a body is packed: one at a time, since each takes memory by the size of the body.
+    packing: Arc<sync::Mutex<()>>,
 }
 
 impl Mirror {
@@ -125,29 +125,75 @@
         self.confirmed.subscribe()
     }
 
-    /// The body for a process that holds a revision, packed once for all that hold the same.
-    pub(crate) fn packed(&self, name: DocName, known: Revision) -> Result<Packed, PackError> {
-        let mut documents = self.lock();
-        let Some(held) = documents.get_mut(name) else {
-            return Ok(Packed {
-                against: 0,
-                body: Bytes::new(),
-            });
-        };
-        let earlier = held.body_of(known);
-        let against = earlier.as_ref().map_or(0, |_| known);
-        if let Some(body) = held.packed.get(&against).cloned() {
-            return Ok(Packed { against, body });
+    /// The copy for a process that holds a revision, packed once for all that hold the same; `None` where
+    /// there is no copy.
+    pub(crate) async fn packed(
+        &self,
+        name: DocName,
+        known: Revision,
+    ) -> Result<Option<Packed>, PackError> {
+        if let Some(packed) = self.packed_before(name, known) {
+            return Ok(Some(packed));
         }
-        let body = pack(&held.copy.body, &earlier.unwrap_or_default())?;
-        held.packed.insert(against, body.clone());
-        Ok(Packed { against, body })
+        self.in_turn(move |mirror| mirror.pack(name, known)).await
     }
 
     /// The body of a revision that is held or was held before it.
     pub(crate) fn body_of(&self, name: DocName, revision: Revision) -> Option<Bytes> {
+        let (copy, earlier) = self.all_of(name)?;
+        match copy.revision == revision {
+            true => Some(copy.body),
+            false => earlier.body_of(revision),
+        }
+    }
+
+    /// Does one step of packing beside the thread that serves requests, which runs all tasks of a process.
+    async fn in_turn<T: Send + 'static>(
+        &self,
+        step: impl FnOnce(&Mirror) -> Result<T, PackError> + Send + 'static,
+    ) -> Result<T, PackError> {
+        let turn = self.packing.clone().lock_owned().await;
+        let mirror = self.clone();
+        let step = spawn_blocking(move || {
+            let _turn = turn;
+            step(&mirror)
+        });
+        step.await.map_err(PackError::Stopped)?
+    }
+
+    fn pack(&self, name: DocName, known: Revision) -> Result<Option<Packed>, PackError> {
+        // Whoever had the turn before may have packed the same.
+        if let Some(packed) = self.packed_before(name, known) {
+            return Ok(Some(packed));
+        }
+        let Some((copy, earlier)) = self.all_of(name) else {
+            return Ok(None);
+        };
+        let body = earlier.body_of(known);
+        let against = body.as_ref().map_or(0, |_| known);
+        let body = pack(&copy.body, &body.unwrap_or_default())?;
+        let mut documents = self.lock();
+        let held = documents.get_mut(name);
+        if let Some(held) = held.filter(|held| held.copy.revision == copy.revision) {
+            held.packed.insert(against, body.clone());
+        }
+        Ok(Some(Packed {
+            copy,
+            against,
+            body,
+        }))
+    }
+
+    fn packed_before(&self, name: DocName, known: Revision) -> Option<Packed> {
         let documents = self.lock();
-        documents.get(name).and_then(|held| held.body_of(revision))
+        documents.get(name).and_then(|held| held.packed(known))
+    }
+
+    /// The copy held and the earlier bodies, which share their bytes with it.
+    fn all_of(&self, name: DocName) -> Option<(Copy, Earlier)> {
+        let documents = self.lock();
+        let held = documents.get(name)?;
+        Some((held.copy.clone(), held.earlier.clone()))
     }
 
     fn lock(&self) -> MutexGuard<'_, Map<DocName, Held>> {
@@ -160,13 +206,11 @@
 impl Held {
     /// A newer copy in place of what was held before.
     fn after(before: Option<Held>, copy: Copy) -> Held {
-        let mut earlier = Vec::new();
+        let mut earlier = Earlier::default();
         if let Some(before) = before {
             earlier = before.earlier;
-            earlier.push((before.copy.revision, before.copy.body));
+            earlier.push(before.copy.revision, before.copy.body);
         }
-        let surplus = earlier.len().saturating_sub(EARLIER);
-        earlier.drain(..surplus);
         Held {
             copy,
             earlier,
@@ -174,14 +218,17 @@
         }
     }
 
-    fn body_of(&self, revision: Revision) -> Option<Bytes> {
-        let current = std::iter::once((self.copy.revision, &self.copy.body));
-        let earlier = self
-            .earlier
-            .iter()
-            .map(|(revision, body)| (*revision, body));
-        let mut all = current.chain(earlier);
-        let found = all.find(|(known, _)| *known == revision);
-        found.map(|(_, body)| body.clone())
+    /// What was packed for a process that holds a revision.
+    fn packed(&self, known: Revision) -> Option<Packed> {
+        let against = match self.earlier.has(known) {
+            true => known,
+            false => 0,
+        };
+        let body = self.packed.get(&against)?;
+        Some(Packed {
+            copy: self.copy.clone(),
+            against,
+            body: body.clone(),
+        })
     }
 }
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod ask;
 mod copy;
+mod earlier;
 mod pack;
 mod serve;
 
--- a/crates/mirror/src/pack.rs
+++ b/crates/mirror/src/pack.rs
@@ -26,6 +26,8 @@
     Pack(&'static str),
     /// the packed document can't be read: {0}; ask another process
     Unpack(&'static str),
+    /// packing was ended: {0}; ask another process, this one stops
+    Stopped(tokio::task::JoinError),
 }
 
 impl std::error::Error for PackError {}
--- a/crates/mirror/src/serve.rs
+++ b/crates/mirror/src/serve.rs
@@ -8,7 +8,7 @@
 use web::{Request, Response, full, text};
 
 use crate::pack::PackError;
-use crate::{DocName, Mirror};
+use crate::{Copy, DocName, Mirror};
 
 /// Path of a document is this and its name.
 pub const PATH: &str = "/mirror/";
@@ -48,7 +48,7 @@
     let query = req.uri().query().unwrap_or_default();
     let revision = query.split('&').next().and_then(|q| q.parse().ok());
     let held = revision.unwrap_or(0);
-    let passed = match pass(mirror, name, held) {
+    let passed = match pass(mirror, name, held).await {
         Ok(Some(passed)) => passed,
         Ok(None) => return text(503, "no copy yet; ask again\n"),
         Err(e) => return text(500, format!("{e}\n")),
@@ -59,24 +59,30 @@
     }
 }
 
-fn pass(mirror: &Mirror, name: DocName, known: Revision) -> Result<Option<Passed>, PackError> {
-    let Some(copy) = mirror.get(name) else {
-        return Ok(None);
+async fn pass(
+    mirror: &Mirror,
+    name: DocName,
+    known: Revision,
+) -> Result<Option<Passed>, PackError> {
+    let copy = match mirror.get(name) {
+        Some(copy) if copy.revision > known => mirror.packed(name, known).await?,
+        Some(copy) => return Ok(Some(passed(&copy, None))),
+        None => return Ok(None),
     };
-    let body = match copy.revision > known {
-        true => {
-            let packed = mirror.packed(name, known)?;
-            Some(PassedBody {
-                against: packed.against,
-                length: copy.body.len(),
-                bytes: packed.body.to_vec(),
-            })
-        }
-        false => None,
-    };
-    Ok(Some(Passed {
+    Ok(copy.map(|packed| {
+        let body = PassedBody {
+            against: packed.against,
+            length: packed.copy.body.len(),
+            bytes: packed.body.to_vec(),
+        };
+        passed(&packed.copy, Some(body))
+    }))
+}
+
+fn passed(copy: &Copy, body: Option<PassedBody>) -> Passed {
+    Passed {
         revision: copy.revision,
         age: copy.confirmed.elapsed(),
         body,
-    }))
+    }
 }
--- a/crates/mirror/tests/pass.rs
+++ b/crates/mirror/tests/pass.rs
@@ -146,6 +146,30 @@
     assert!(changed < whole / 100, "{changed} of {whole}");
 }
 
+#[tokio::test]
+async fn many_that_ask_at_once_from_several_revisions_get_the_same_body() {
+    let peer = peer().await;
+    let behind: Vec<Mirror> = (0..12).map(|_| Mirror::default()).collect();
+    for revision in 1..=6 {
+        let body = numbered(revision);
+        peer.mirror.take(NAME, revision, body, Duration::ZERO);
+        for own in behind.iter().skip(2 * revision as usize - 2) {
+            own.take(NAME, revision, numbered(revision), Duration::ZERO);
+        }
+    }
+    peer.mirror.take(NAME, 7, numbered(7), Duration::ZERO);
+
+    let asking = behind.iter().map(|own| ask_at(own.clone(), peer.addr));
+    let asking: Vec<_> = asking.map(tokio::spawn).collect();
+    for asked in asking {
+        assert!(asked.await.expect("no panic"), "no newer copy came");
+    }
+
+    for own in &behind {
+        assert_eq!(own.get(NAME).expect("a copy").body, numbered(7));
+    }
+}
+
 #[test]
 fn another_request_is_answered_while_a_copy_is_packed() {
     one_thread().block_on(async {
