--- a/crates/mirror/src/ask.rs
+++ b/crates/mirror/src/ask.rs
@@ -97,6 +97,7 @@
         0 => Bytes::new(),
         revision => mirror
             .body_of(name, revision)
+            .map_err(|e| AskError(e.to_string()))?
             .ok_or_else(|| AskError(format!("it was packed against revision {revision}")))?,
     };
     unpack(&body.bytes, &against, body.length.min(MAX_COPY)).map_err(|e| AskError(e.to_string()))
--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -5,12 +5,14 @@
 
 use base::{Map, Revision};
 use bytes::Bytes;
+use log::warn;
+use tokio::runtime::Handle;
 use tokio::sync::{self, watch};
 use tokio::task::spawn_blocking;
 
-use crate::DocName;
 use crate::earlier::Earlier;
 use crate::pack::{PackError, pack};
+use crate::{DocName, PART};
 
 /// A copy of a document.
 #[derive(Debug, Clone)]
@@ -77,9 +79,13 @@
             gap,
         };
         let before = documents.remove(name);
+        let follows = before.is_some();
         documents.insert(name, Held::after(before, copy));
         drop(documents);
         self.changed.send_replace(());
+        if follows {
+            self.pack_earlier_beside(name);
+        }
         true
     }
 
@@ -139,11 +145,17 @@
     }
 
     /// The body of a revision that is held or was held before it.
-    pub(crate) fn body_of(&self, name: DocName, revision: Revision) -> Option<Bytes> {
-        let (copy, earlier) = self.all_of(name)?;
+    pub(crate) fn body_of(
+        &self,
+        name: DocName,
+        revision: Revision,
+    ) -> Result<Option<Bytes>, PackError> {
+        let Some((copy, earlier)) = self.all_of(name) else {
+            return Ok(None);
+        };
         match copy.revision == revision {
-            true => Some(copy.body),
-            false => earlier.body_of(revision),
+            true => Ok(Some(copy.body)),
+            false => earlier.body_of(revision, &copy.body),
         }
     }
 
@@ -169,7 +181,7 @@
         let Some((copy, earlier)) = self.all_of(name) else {
             return Ok(None);
         };
-        let body = earlier.body_of(known);
+        let body = earlier.body_of(known, &copy.body)?;
         let against = body.as_ref().map_or(0, |_| known);
         let body = pack(&copy.body, &body.unwrap_or_default())?;
         let mut documents = self.lock();
@@ -189,6 +201,29 @@
         documents.get(name).and_then(|held| held.packed(known))
     }
 
+    /// Packs earlier bodies once it is their turn; at once where nothing can run beside.
+    fn pack_earlier_beside(&self, name: DocName) {
+        let mirror = self.clone();
+        match Handle::try_current() {
+            Ok(runtime) => drop(runtime.spawn(async move {
+                let packed = mirror.in_turn(move |mirror| mirror.pack_earlier(name));
+                tell(name, packed.await);
+            })),
+            Err(_) => tell(name, self.pack_earlier(name)),
+        }
+    }
+
+    fn pack_earlier(&self, name: DocName) -> Result<(), PackError> {
+        let Some((copy, mut earlier)) = self.all_of(name) else {
+            return Ok(());
+        };
+        earlier.pack(&copy.body)?;
+        if let Some(held) = self.lock().get_mut(name) {
+            held.earlier.take_steps(&earlier);
+        }
+        Ok(())
+    }
+
     /// The copy held and the earlier bodies, which share their bytes with it.
     fn all_of(&self, name: DocName) -> Option<(Copy, Earlier)> {
         let documents = self.lock();
@@ -232,3 +267,9 @@
         })
     }
 }
+
+fn tell(name: DocName, packed: Result<(), PackError>) {
+    if let Err(e) = packed {
+        warn!(target: PART, "{PART}: event=not_packed document={name} why=\"{e}\"");
+    }
+}
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -16,5 +16,8 @@
 pub use copy::{Copy, Mirror};
 pub use serve::{PATH, oldest_wanted, serve};
 
+/// Log prefix of this part.
+const PART: &str = "mirror";
+
 /// Name of a document.
 pub type DocName = &'static str;
--- a/crates/mirror/tests/pass.rs
+++ b/crates/mirror/tests/pass.rs
@@ -146,6 +146,22 @@
     assert!(changed < whole / 100, "{changed} of {whole}");
 }
 
+#[tokio::test]
+async fn a_process_further_behind_than_bodies_are_kept_gets_the_whole() {
+    let (peer, own) = (peer().await, Mirror::default());
+    peer.mirror.take(NAME, 1, numbered(1), Duration::ZERO);
+    let whole = ask(&own, &peer).await;
+    for revision in 2..=4 * BURST {
+        let body = numbered(revision);
+        peer.mirror.take(NAME, revision, body, Duration::ZERO);
+    }
+
+    let again = ask(&own, &peer).await;
+
+    assert_eq!(own.get(NAME).expect("a copy").body, numbered(4 * BURST));
+    assert!(again > whole / 2, "{again} of {whole}");
+}
+
 #[tokio::test]
 async fn many_that_ask_at_once_from_several_revisions_get_the_same_body() {
     let peer = peer().await;
