Tell by a checksum whether a copy fits the body held, and ask for the whole

Cause: a copy is packed against the asker's body by its revision alone. Where that body is another one, unpacking gives bytes that are neither, and these were taken as the newer revision and passed on.

Ruled out: the digest of the held body in each question: longer questions and a digest of each body, for what zstd's checksum tells for 4 bytes.

Change: packed bytes end with zstd's checksum. What doesn't fit is told of in the log, and the whole asked for once.

--- a/crates/mirror/src/ask.rs
+++ b/crates/mirror/src/ask.rs
@@ -5,11 +5,12 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use log::warn;
 use web::{Client, empty, read_steadily};
 
 use crate::pack::unpack;
 use crate::serve::{Passed, PassedBody};
-use crate::{DocName, Mirror, PATH};
+use crate::{DocName, Mirror, PART, PATH};
 
 /// Largest copy taken, in bytes.
 const MAX_COPY: usize = 8 << 20;
@@ -35,8 +36,7 @@
     from: SocketAddr,
     within: Duration,
 ) -> Result<bool, AskError> {
-    let held = mirror.revision(name);
-    take(mirror, name, client, from, within, held.to_string()).await
+    take(mirror, name, client, from, within, String::new()).await
 }
 
 /// The same for a copy that the store confirmed at most `oldest` ago; the process asked has it confirmed
@@ -49,19 +49,39 @@
     within: Duration,
     oldest: Duration,
 ) -> Result<bool, AskError> {
-    let held = mirror.revision(name);
-    let query = format!("{held}&{}", oldest.as_millis());
-    take(mirror, name, client, from, within, query).await
+    let bound = format!("&{}", oldest.as_millis());
+    take(mirror, name, client, from, within, bound).await
 }
 
+/// Asks for what changed since the revision held, and for the whole where that doesn't fit the body held.
 async fn take(
     mirror: &Mirror,
     name: DocName,
     client: &Client,
     from: SocketAddr,
     within: Duration,
-    query: String,
+    bound: String,
 ) -> Result<bool, AskError> {
+    let held = mirror.revision(name);
+    let changed = passed(name, client, from, within, format!("{held}{bound}")).await?;
+    match taken(mirror, name, changed) {
+        Err(e) if held != 0 => {
+            warn!(target: PART, "{PART}: event=asked_whole document={name} from={from} held={held} why=\"{e}\"");
+            let whole = passed(name, client, from, within, format!("0{bound}")).await?;
+            taken(mirror, name, whole)
+        }
+        taken => taken,
+    }
+}
+
+/// What a process passes on, its age counted from when it was asked.
+async fn passed(
+    name: DocName,
+    client: &Client,
+    from: SocketAddr,
+    within: Duration,
+    query: String,
+) -> Result<Passed, AskError> {
     let sent = Instant::now();
     let req = hyper::Request::get(format!("{PATH}{name}?{query}"))
         .body(empty())
@@ -76,17 +96,22 @@
     let buf = read_steadily(res.into_body(), MAX_COPY, within)
         .await
         .map_err(|e| AskError(e.to_string()))?;
-    let passed: Passed = postcard::from_bytes(&buf).map_err(|e| AskError(e.to_string()))?;
+    let mut passed: Passed = postcard::from_bytes(&buf).map_err(|e| AskError(e.to_string()))?;
     // The answer may have been on its way all the while.
-    let age = passed.age + sent.elapsed();
+    passed.age += sent.elapsed();
+    Ok(passed)
+}
+
+/// Takes what was passed on; `true` where it is newer than the copy held.
+fn taken(mirror: &Mirror, name: DocName, passed: Passed) -> Result<bool, AskError> {
     match passed.body {
         Some(body) => {
             let body = unpacked(mirror, name, &body)?;
-            Ok(mirror.take(name, passed.revision, body, age))
+            Ok(mirror.take(name, passed.revision, body, passed.age))
         }
         // The same revision: its age is news.
         None => {
-            mirror.confirm(name, passed.revision, age);
+            mirror.confirm(name, passed.revision, passed.age);
             Ok(false)
         }
     }
--- a/crates/mirror/src/pack.rs
+++ b/crates/mirror/src/pack.rs
@@ -40,6 +40,7 @@
         cx.set_parameter(CParameter::CompressionLevel(LEVEL))?;
         cx.set_parameter(CParameter::WindowLog(WINDOW_LOG))?;
         cx.set_parameter(CParameter::HashLog(hash_log(against.len())))?;
+        cx.set_parameter(CParameter::ChecksumFlag(true))?;
         cx.ref_prefix(against)?;
         cx.compress2(&mut packed, body)
     };
@@ -55,7 +56,8 @@
     entries.ilog2().clamp(*HASH_LOGS.start(), *HASH_LOGS.end())
 }
 
-/// Unpacks a body of at most `limit` bytes that was packed against an earlier one.
+/// Unpacks a body of at most `limit` bytes that was packed against an earlier one. A checksum tells
+/// whether it was that one.
 pub(crate) fn unpack(packed: &[u8], against: &[u8], limit: usize) -> Result<Bytes, PackError> {
     let mut body = Vec::with_capacity(limit);
     let mut unpack = || {
