--- a/crates/decide/src/denial.rs
+++ b/crates/decide/src/denial.rs
@@ -11,10 +11,10 @@
 
 use std::time::{Duration, Instant};
 
-/// Largest age of a copy that denies, as a part of the time in which a change is to be in force. The other
-/// part is left for requests that are on their way: a change is in force for requests sent that time after
-/// it was accepted. At 2 s this leaves 0.5 s to them. With a half, callers who err at every moment cost 120
-/// calls to the store in a minute of three failure domains, beside 740.
+/// Largest age of a copy that denies, as a part of the time in which a change is to be in force. A request
+/// comes after the moment at which it was sent, so the whole of it would do; the rest is for what ages miss,
+/// such as a process that stands still between judging and answering. With a half, callers who err at every
+/// moment cost 120 calls to the store in a minute of three failure domains, beside 740.
 const OLDEST_PART: f64 = 0.75;
 
 /// Time after a failed try to have the copy confirmed in which none is begun; the store is asked again about
--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -6,7 +6,6 @@
 //! replaced by the next in rank within a second.
 //! Ages count from the moment at which a question left, so they are never too low.
 
-use std::sync::atomic::Ordering::Relaxed;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -60,10 +59,10 @@
 }
 
 /// Time since the store confirmed the configuration in force here; the longest there is where a newer one is
-/// held but not in force yet, or none is.
+/// held but not in force, or none is.
 pub(crate) fn age(cx: &Cx) -> Duration {
     let held = cx.mirror.get(cx.configuration.name);
-    let in_force = cx.configuration.in_force.load(Relaxed);
+    let in_force = *cx.configuration.in_force.borrow();
     let held = held.filter(|copy| copy.revision == in_force);
     held.map_or(Duration::MAX, |copy| copy.confirmed.elapsed())
 }
@@ -73,12 +72,11 @@
     cx.confirmations.denials().verdict(age(cx), Instant::now())
 }
 
-/// Waits until the configuration was confirmed or a newer one is in force, or until it is known that
-/// neither can be had now; `until` at the latest.
+/// Asks for a confirmation, unless that is under way, and waits until the configuration was confirmed or a
+/// newer one is in force, or until it is known that neither can be had now; `until` at the latest.
 pub(crate) async fn confirmed(cx: &Arc<Cx>, until: Instant) {
     let mut confirmed = cx.mirror.confirmations();
-    let mut catalog = cx.catalog.clone();
-    catalog.mark_unchanged();
+    let mut in_force = cx.configuration.in_force.subscribe();
     let mut over = cx.confirmations.over.subscribe();
     if cx.confirmations.over.send_replace(false) {
         tokio::spawn(ask(cx.clone()));
@@ -86,7 +84,7 @@
     let news = async {
         tokio::select! {
             _ = confirmed.changed() => {}
-            _ = catalog.changed() => {}
+            _ = in_force.changed() => {}
             _ = over.wait_for(|over| *over) => {}
         }
     };
@@ -95,29 +93,57 @@
     }
 }
 
+/// Says that a question is over, also where its task ends otherwise.
+struct Question(Arc<Cx>);
+
+impl Drop for Question {
+    fn drop(&mut self) {
+        self.0.confirmations.over.send_replace(true);
+    }
+}
+
 /// Has the configuration confirmed.
 async fn ask(cx: Arc<Cx>) {
+    let question = Question(cx);
+    let cx = &question.0;
     let reaches_store = *cx.reaches_store.borrow();
     let own = &cx.cfg.node.vm;
     let reader = cx.loads.reader(own, reaches_store, Instant::now());
     match reader {
-        Some(reader) => ask_gateway(&cx, reader).await,
+        Some(reader) => ask_gateway(cx, reader).await,
         None if reaches_store => {
             let wait = cx.cfg.node.store_timeout;
-            read_store(&cx, cx.confirmations.oldest(), wait).await;
+            read_store(cx, cx.confirmations.oldest(), wait).await;
         }
         // A store that can't be reached is asked again and again by all else; none waits for it here.
         None => {}
     }
-    if !is_confirmed(&cx) {
-        warn!(target: PART, "{PART}: event=unconfirmed revision={} reaches_store={reaches_store}", cx.mirror.revision(cx.configuration.name));
+    in_force(cx).await;
+    let age = age(cx);
+    if age > cx.confirmations.oldest() {
+        warn!(target: PART, "{PART}: event=unconfirmed revision={} age={age:?} reaches_store={reaches_store}", cx.mirror.revision(cx.configuration.name));
         cx.confirmations.denials().failed(Instant::now());
     }
-    cx.confirmations.over.send_replace(true);
+}
+
+/// Waits a moment while a newer configuration that has come is put in force.
+async fn in_force(cx: &Cx) {
+    let held = cx.mirror.revision(cx.configuration.name);
+    let mut in_force = cx.configuration.in_force.subscribe();
+    let newest = in_force.wait_for(|revision| *revision >= held);
+    if tokio::time::timeout(cx.cfg.start_wait, newest)
+        .await
+        .is_err()
+    {
+        debug!(target: PART, "{PART}: event=not_in_force revision={held}");
+    }
 }
 
 async fn ask_gateway(cx: &Cx, from: std::net::SocketAddr) {
-    let (name, oldest) = (cx.configuration.name, cx.confirmations.oldest());
+    let name = cx.configuration.name;
+    // Its age grows on the way.
+    let oldest = cx.confirmations.oldest();
+    let oldest = oldest - ASK_TIMEOUT.min(oldest / 2);
     let client = &cx.confirmations.client;
     let asked = mirror::ask_confirmed(&cx.mirror, name, client, from, ASK_TIMEOUT, oldest);
     match asked.await {
@@ -126,12 +152,6 @@
     }
 }
 
-/// Whether the copy held was confirmed lately; it may not be in force yet.
-fn is_confirmed(cx: &Cx) -> bool {
-    let age = cx.mirror.age(cx.configuration.name);
-    age.is_some_and(|age| age <= cx.confirmations.oldest())
-}
-
 /// Has the store read from here, and waits until the copy is at most so old.
 async fn read_store(cx: &Cx, oldest: Duration, wait: Duration) {
     let mut confirmed = cx.mirror.confirmations();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -121,8 +121,10 @@
 /// Takes what a gateway of the failure domain tells: its load, and which documents it holds.
 fn hear(cx: &Arc<Cx>, client: &Client, beacon: &Beacon, note: LoadNote, sender: SocketAddr) {
     // That the store confirmed the list goes for this process too.
-    cx.mirror
-        .confirm(cx.upstreams.name, note.upstreams, note.upstreams_age);
+    if let Some(confirmed) = Instant::now().checked_sub(note.upstreams_age) {
+        cx.mirror
+            .confirm(cx.upstreams.name, note.upstreams, confirmed);
+    }
     let from = note.copies_at;
     copy_newer(cx, client, |cx| &cx.configuration, note.configuration, from);
     copy_newer(cx, client, |cx| &cx.upstreams, note.upstreams, from);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -114,20 +114,28 @@
         record.revision = catalog.revision;
         let age = cx.mirror.age(cx.configuration.name).unwrap_or_default();
         record.confirmed_ms = age.as_millis() as u64;
-        let denial = match look_up(catalog, call, path, record) {
+        let denial = match look_up(catalog.clone(), call, path, record) {
             Ok(allowed) => return Ok(allowed),
             Err(denial) => denial,
         };
         match verdict(cx) {
+            // What was judged is the configuration in force by now.
+            Verdict::Deny if !is_in_force(cx, &catalog) => continue,
             Verdict::Deny => return Err(denial),
-            Verdict::Confirm if Instant::now() < until => confirmed(cx, until).await,
-            Verdict::Confirm | Verdict::Refuse => {
-                return Err(Refusal::Unconfirmed(NOT_READY_RETRY));
-            }
+            Verdict::Confirm => confirmed(cx, until).await,
+            Verdict::Refuse => return Err(Refusal::Unconfirmed(NOT_READY_RETRY)),
+        }
+        if Instant::now() >= until && verdict(cx) != Verdict::Deny {
+            return Err(Refusal::Unconfirmed(NOT_READY_RETRY));
         }
     }
 }
 
+fn is_in_force(cx: &Cx, catalog: &Arc<Catalog>) -> bool {
+    let current = cx.catalog.borrow();
+    current.as_ref().is_some_and(|c| Arc::ptr_eq(c, catalog))
+}
+
 fn look_up(
     catalog: Arc<Catalog>,
     call: &Call,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -32,7 +32,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 
-use base::Incarnation;
+use base::{Incarnation, Revision};
 use catalog::Catalog;
 use decide::retry::RetryBudget;
 use mirror::{DocName, Mirror};
@@ -100,8 +100,8 @@
 pub struct Followed {
     /// Document.
     pub name: DocName,
-    /// Revision that is in force; 0 for none.
-    pub in_force: AtomicU64,
+    /// Revision that is in force here, or was before one that couldn't be decoded; 0 for none.
+    pub in_force: watch::Sender<Revision>,
     /// Whether it is being copied.
     copying: AtomicBool,
     /// Whether a newer revision is known of, and the last try to copy it failed.
@@ -112,7 +112,7 @@
     fn new(name: DocName) -> Followed {
         Followed {
             name,
-            in_force: AtomicU64::new(0),
+            in_force: watch::Sender::new(0),
             copying: AtomicBool::new(false),
             not_copied: AtomicBool::new(false),
         }
--- a/crates/mirror/src/ask.rs
+++ b/crates/mirror/src/ask.rs
@@ -39,8 +39,8 @@
     take(mirror, name, client, from, within, String::new()).await
 }
 
-/// The same for a copy that the store confirmed at most `oldest` ago; the process asked has it confirmed
-/// where its own is older, and answers after `within` at the latest.
+/// The same for a copy that the store confirmed at most `oldest` ago: the process asked has it confirmed
+/// where its own is older, and answers with what it has where that fails.
 pub async fn ask_confirmed(
     mirror: &Mirror,
     name: DocName,
@@ -74,14 +74,15 @@
     }
 }
 
-/// What a process passes on, its age counted from when it was asked.
+/// What a process passes on, and when the store had confirmed it at the latest: as long before the question
+/// left as the answer says, since the answer may have been on its way all the while.
 async fn passed(
     name: DocName,
     client: &Client,
     from: SocketAddr,
     within: Duration,
     query: String,
-) -> Result<Passed, AskError> {
+) -> Result<(Passed, Instant), AskError> {
     let sent = Instant::now();
     let req = hyper::Request::get(format!("{PATH}{name}?{query}"))
         .body(empty())
@@ -96,22 +97,27 @@
     let buf = read_steadily(res.into_body(), MAX_COPY, within)
         .await
         .map_err(|e| AskError(e.to_string()))?;
-    let mut passed: Passed = postcard::from_bytes(&buf).map_err(|e| AskError(e.to_string()))?;
-    // The answer may have been on its way all the while.
-    passed.age += sent.elapsed();
-    Ok(passed)
+    let passed: Passed = postcard::from_bytes(&buf).map_err(|e| AskError(e.to_string()))?;
+    let confirmed = sent
+        .checked_sub(passed.age)
+        .ok_or_else(|| AskError(format!("its age can't be: {:?}", passed.age)))?;
+    Ok((passed, confirmed))
 }
 
 /// Takes what was passed on; `true` where it is newer than the copy held.
-fn taken(mirror: &Mirror, name: DocName, passed: Passed) -> Result<bool, AskError> {
+fn taken(
+    mirror: &Mirror,
+    name: DocName,
+    (passed, confirmed): (Passed, Instant),
+) -> Result<bool, AskError> {
     match passed.body {
         Some(body) => {
             let body = unpacked(mirror, name, &body)?;
-            Ok(mirror.take(name, passed.revision, body, passed.age))
+            Ok(mirror.take(name, passed.revision, body, confirmed))
         }
         // The same revision: its age is news.
         None => {
-            mirror.confirm(name, passed.revision, passed.age);
+            mirror.confirm(name, passed.revision, confirmed);
             Ok(false)
         }
     }
--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -57,10 +57,9 @@
 }
 
 impl Mirror {
-    /// Takes a copy that was confirmed `age` ago; `true` where it is newer than the one held.
-    pub fn take(&self, name: DocName, revision: Revision, body: Bytes, age: Duration) -> bool {
-        let now = Instant::now();
-        let confirmed = now.checked_sub(age).unwrap_or(now);
+    /// Takes a copy that the store had confirmed at a moment; `true` where it is newer than the one held. A
+    /// moment, since an age grows while a process stands still on its way here.
+    pub fn take(&self, name: DocName, revision: Revision, body: Bytes, confirmed: Instant) -> bool {
         let mut documents = self.lock();
         let gap = match documents.get_mut(name) {
             Some(held) if held.copy.revision > revision => return false,
@@ -89,10 +88,8 @@
         true
     }
 
-    /// Notes that the store confirmed a revision `age` ago, where that is the one held.
-    pub fn confirm(&self, name: DocName, revision: Revision, age: Duration) {
-        let now = Instant::now();
-        let confirmed = now.checked_sub(age).unwrap_or(now);
+    /// Notes that the store had confirmed a revision at a moment, where that is the one held.
+    pub fn confirm(&self, name: DocName, revision: Revision, confirmed: Instant) {
         let mut documents = self.lock();
         let same = documents
             .get_mut(name)
