Differ in rank also while nobody reaches the store

Change: while neither this gateway nor one it hears of reaches the store, all count in rank, so one (two for a small configuration) reads it when it is back; the others find it back by the list of upstreams and copy.

Ruled out: ranks among all at any time (a first gateway that is cut off alone would leave the others behind).

--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -111,11 +111,13 @@
         self.state().before(own, now).count()
     }
 
-    /// The same among those that reach the store.
-    pub fn store_rank(&self, own: &VmId, now: Instant) -> usize {
+    /// The same among those that reach the store. While none does, this gateway included, among all: each
+    /// would be the first, and all would read the whole configuration at once when the store is back.
+    pub fn store_rank(&self, own: &VmId, reaches_store: bool, now: Instant) -> usize {
         let state = self.state();
+        let any = reaches_store || state.heard(now).any(|note| note.reaches_store);
         let before = state.before(own, now);
-        before.filter(|note| note.reaches_store).count()
+        before.filter(|note| !any || note.reaches_store).count()
     }
 
     /// Newest revision of the configuration that a gateway tells, near or far.
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -220,7 +220,21 @@
     book.take(reader("b", "recife", false, 1), now);
     book.take(reader("c", "recife", false, 2), now);
 
-    let ranks = ["a", "d"].map(|own| book.store_rank(&own.to_owned(), now));
+    let ranks = ["a", "d"].map(|own| book.store_rank(&own.to_owned(), false, now));
 
     assert_eq!(ranks, [0, 2]);
 }
+
+#[test]
+fn of_gateways_that_reach_the_store_those_that_do_not_take_no_place() {
+    let book = LoadBook::default();
+    let now = Instant::now();
+    book.take(reader("b", "recife", false, 1), now);
+    let alone = book.store_rank(&"d".to_owned(), true, now);
+    book.take(reader("c", "recife", true, 2), now);
+
+    assert_eq!(alone, 0);
+    assert_eq!(book.store_rank(&"d".to_owned(), true, now), 1);
+    assert_eq!(book.store_rank(&"d".to_owned(), false, now), 1);
+    assert_eq!(book.store_rank(&"a".to_owned(), true, now), 0);
+}
