--- a/crates/lab/src/standin/origin.rs
+++ b/crates/lab/src/standin/origin.rs
@@ -1,6 +1,6 @@
 //! The origin of weights, with a link of a given rate.
 
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::{Digest, Map};
@@ -13,33 +13,51 @@
 /// A link that carries so many bytes a second.
 #[derive(Debug)]
 pub struct PacedLink {
+    state: Mutex<Pace>,
+}
+
+#[derive(Debug)]
+struct Pace {
     rate: Option<u64>,
-    free_at: Mutex<Instant>,
+    free_at: Instant,
 }
 
 impl PacedLink {
     /// A link of a rate in bytes a second; `None` has no bound.
     pub fn new(rate: Option<u64>) -> PacedLink {
+        let free_at = Instant::now();
         PacedLink {
-            rate,
-            free_at: Mutex::new(Instant::now()),
+            state: Mutex::new(Pace { rate, free_at }),
         }
     }
 
+    /// Changes the rate; what waits already is carried at the one before.
+    pub fn set_rate(&self, rate: Option<u64>) {
+        self.lock().rate = rate;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Pace> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Waits until the link has carried the bytes.
     pub async fn carry(&self, bytes: usize) {
-        let Some(rate) = self.rate else {
-            return;
-        };
+        let done = self.lock().queue(bytes);
+        if let Some(done) = done {
+            tokio::time::sleep_until(done.into()).await;
+        }
+    }
+}
+
+impl Pace {
+    /// When the bytes will have been carried; `None` where there is no bound.
+    fn queue(&mut self, bytes: usize) -> Option<Instant> {
+        let rate = self.rate?;
         let took = Duration::from_secs_f64(bytes as f64 / rate as f64);
-        let done = {
-            let mut free_at = self.free_at.lock().unwrap_or_else(PoisonError::into_inner);
-            let now = Instant::now();
-            // A link goes on sending what has queued while the relay was late to wake.
-            *free_at = (*free_at).max(now.checked_sub(LATE).unwrap_or(now)) + took;
-            *free_at
-        };
-        tokio::time::sleep_until(done.into()).await;
+        let now = Instant::now();
+        // A link goes on sending what has queued while the relay was late to wake.
+        self.free_at = self.free_at.max(now.checked_sub(LATE).unwrap_or(now)) + took;
+        Some(self.free_at)
     }
 }
 
--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -2,7 +2,8 @@
 //!
 //! Every VM's connections come from its own address, so a relay knows which VM calls, and which
 //! side: a failure domain or the platform. The third number of an address is its side. A VM's link
-//! can be given a rate; all that the VM sends, and all that it gets, then share it.
+//! can be given a rate; all that the VM sends, and all that it gets, then share it. So can the link
+//! towards one address, which all that call there share.
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -50,22 +51,36 @@
     between: Map<(Side, Side), LinkState>,
     towards: Map<SocketAddr, LinkState>,
     gone: Set<IpAddr>,
+    /// How often the open connections towards an address fell silent.
+    silenced: Map<SocketAddr, u64>,
 }
 
-/// The link of one VM, both ways.
+/// The link of one VM, or towards one address, both ways.
 #[derive(Debug, Clone)]
 struct VmLink {
     up: Arc<PacedLink>,
     down: Arc<PacedLink>,
 }
 
+impl VmLink {
+    fn new(up: Option<u64>, down: Option<u64>) -> VmLink {
+        VmLink {
+            up: Arc::new(PacedLink::new(up)),
+            down: Arc::new(PacedLink::new(down)),
+        }
+    }
+}
+
 type VmLinks = Arc<Mutex<Map<IpAddr, VmLink>>>;
 
+type AddrLinks = Arc<Mutex<Map<SocketAddr, VmLink>>>;
+
 /// State of the links between sides.
 #[derive(Debug, Clone)]
 pub struct Switchboard {
     states: Arc<watch::Sender<States>>,
     links: VmLinks,
+    towards: AddrLinks,
 }
 
 impl Default for Switchboard {
@@ -73,6 +88,7 @@
         Switchboard {
             states: Arc::new(watch::Sender::new(States::default())),
             links: VmLinks::default(),
+            towards: AddrLinks::default(),
         }
     }
 }
@@ -95,14 +111,34 @@
 
     /// Gives a VM's link a rate in bytes a second, each way.
     pub fn pace(&self, vm: IpAddr, up: u64, down: u64) {
-        let link = VmLink {
-            up: Arc::new(PacedLink::new(Some(up))),
-            down: Arc::new(PacedLink::new(Some(down))),
-        };
+        let link = VmLink::new(Some(up), Some(down));
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.insert(vm, link);
     }
 
+    /// Gives the link towards an address a rate in bytes a second, each way, in place of that of its VM.
+    /// Connections that were made before the first call aren't bound by it, later calls hold for all.
+    pub fn pace_towards(&self, addr: SocketAddr, rate: Option<u64>) {
+        let mut links = self.towards.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.entry(addr);
+        let link = link.or_insert_with(|| VmLink::new(rate, rate));
+        link.up.set_rate(rate);
+        link.down.set_rate(rate);
+    }
+
+    /// Has the connections that are open towards an address carry nothing more, and stay open; new ones
+    /// carry.
+    pub fn silence(&self, addr: SocketAddr) {
+        self.states.send_modify(|states| {
+            *states.silenced.entry(addr).or_default() += 1;
+        });
+    }
+
+    fn link_towards(&self, addr: SocketAddr) -> Option<VmLink> {
+        let links = self.towards.lock().unwrap_or_else(PoisonError::into_inner);
+        links.get(&addr).cloned()
+    }
+
     fn vm_link(&self, vm: IpAddr) -> Option<VmLink> {
         let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.get(&vm).cloned()
@@ -127,12 +163,19 @@
         let board = self.clone();
         tokio::spawn(async move {
             while let Ok((near, caller)) = listener.accept().await {
+                let states = board.states.subscribe();
+                let silenced = states.borrow().silenced(from);
                 let link = Link {
-                    states: board.states.subscribe(),
+                    states,
                     caller: caller.ip(),
                     to: from,
+                    silenced,
                 };
-                let ends = [board.vm_link(caller.ip()), board.vm_link(from.ip())];
+                let far = board.link_towards(from);
+                let ends = [
+                    board.vm_link(caller.ip()),
+                    far.or_else(|| board.vm_link(from.ip())),
+                ];
                 if link.state() != LinkState::Cut {
                     tokio::spawn(carry(near, to, link, ends));
                 }
@@ -155,6 +198,14 @@
     states: watch::Receiver<States>,
     caller: IpAddr,
     to: SocketAddr,
+    /// How often connections had fallen silent before this one was made.
+    silenced: u64,
+}
+
+impl States {
+    fn silenced(&self, addr: SocketAddr) -> u64 {
+        self.silenced.get(&addr).copied().unwrap_or_default()
+    }
 }
 
 impl Link {
@@ -163,6 +214,9 @@
         if states.gone.contains(&self.caller) || states.gone.contains(&self.to.ip()) {
             return LinkState::Cut;
         }
+        if states.silenced(self.to) > self.silenced {
+            return LinkState::Stalled;
+        }
         let sides = (side(self.caller), side(self.to.ip()));
         let state = states.towards.get(&self.to);
         let state = state.or(states.between.get(&sides));
