Measure from acknowledgement to force: driftnotch-follow

`driftnotch-follow` starts the real program as gateways in failure domains with a shared link each, writes changes at a rate, begins one fault as a change is acknowledged, and asks each gateway for requests on the newest routes. It reports times at each gateway and at the last one, denials after 3 s, calls and bytes by failure domain, for any part of the table of sizes, rates and faults. A request is asked for that is refused for its length where its route is in force: that costs no upstream and can't be taken for another refusal.

--- /dev/null
+++ b/crates/cli/tests/follow.rs
@@ -0,0 +1,39 @@
+//! A small run of the experiment that measures from acknowledgement to force; how long anything takes is
+//! not asserted.
+
+use std::path::PathBuf;
+
+use follow::options::{Cell, Fault, Feed, LINK_MBIT, LOOK, Options, Seed};
+
+const SEED: Seed = 1;
+
+fn options() -> Options {
+    Options {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_driftnotch")),
+        gateways: 4,
+        domains: 2,
+        link_mbit: LINK_MBIT,
+        feed: Feed::Rows,
+        look: LOOK,
+        keep: false,
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_change_is_counted_at_each_gateway_and_each_failure_domain_reads_the_store() {
+    println!("seed {SEED}");
+    let cell = Cell {
+        routes: 20,
+        rate: 1.0,
+        fault: Fault::FirstSilent,
+    };
+
+    let report = follow::run(&options(), cell, SEED).await.expect("a run");
+
+    assert!(report.changes > 0);
+    assert_eq!(report.at_gateways_ms.count, report.changes * 4);
+    assert_eq!(report.at_last_ms.count, report.changes);
+    assert_eq!(report.store.calls.len(), 2);
+    assert!(report.store.calls.iter().all(|calls| *calls > 0));
+    assert!(report.store.bytes.iter().all(|bytes| *bytes > 0));
+}
