--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -50,6 +50,8 @@
     between: Map<(Side, Side), LinkState>,
     towards: Map<SocketAddr, LinkState>,
     gone: Set<IpAddr>,
+    /// How often the open connections towards an address fell silent.
+    silenced: Map<SocketAddr, u64>,
 }
 
 /// The link of one VM, both ways.
@@ -103,6 +105,14 @@
         links.insert(vm, link);
     }
 
+    /// Has the connections that are open towards an address carry nothing more, and stay open; new ones
+    /// carry.
+    pub fn silence(&self, addr: SocketAddr) {
+        self.states.send_modify(|states| {
+            *states.silenced.entry(addr).or_default() += 1;
+        });
+    }
+
     fn vm_link(&self, vm: IpAddr) -> Option<VmLink> {
         let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         links.get(&vm).cloned()
@@ -127,10 +137,13 @@
         let board = self.clone();
         tokio::spawn(async move {
             while let Ok((near, caller)) = listener.accept().await {
+                let states = board.states.subscribe();
+                let silenced = states.borrow().silenced(from);
                 let link = Link {
-                    states: board.states.subscribe(),
+                    states,
                     caller: caller.ip(),
                     to: from,
+                    silenced,
                 };
                 let ends = [board.vm_link(caller.ip()), board.vm_link(from.ip())];
                 if link.state() != LinkState::Cut {
@@ -155,6 +168,14 @@
     states: watch::Receiver<States>,
     caller: IpAddr,
     to: SocketAddr,
+    /// How often connections had fallen silent before this one was made.
+    silenced: u64,
+}
+
+impl States {
+    fn silenced(&self, addr: SocketAddr) -> u64 {
+        self.silenced.get(&addr).copied().unwrap_or_default()
+    }
 }
 
 impl Link {
@@ -163,6 +184,9 @@
         if states.gone.contains(&self.caller) || states.gone.contains(&self.to.ip()) {
             return LinkState::Cut;
         }
+        if states.silenced(self.to) > self.silenced {
+            return LinkState::Stalled;
+        }
         let sides = (side(self.caller), side(self.to.ip()));
         let state = states.towards.get(&self.to);
         let state = state.or(states.between.get(&sides));
