--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -64,6 +64,9 @@
     B: hyper::body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
 {
     let mut body = body;
+    if body.size_hint().lower() > limit as u64 {
+        return Err(BodyError::TooLarge(limit));
+    }
     let mut read = BytesMut::new();
     loop {
         let frame = match tokio::time::timeout(pause, body.frame()).await {
