--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -119,7 +119,7 @@
             Err(denial) => denial,
         };
         match verdict(cx) {
-            // What was judged is the configuration in force by now.
+            // The verdict goes for the configuration in force by now, so that one is looked up.
             Verdict::Deny if !is_in_force(cx, &catalog) => continue,
             Verdict::Deny => return Err(denial),
             Verdict::Confirm => confirmed(cx, until).await,
