Read the platform's numbers as fractions too; run by defaults where one can't be used

Ruled out: rounding in the template, which knows no arithmetic; a wider range alone, which leaves the next unusable figure ending the process. Change: durations and the retry slack take fractions; a gateway or loader runs by the default of a field whose value it can't use, and logs field, line and remedy. Only a missing or unusable address or name ends it. driftnotch check stays strict.

--- a/crates/base/src/units.rs
+++ b/crates/base/src/units.rs
@@ -14,15 +14,15 @@
 const BYTES_UNITS: &str = "B, KiB, MiB or GiB, such as 4MiB";
 
 fn split(s: &str) -> (&str, &str) {
-    let at = s.find(|c: char| !c.is_ascii_digit()).unwrap_or(s.len());
+    let of_number = |c: char| c.is_ascii_digit() || c == '.';
+    let at = s.find(|c| !of_number(c)).unwrap_or(s.len());
     (&s[..at], s[at..].trim())
 }
 
-/// Reads `250ms`, `3s`, `5m` or `24h`.
+/// Reads `250ms`, `1.5s`, `5m` or `24h`; parts of a millisecond are dropped.
 pub fn parse_duration(s: &str) -> Result<Duration, BadUnit> {
     let bad = || BadUnit(s.to_owned(), DURATION_UNITS);
     let (number, unit) = split(s.trim());
-    let number: u64 = number.parse().map_err(|_| bad())?;
     let unit_ms: u64 = match unit {
         "ms" => 1,
         "s" => 1_000,
@@ -30,10 +30,20 @@
         "h" => 3_600_000,
         _ => return Err(bad()),
     };
-    number
-        .checked_mul(unit_ms)
-        .map(Duration::from_millis)
-        .ok_or_else(bad)
+    match number.parse::<u64>() {
+        Ok(whole) => whole
+            .checked_mul(unit_ms)
+            .map(Duration::from_millis)
+            .ok_or_else(bad),
+        Err(_) => fraction_ms(number, unit_ms).ok_or_else(bad),
+    }
+}
+
+/// A number with a fraction, in whole milliseconds; `None` where it is no number or too large.
+fn fraction_ms(number: &str, unit_ms: u64) -> Option<Duration> {
+    let ms = number.parse::<f64>().ok()? * unit_ms as f64;
+    let fits = ms.is_finite() && ms < u64::MAX as f64;
+    fits.then(|| Duration::from_millis(ms as u64))
 }
 
 /// Reads `512B`, `64KiB`, `4MiB` or `2GiB`.
--- a/crates/cli/src/commands/gateway.rs
+++ b/crates/cli/src/commands/gateway.rs
@@ -9,10 +9,10 @@
 
 /// Runs a gateway until it is stopped.
 pub fn run(settings: &Path) -> Result<(), Error> {
-    let Settings::Gateway(cfg) = process::load(settings)? else {
+    let (Settings::Gateway(cfg), faults) = process::load_to_run(settings)? else {
         return Err(Error::WrongRole(settings.to_owned(), "a gateway"));
     };
-    let process = process::start_node(settings, &cfg.node)?;
+    let process = process::start_node(settings, &cfg.node, &faults)?;
     process
         .runtime
         .block_on(platform::gateway::run(*cfg, process.stop))
--- a/crates/cli/src/commands/process.rs
+++ b/crates/cli/src/commands/process.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 use std::sync::Arc;
 
+use log::warn;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
 use settings::{LogCfg, NodeCfg, Settings};
 use tokio::net::TcpListener;
@@ -13,6 +14,9 @@
 use crate::error::{Error, FaultList};
 use crate::{logs, stop, usage};
 
+/// Log prefix of this part.
+const PART: &str = "settings";
+
 /// Upper bounds of the buckets of times, in seconds; the objective's bounds are among them.
 const SECONDS: [f64; 16] = [
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.045, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0, 30.0, 60.0,
@@ -26,6 +30,13 @@
     settings::load(path).map_err(|faults| Error::Faults(path.to_owned(), FaultList(faults)))
 }
 
+/// Loads the settings of a gateway or a loader, with the faults that it runs with.
+pub fn load_to_run(path: &Path) -> Result<(Settings, FaultList), Error> {
+    let (settings, faults) = settings::load_to_run(path)
+        .map_err(|faults| Error::Faults(path.to_owned(), FaultList(faults)))?;
+    Ok((settings, FaultList(faults)))
+}
+
 /// What a process runs with.
 pub struct Process {
     /// Runtime.
@@ -42,13 +53,17 @@
     start_on(runtime, logs::Target::Errors, settings, log)
 }
 
-/// The same on one thread, with logs on standard output, and metrics served at an address.
-pub fn start_node(settings: &Path, node: &NodeCfg) -> Result<Process, Error> {
+/// The same on one thread, with logs on standard output, and metrics served at an address. Logs the faults
+/// of the settings that were replaced by defaults.
+pub fn start_node(settings: &Path, node: &NodeCfg, faults: &FaultList) -> Result<Process, Error> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(Error::Start)?;
     let process = start_on(runtime, logs::Target::Output, settings, &node.log)?;
+    for fault in &faults.0 {
+        warn!(target: PART, "{PART}: event=default_taken {fault}");
+    }
     let (render, stop) = (process.render.clone(), process.stop.clone());
     let listener = process
         .runtime
--- a/crates/cli/src/stop.rs
+++ b/crates/cli/src/stop.rs
@@ -45,8 +45,8 @@
 }
 
 fn reload(settings: &Path, handle: &log4rs::Handle, target: logs::Target) {
-    let log = match settings::load(settings) {
-        Ok(settings) => settings.log().clone(),
+    let log = match settings::load_to_run(settings) {
+        Ok((settings, _)) => settings.log().clone(),
         Err(faults) => {
             let n = faults.len();
             error!(target: PART, "{PART}: the settings have {n} faults; logs stay as they are; run `driftnotch check`");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -135,7 +135,7 @@
     pub fn new(wiring: Wiring) -> Cx {
         let cfg = wiring.cfg;
         Cx {
-            budget: RetryBudget::new(cfg.retry_window, cfg.retry_ratio, cfg.retry_slack as f64),
+            budget: RetryBudget::new(cfg.retry_window, cfg.retry_ratio, cfg.retry_slack),
             roster: Roster::new(cfg.node.domain.clone(), cfg.return_time),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -56,6 +56,16 @@
 
 /// Reads and checks a file; on failure, lists every fault.
 pub fn load(path: &Path) -> Result<Settings, Vec<Fault>> {
+    check(&read(path)?)
+}
+
+/// Reads a file for a process that is to run by it, with the faults that it runs with, see
+/// [`check_to_run`].
+pub fn load_to_run(path: &Path) -> Result<(Settings, Vec<Fault>), Vec<Fault>> {
+    check_to_run(&read(path)?)
+}
+
+fn read(path: &Path) -> Result<String, Vec<Fault>> {
     let whole = |remedy: String| vec![Fault::new(0, "file", remedy)];
     let size = std::fs::metadata(path).map_err(|e| whole(format!("{e}; check the path")))?;
     if size.len() > MAX_FILE {
@@ -63,13 +73,22 @@
             "the file is larger than {MAX_FILE} bytes; shorten it"
         )));
     }
-    let text =
-        std::fs::read_to_string(path).map_err(|e| whole(format!("{e}; write UTF-8 text")))?;
-    check(&text)
+    std::fs::read_to_string(path).map_err(|e| whole(format!("{e}; write UTF-8 text")))
 }
 
 /// Checks the text of a file; on failure, lists every fault.
 pub fn check(text: &str) -> Result<Settings, Vec<Fault>> {
+    let (settings, faults) = check_to_run(text)?;
+    match faults.is_empty() {
+        true => Ok(settings),
+        false => Err(faults),
+    }
+}
+
+/// The same for a process that is to run: a gateway or a loader gets its settings from the platform at each
+/// start, with nobody there to mend them, so a value that can't be used is replaced by the field's default,
+/// and its fault is handed on. Only without a field that has no default can't it run.
+pub fn check_to_run(text: &str) -> Result<(Settings, Vec<Fault>), Vec<Fault>> {
     let docs = MarkedYaml::load_from_str(text).map_err(|e| {
         vec![Fault::new(
             e.marker().line(),
@@ -94,7 +113,7 @@
     let role = find_role(&nodes)?;
     let fields = fields(role);
     let mut faults = Vec::new();
-    let (values, lines) = read_values(&nodes, &fields, &mut faults);
+    let (mut values, lines) = read_values(&nodes, &fields, &mut faults);
     let last_line = text.lines().count();
     let missing = fields
         .iter()
@@ -104,17 +123,30 @@
         Fault::new(last_line, f.name, remedy)
     }));
     check_together(role, &values, &lines, &mut faults);
-    if !faults.is_empty() {
-        faults.sort_by_key(|fault| fault.line);
-        return Err(faults);
+    faults.sort_by_key(|fault| fault.line);
+    for fault in &faults {
+        let Some(field) = replaceable(role, &fields, fault) else {
+            return Err(faults);
+        };
+        if let Some(default) = value::default(field.kind) {
+            values.insert(field.name, default);
+        }
     }
-    Ok(match role {
+    let settings = match role {
         Role::Entry => Settings::Entry(Box::new(EntryCfg::new(&values))),
         Role::Agent => Settings::Agent(Box::new(AgentCfg::new(&values))),
         Role::Operator => Settings::Operator(Box::new(OperatorCfg::new(&values))),
         Role::Gateway => Settings::Gateway(Box::new(GatewayCfg::new(&values))),
         Role::Loader => Settings::Loader(Box::new(LoaderCfg::new(&values))),
-    })
+    };
+    Ok((settings, faults))
+}
+
+/// The field of a fault that a process can run with; `None` where it can't.
+fn replaceable(role: Role, fields: &[&'static Field], fault: &Fault) -> Option<&'static Field> {
+    let from_platform = matches!(role, Role::Gateway | Role::Loader);
+    let field = fields.iter().find(|f| f.name == fault.field)?;
+    (from_platform && !field.required()).then_some(*field)
 }
 
 fn find_role(nodes: &[(String, usize, &MarkedYaml)]) -> Result<Role, Vec<Fault>> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod role;
 pub mod value;
 
-pub use check::{Settings, check, load};
+pub use check::{Settings, check, check_to_run, load, load_to_run};
 pub use field::{Field, Kind};
 pub use role::{
     AgentCfg, EntryCfg, GatewayCfg, LoaderCfg, LogCfg, NodeCfg, OperatorCfg, PlatformCfg, Role,
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -90,8 +90,9 @@
     ),
     field(
         "retry_slack",
-        Count(20, 0, 100_000),
-        "Requests of a window that all gateways together may send again beside `retry_ratio`.",
+        Ratio(20.0, 0.0, 1e9),
+        "Requests of a window that all gateways together may send again beside `retry_ratio`; need not be \
+         whole.",
     ),
     field(
         "stop_notice",
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -243,7 +243,7 @@
         config_time: Duration = duration,
         retry_window: Duration = duration,
         retry_ratio: f64 = ratio,
-        retry_slack: u64 = number,
+        retry_slack: f64 = ratio,
         stop_notice: Duration = duration,
         drain_timeout: Duration = duration,
     }
--- a/crates/settings/tests/check.rs
+++ b/crates/settings/tests/check.rs
@@ -98,3 +98,110 @@
         let _ = check(&entry_file(&format!("{name}: {value}\n")));
     }
 }
+
+fn gateway_file(more: &str) -> String {
+    format!(
+        "role: gateway
+vm: recife-front-1
+domain: recife
+listen: 127.0.0.1:8080
+ready: 127.0.0.1:8081
+copies: 127.0.0.1:8082
+beacon: 127.0.0.1:8083
+metrics: 127.0.0.1:8084
+store: 127.0.0.1:9000
+{more}"
+    )
+}
+
+fn gateway(text: &str) -> (settings::GatewayCfg, Vec<String>) {
+    let run = settings::check_to_run(text);
+    let (settings, faults) = run.unwrap_or_else(|e| panic!("{text}: {e:?}"));
+    let Settings::Gateway(cfg) = settings else {
+        panic!("a gateway's settings");
+    };
+    let fields = faults.into_iter().map(|fault| fault.field);
+    (*cfg, fields.collect())
+}
+
+#[test]
+fn numbers_of_the_platform_need_not_be_whole() {
+    let text = gateway_file(
+        "version_time: 10000.0ms
+config_time: 2500.75ms
+contact_time: 0.5s
+retry_window: 10.0s
+retry_slack: 34.421
+",
+    );
+
+    let (cfg, faults) = gateway(&text);
+
+    assert!(faults.is_empty(), "{faults:?}");
+    assert_eq!(cfg.node.version_time.as_millis(), 10_000);
+    assert_eq!(cfg.config_time.as_millis(), 2_500);
+    assert_eq!(cfg.node.contact_time.as_millis(), 500);
+    assert_eq!(cfg.retry_window.as_millis(), 10_000);
+    assert!((cfg.retry_slack - 34.421).abs() < 1e-9);
+}
+
+/// The numbers that the platform hands to a gateway, with their units.
+const GIVEN: [(&str, &str); 6] = [
+    ("version_time", "ms"),
+    ("config_time", "ms"),
+    ("contact_time", "ms"),
+    ("retry_window", "s"),
+    ("retry_ratio", ""),
+    ("retry_slack", ""),
+];
+
+#[test]
+fn no_number_of_the_platform_keeps_a_gateway_from_running() {
+    let figures = [
+        "",
+        "0",
+        "0.0",
+        "0.001",
+        "-1",
+        "654",
+        "1e40",
+        "1.0e+16",
+        "9".repeat(30).as_str(),
+        "true",
+        "x",
+    ]
+    .map(str::to_owned);
+    for (field, unit) in GIVEN {
+        for figure in &figures {
+            let text = gateway_file(&format!("{field}: {figure}{unit}\n"));
+            let (_, faults) = gateway(&text);
+            let strict = check(&text).map(|_| ());
+            assert_eq!(strict.is_ok(), faults.is_empty(), "{field}: {figure}");
+            assert!(
+                faults.iter().all(|f| f == field),
+                "{field}: {figure}: {faults:?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_value_that_cannot_be_used_is_replaced_by_the_default_and_told() {
+    let text = gateway_file("retry_slack: much\nversion_time: 8s\nlog_levels: {gossip: loud}\n");
+
+    let (cfg, faults) = gateway(&text);
+
+    assert_eq!(faults, ["retry_slack", "log_levels"]);
+    assert!((cfg.retry_slack - 20.0).abs() < 1e-9);
+    assert!(cfg.node.log.levels.is_empty());
+}
+
+#[test]
+fn a_gateway_does_not_run_without_an_address() {
+    let text = gateway_file("retry_slack: 5\n").replace("store: 127.0.0.1:9000\n", "");
+
+    let faults = settings::check_to_run(&text).expect_err("no store");
+
+    let fields: Vec<&str> = faults.iter().map(|f| f.field.as_str()).collect();
+    assert_eq!(fields, ["store"]);
+}
