Keep the highest version of each model; tell lives of a runner apart; leave out entries of other writers

A runner that starts again under its id kept holdings, counts, pauses and order numbers of its former life. Ruled out: writing the operators' row anew (it is theirs, and a repair races with their next release); learning versions from the list of runners, which other writers may write too. Change: lists of releases are merged, the higher version stays; gateways learn versions from loaders' notes of what engines hold, and tell loaders whose own list is behind, by content, not revision. born (or fewer orders, or another address) tells a new life, of which nothing former is believed; late notes of a former life are refused.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use base::{DomainName, Incarnation, Model, Revision, VmId};
-use catalog::ReleaseList;
+use catalog::{Born, Release, ReleaseList};
 use serde::{Deserialize, Serialize};
 
 /// What an engine holds of one model.
@@ -35,8 +35,10 @@
     pub running: u32,
     /// Requests it has queued.
     pub queued: u32,
-    /// Revision of the releases that the loader acts on.
-    pub releases: Revision,
+    /// Releases that the loader acts on.
+    pub releases: Vec<Release>,
+    /// Start of the engine's life, where it tells it.
+    pub born: Option<Born>,
 }
 
 /// One gateway's part of what an upstream runs, and how it lately fared there.
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -22,6 +22,9 @@
 /// Secret that callers send to show which workspace they belong to.
 pub type ApiKey = String;
 
+/// Start of an upstream's life, as Unix time in milliseconds; tells two lives under one id apart.
+pub type Born = u64;
+
 /// Version of a model's weights; grows with each release.
 pub type WeightsVersion = u64;
 
@@ -46,6 +49,43 @@
     pub releases: Vec<Release>,
 }
 
+impl ReleaseList {
+    /// Takes another list: of each model the higher version stays, whatever the revisions, since a write whose
+    /// answer was lost may take effect again after a newer one. `true` where any version is higher now.
+    pub fn merge(&mut self, other: &ReleaseList) -> bool {
+        self.revision = self.revision.max(other.revision);
+        let mut raised = false;
+        for release in &other.releases {
+            raised |= self.raise(release);
+        }
+        raised
+    }
+
+    fn raise(&mut self, release: &Release) -> bool {
+        match self.releases.iter_mut().find(|r| r.model == release.model) {
+            Some(known) if known.version >= release.version => return false,
+            Some(known) => known.version = release.version,
+            None => self.releases.push(release.clone()),
+        }
+        true
+    }
+
+    /// Version of a model; `None` where none was released.
+    pub fn version(&self, model: &str) -> Option<WeightsVersion> {
+        let of_model = self.releases.iter().find(|r| r.model == model);
+        of_model.map(|r| r.version)
+    }
+
+    /// Whether it has a higher version of any model than another list.
+    pub fn is_ahead_of(&self, other: &[Release]) -> bool {
+        let behind = |r: &Release| {
+            let known = other.iter().find(|o| o.model == r.model);
+            known.is_none_or(|o| o.version < r.version)
+        };
+        self.releases.iter().any(behind)
+    }
+}
+
 /// Bounds of what a caller may send, and how slowly.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestLimits {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use base::Revision;
-use beacon::{Beacon, Load, LoadNote, Msg};
+use beacon::{Beacon, EngineNote, Holding, Load, LoadNote, Msg};
 use log::{debug, info, warn};
 use mirror::DocName;
 use web::{Client, Dial};
@@ -105,19 +105,28 @@
                 hear_domain(&cx, &client, note);
             }
             Msg::RelayedLoad(note) => hear_domain(&cx, &client, note),
-            Msg::Engine(note) => {
-                if let Some(newer) = cx.releases.newer_than(note.releases) {
-                    beacon.send(&Msg::Releases(newer), [from]);
-                }
-                if cx.roster.note(note, Instant::now()) {
-                    cx.admission.freed().notify_one();
-                }
-            }
+            Msg::Engine(note) => hear_loader(&cx, &beacon, note, from),
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
 }
 
+/// Takes what a loader tells of its engine, and tells it of releases that it has missed.
+fn hear_loader(cx: &Cx, beacon: &Beacon, note: EngineNote, from: SocketAddr) {
+    let now = Instant::now();
+    let whole = |h: &Holding| Some((h.model.clone(), h.version?));
+    let held: Vec<_> = note.holdings.iter().filter_map(whole).collect();
+    for (model, version) in held {
+        cx.releases.observe(&model, version, now);
+    }
+    if let Some(newer) = cx.releases.newer_than(&note.releases) {
+        beacon.send(&Msg::Releases(newer), [from]);
+    }
+    if cx.roster.note(note, now) {
+        cx.admission.freed().notify_one();
+    }
+}
+
 /// Takes what a gateway of the failure domain tells: its load, and which documents it holds.
 fn hear(cx: &Arc<Cx>, client: &Client, beacon: &Beacon, note: LoadNote, sender: SocketAddr) {
     // That the store confirmed the list goes for this process too.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -13,7 +13,7 @@
 use beacon::EngineNote;
 use log::info;
 
-use crate::upstream::{InstanceId, Listed, Upstream};
+use crate::upstream::{InstanceId, Listed, Upstream, is_former};
 
 /// Log prefix of this part.
 const PART: &str = "membership";
@@ -85,6 +85,17 @@
         for listed in all {
             let id = listed.instance.clone();
             let upstream = match before.remove(&id) {
+                // Its life is known, so an entry that doesn't tell it is another writer's.
+                Some(Entry { upstream, .. })
+                    if upstream.born.is_some() && listed.born.is_none() =>
+                {
+                    upstream
+                }
+                Some(Entry { upstream, .. }) if has_started_again(&upstream, &listed) => {
+                    info!(target: PART, "{PART}: event=started_again upstream={id} addr={} born={:?}", listed.addr, listed.born);
+                    changed = true;
+                    Arc::new(upstream.next_life(listed))
+                }
                 Some(Entry { upstream, .. }) => {
                     changed |= relist(&upstream, listed);
                     upstream
@@ -153,6 +164,13 @@
     all.into_iter().filter(is_newest).collect()
 }
 
+/// Whether an entry is of another life than the one known under its id: it was born later, or stands at
+/// another address or for another service, of which none changes within a life.
+fn has_started_again(known: &Upstream, listed: &Listed) -> bool {
+    let elsewhere = known.addr != listed.addr || known.service != listed.service;
+    elsewhere || is_former(known.born, listed.born)
+}
+
 fn relist(known: &Upstream, listed: Listed) -> bool {
     let leaving = listed.leaving;
     let differs = known.relist(listed);
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -3,8 +3,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Map, Model, Revision};
-use catalog::{Release, ReleaseList, WeightsVersion};
+use base::{Map, Model};
+use catalog::{FIRST_VERSION, Release, ReleaseList, WeightsVersion};
 use tokio::sync::watch;
 
 /// Part of the bound left unused: a request may wait at an engine before it begins, and on a narrow
@@ -46,14 +46,34 @@
         }
     }
 
-    /// Takes the newest version of each model.
+    /// Takes what the platform's store says of releases. A higher version that is known already stays, see
+    /// [`ReleaseList::merge`].
     pub fn take(&self, list: ReleaseList, now: Instant) {
         let mut first = self.first.lock().unwrap_or_else(PoisonError::into_inner);
         let bound = match std::mem::take(&mut *first) {
             true => self.contact_time.min(self.version_time),
             false => self.version_time,
         };
-        let until = now + bound.saturating_sub(MARGIN);
+        drop(first);
+        self.add(&list, now + bound.saturating_sub(MARGIN));
+    }
+
+    /// Takes a version that an engine holds, as its loader tells: it was released before, also where the store
+    /// doesn't say so any more. It isn't known when.
+    pub fn observe(&self, model: &Model, version: WeightsVersion, now: Instant) {
+        if version <= FIRST_VERSION || self.newest.borrow().version(model) >= Some(version) {
+            return;
+        }
+        let model = model.clone();
+        let list = ReleaseList {
+            revision: 0,
+            releases: vec![Release { model, version }],
+        };
+        let bound = self.contact_time.min(self.version_time);
+        self.add(&list, now + bound.saturating_sub(MARGIN));
+    }
+
+    fn add(&self, list: &ReleaseList, until: Instant) {
         let mut releases = self.releases.lock().unwrap_or_else(PoisonError::into_inner);
         for Release { model, version } in &list.releases {
             let known = releases.entry(model.clone()).or_default();
@@ -63,15 +83,13 @@
             }
         }
         drop(releases);
-        if list.revision > self.newest.borrow().revision {
-            self.newest.send_replace(list);
-        }
+        self.newest.send_if_modified(|newest| newest.merge(list));
     }
 
-    /// The newest releases, where they are newer than a revision.
-    pub fn newer_than(&self, revision: Revision) -> Option<ReleaseList> {
+    /// The newest releases, where another process knows less.
+    pub fn newer_than(&self, known: &[Release]) -> Option<ReleaseList> {
         let newest = self.newest.borrow();
-        (newest.revision > revision).then(|| newest.clone())
+        newest.is_ahead_of(known).then(|| newest.clone())
     }
 
     /// Told of the newest releases.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,7 +6,7 @@
 
 use base::{DomainName, Model, Revision};
 use beacon::{EngineNote, Holding, Load};
-use catalog::{ServiceName, WeightsVersion};
+use catalog::{Born, ServiceName, WeightsVersion};
 
 use decide::outcomes::Outcomes;
 use tokio::sync::Notify;
@@ -46,6 +46,8 @@
     pub holdings: Vec<Holding>,
     /// Revision of its entry; grows with each of its heartbeats.
     pub revision: Revision,
+    /// Start of its life, where it tells it: it may start again under its id.
+    pub born: Option<Born>,
 }
 
 impl Listed {
@@ -60,6 +62,11 @@
     }
 }
 
+/// Whether a life ended before another began; `false` where either isn't known.
+pub fn is_former(born: Option<Born>, later: Option<Born>) -> bool {
+    matches!((born, later), (Some(born), Some(later)) if born < later)
+}
+
 /// How sending to an upstream went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -96,6 +103,8 @@
     pub addr: SocketAddr,
     /// Failure domain.
     pub domain: DomainName,
+    /// Start of its life, where it is known.
+    pub born: Option<Born>,
     state: Mutex<State>,
 }
 
@@ -107,6 +116,7 @@
             service: listed.service.clone(),
             addr: listed.addr,
             domain: listed.domain.clone(),
+            born: listed.born,
             state: Mutex::new(State {
                 listed,
                 note: None,
@@ -132,9 +142,21 @@
         differs
     }
 
-    /// Takes a loader's note, unless a newer one is known; `true` where it changes what the
-    /// upstream can serve.
+    /// The life that follows this one under the same id. Of this one nothing is kept: what it held, ran and
+    /// how it fared went with it; only a note that its loader sent of the new life holds on.
+    pub fn next_life(&self, listed: Listed) -> Upstream {
+        let next = Upstream::new(listed);
+        let note = self.state().note.take();
+        next.state().note = note.filter(|(note, _)| note.born == next.born);
+        next
+    }
+
+    /// Takes a loader's note, unless a newer one is known or it is of a former life; `true` where it changes
+    /// what the upstream can serve.
     pub fn note(&self, note: EngineNote, now: Instant) -> bool {
+        if is_former(note.born, self.born) {
+            return false;
+        }
         let mut state = self.state();
         // Incarnations come from the time of day, which may have been set back on the loader's VM.
         let newer = state.note.as_ref().is_none_or(|(known, at)| {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -196,3 +196,61 @@
     let newest = releases.newest().borrow().releases.clone();
     assert_eq!(newest, list(2, &[3]).releases);
 }
+
+#[test]
+fn a_version_that_an_engine_holds_was_released_whatever_the_store_says() {
+    let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
+    let now = Instant::now();
+    releases.take(list(1, &[2]), now);
+
+    releases.observe(&model(), 3, now);
+
+    assert_eq!(releases.newest().borrow().version(&model()), Some(3));
+    assert_eq!(
+        releases.oldest(&model(), now),
+        0,
+        "older ones go on for a while"
+    );
+    assert_eq!(releases.oldest(&model(), now + CONTACT_TIME), 3);
+}
+
+#[test]
+fn the_version_of_the_start_is_no_release() {
+    let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
+
+    releases.observe(&model(), catalog::FIRST_VERSION, Instant::now());
+
+    assert_eq!(releases.newest().borrow().version(&model()), None);
+}
+
+#[test]
+fn who_knows_less_is_told_whatever_its_revision() {
+    let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
+    releases.take(list(9, &[3]), Instant::now());
+
+    let behind = releases.newer_than(&list(9, &[2]).releases);
+    let level = releases.newer_than(&list(1, &[3]).releases);
+
+    assert_eq!(behind.and_then(|l| l.version(&model())), Some(3));
+    assert_eq!(level, None);
+}
+
+proptest! {
+    #![proptest_config(cases::cases(200))]
+
+    #[test]
+    fn lists_in_any_order_leave_the_highest_version(
+        heard in proptest::collection::vec((0_u64..50, 1_u64..9), 1..20),
+    ) {
+        let releases = Releases::new(VERSION_TIME, CONTACT_TIME);
+        let now = Instant::now();
+
+        for (revision, version) in &heard {
+            releases.take(list(*revision, &[*version]), now);
+        }
+
+        let highest = heard.iter().map(|(_, version)| *version).max();
+        prop_assert_eq!(releases.newest().borrow().version(&model()), highest);
+        prop_assert_eq!(releases.oldest(&model(), now + VERSION_TIME), highest.unwrap_or(0));
+    }
+}
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -1,10 +1,11 @@
 //! Upstreams that come, change and go, and what happens to them when the store was away.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use beacon::{EngineNote, Holding};
 use gateway::membership::Roster;
-use gateway::upstream::Listed;
+use gateway::upstream::{Health, Listed, Slot, Told};
 
 const RETURN_TIME: Duration = Duration::from_secs(2);
 
@@ -30,6 +31,7 @@
         leaving: false,
         holdings: vec![holding(Some(1))],
         revision: 1,
+        born: None,
     }
 }
 
@@ -50,7 +52,8 @@
         holdings: vec![holding(Some(2))],
         running: 0,
         queued: 0,
-        releases: 1,
+        releases: Vec::new(),
+        born: None,
     }
 }
 
@@ -215,3 +218,119 @@
         "the note is old"
     );
 }
+
+/// An entry of a life that began at a moment.
+fn born(n: u16, born: u64, version: Option<u64>) -> Listed {
+    Listed {
+        born: Some(born),
+        holdings: vec![holding(version)],
+        ..listed(n)
+    }
+}
+
+#[test]
+fn nothing_of_a_former_life_under_the_same_id_is_believed() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![born(1, 100, Some(1))], now);
+    let former = roster.of("llm", now).remove(0);
+    former.report(Health::Replaced);
+    let told = Told {
+        freed: Arc::default(),
+        changed: Arc::default(),
+    };
+    let slot = Slot::take(former.clone(), Some(1), 700, told);
+    roster.note(note_of(100, 5), now);
+
+    let changed = list(&roster, vec![born(1, 200, None)], now);
+
+    let upstream = roster.of("llm", now).remove(0);
+    assert!(changed);
+    assert_eq!(upstream.serves(&"m".to_owned()), None, "it holds nothing");
+    assert_eq!((upstream.load().requests, upstream.load().unread), (0, 0));
+    assert!(former.is_paused() && !upstream.is_paused());
+    drop(slot);
+    assert_eq!(
+        upstream.load().requests,
+        0,
+        "the end of a former request is none of its"
+    );
+}
+
+fn note_of(born: u64, number: u64) -> EngineNote {
+    EngineNote {
+        born: Some(born),
+        ..note(1, number, false)
+    }
+}
+
+#[test]
+fn a_note_of_a_former_life_that_arrives_late_is_nothing() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![born(1, 200, None)], now);
+
+    assert!(!roster.note(note_of(100, 9), now));
+
+    let upstream = roster.of("llm", now).remove(0);
+    assert_eq!(upstream.serves(&"m".to_owned()), None);
+}
+
+#[test]
+fn a_note_of_a_new_life_goes_before_the_list_and_outlasts_its_coming() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![born(1, 100, Some(1))], now);
+
+    assert!(roster.note(note_of(200, 1), now));
+    let before = roster.of("llm", now).remove(0);
+    assert_eq!(before.serves(&"m".to_owned()), Some(2));
+    list(&roster, vec![born(1, 200, None)], now);
+
+    let after = roster.of("llm", now).remove(0);
+    assert_eq!(after.serves(&"m".to_owned()), Some(2));
+}
+
+#[test]
+fn two_restarts_between_two_lists_are_one() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![born(1, 100, Some(1))], now);
+    roster.note(note_of(200, 1), now);
+
+    list(&roster, vec![born(1, 300, None)], now);
+
+    let upstream = roster.of("llm", now).remove(0);
+    assert_eq!(
+        (upstream.born, upstream.serves(&"m".to_owned())),
+        (Some(300), None)
+    );
+}
+
+#[test]
+fn an_entry_that_tells_no_life_of_an_upstream_whose_life_is_known_changes_nothing() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![born(1, 100, Some(1))], now);
+    let mut foreign = listed(1);
+    foreign.leaving = true;
+
+    let changed = list(&roster, vec![foreign], now);
+
+    assert!(!changed);
+    assert_eq!(known(&roster, now), ["i-1"]);
+}
+
+#[test]
+fn an_upstream_at_another_address_under_its_id_is_another_life() {
+    let roster = roster();
+    let now = Instant::now();
+    list(&roster, vec![listed(1)], now);
+    let mut moved = listed(1);
+    moved.addr = ([127, 0, 0, 1], 9999).into();
+
+    list(&roster, vec![moved], now);
+
+    let upstream = roster.of("llm", now).remove(0);
+    assert_eq!(upstream.addr.port(), 9999);
+}
--- a/crates/loader/src/api.rs
+++ b/crates/loader/src/api.rs
@@ -9,7 +9,7 @@
 use base::Model;
 use beacon::Holding;
 use bytes::Bytes;
-use catalog::WeightsVersion;
+use catalog::{Born, WeightsVersion};
 
 /// SHA-256 of a chunk.
 pub type ChunkDigest = [u8; 32];
@@ -43,6 +43,17 @@
     pub running: u32,
     /// Requests it has queued.
     pub queued: u32,
+    /// Start of its life, where it tells it.
+    pub born: Option<Born>,
+}
+
+impl EngineState {
+    /// Whether an engine of another life answered than the one `before`: it was born at another time, or has
+    /// taken fewer orders.
+    pub fn is_new_life(&self, before: &EngineState) -> bool {
+        let born = matches!((self.born, before.born), (Some(now), Some(then)) if now != then);
+        born || self.orders < before.orders
+    }
 }
 
 /// Chunks that a version consists of.
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -44,23 +44,20 @@
 }
 
 impl Known {
-    /// Takes a list; `true` where it is newer.
-    pub fn take(&mut self, list: ReleaseList, now: Instant) -> bool {
-        if list.revision <= self.list.revision {
-            return false;
-        }
-        for release in &list.releases {
+    /// Takes a list; `true` where it names a higher version of any model. Nothing takes a version back, see
+    /// [`ReleaseList::merge`].
+    pub fn take(&mut self, list: &ReleaseList, now: Instant) -> bool {
+        let raised = self.list.merge(list);
+        for release in &self.list.releases {
             let key = (release.model.clone(), release.version);
             self.since.entry(key).or_insert(now);
         }
-        self.list = list;
-        true
+        raised
     }
 
     /// Newest version of a model.
     pub fn version(&self, model: &Model) -> WeightsVersion {
-        let of_model = self.list.releases.iter().find(|r| r.model == *model);
-        of_model.map_or(FIRST_VERSION, |r| r.version)
+        self.list.version(model).unwrap_or(FIRST_VERSION)
     }
 }
 
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -89,6 +89,8 @@
     state: watch::Receiver<Option<EngineState>>,
     fetching: Map<Model, Fetching>,
     ordered: Option<Ordered>,
+    /// State that the engine was last seen in.
+    seen: Option<EngineState>,
 }
 
 /// Keeps the engine on what is released, until the process ends.
@@ -102,6 +104,7 @@
         state,
         fetching: Map::default(),
         ordered: None,
+        seen: None,
     };
     loop {
         known.borrow_and_update();
@@ -183,6 +186,7 @@
         let Some(state) = self.state.borrow().clone() else {
             return;
         };
+        self.see(&state);
         let held = state.holdings.iter().find(|h| h.model == *model);
         let held = held.and_then(|h| h.version);
         let set = self.cx.sets.newest_whole(model);
@@ -215,6 +219,17 @@
         }
     }
 
+    /// Forgets the order of an engine's former life: one that started again has not taken it, and waiting for
+    /// its effect would leave it without weights for [`ORDER_TIME`].
+    fn see(&mut self, state: &EngineState) {
+        let before = self.seen.replace(state.clone());
+        if before.is_some_and(|before| state.is_new_life(&before)) {
+            info!(target: PART, "{PART}: event=started_again born={:?} orders={} holdings={:?}", state.born, state.orders, state.holdings);
+            self.ordered = None;
+            self.cx.leaving.store(false, Ordering::Relaxed);
+        }
+    }
+
     /// Whether an engine that serves had better wait for a newer version than one that is here whole.
     fn waits_for_newer(&self, older: &Set) -> bool {
         let newer = self.fetching.get(&older.model).map(|f| f.version);
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -76,7 +76,7 @@
             }
             (Msg::Releases(list), from) => {
                 let revision = list.revision;
-                let newer = cx.known.send_if_modified(|k| k.take(list, Instant::now()));
+                let newer = cx.known.send_if_modified(|k| k.take(&list, Instant::now()));
                 if newer {
                     info!(target: PART, "{PART}: event=releases revision={revision} from={from}");
                 }
--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -104,7 +104,8 @@
         holdings: state.holdings.clone(),
         running: state.running,
         queued: state.queued,
-        releases: cx.known.borrow().list.revision,
+        born: state.born,
+        releases: cx.known.borrow().list.releases.clone(),
     };
     let members = cx.members.borrow();
     let gateways = members
