Count datagrams and their bytes by kind

Cause: what control costs at the size of hundreds of processes was only reckoned; no counter told which kind of message makes it. Change: driftnotch_datagrams_total and driftnotch_datagram_bytes_total, by kind, on the metrics address.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -116,6 +116,20 @@
     }
 }
 
+impl Msg {
+    /// Kind, as metrics name it.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Msg::Engine(_) => "engine",
+            Msg::Load(_) => "load",
+            Msg::DomainLoad(_) => "domain_load",
+            Msg::RelayedLoad(_) => "relayed_load",
+            Msg::Chunks(_) => "chunks",
+            Msg::Releases(_) => "releases",
+        }
+    }
+}
+
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Msg {
--- a/crates/beacon/src/socket.rs
+++ b/crates/beacon/src/socket.rs
@@ -44,11 +44,17 @@
                 return;
             }
         };
+        let mut sent = 0;
         for addr in to {
-            if let Err(e) = self.socket.try_send_to(&buf, addr) {
-                debug!(target: PART, "{PART}: event=dropped to={addr} why=\"{e}\"");
+            match self.socket.try_send_to(&buf, addr) {
+                Ok(_) => sent += 1,
+                Err(e) => debug!(target: PART, "{PART}: event=dropped to={addr} why=\"{e}\""),
             }
         }
+        let kind = msg.kind();
+        metrics::counter!("driftnotch_datagrams_total", "kind" => kind).increment(sent);
+        metrics::counter!("driftnotch_datagram_bytes_total", "kind" => kind)
+            .increment(sent * buf.len() as u64);
     }
 
     /// The next message, and who sent it; passes over what is no message.
