--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -5,8 +5,7 @@
 use std::time::{Duration, Instant};
 
 use agent::swarm::{Rule, Source, Swarm};
-use base::{Digest, DomainName, Map, Set as HashSet};
-use beacon::Member;
+use base::{Digest, Map, Set as HashSet};
 use log::{debug, info, warn};
 use rand::RngExt;
 use rand::seq::SliceRandom;
@@ -18,7 +17,9 @@
 use crate::api::OriginVersion;
 use crate::bring::{Fetched, NoChunk, bring};
 use crate::order::Order;
-use crate::peers::{Heard, Reach, announce, announce_to, loaders};
+use crate::peers::{Heard, Reach, announce, loaders};
+use crate::present::Present;
+use crate::said::Said;
 use crate::sets::Set;
 
 /// Log prefix of this part.
@@ -43,25 +44,8 @@
 /// Shortest time between two looks at what others have said.
 const LEARN_PAUSE: Duration = Duration::from_millis(10);
 
-/// Time after which a loader that brings a version says so again to those of its failure domain.
-const SAY_AGAIN: Duration = Duration::from_millis(150);
-
-/// The same for each of them, where they are many: at most a hundred datagrams a second.
-const SAY_AGAIN_EACH: Duration = Duration::from_millis(10);
-
-/// The same towards a few of each other failure domain, whose links carry requests too. All there hear at
-/// once of chunks drawn from the origin, and once more after this time.
-const SAY_AGAIN_FAR: Duration = Duration::from_millis(400);
-
-/// Times that a loader which brings a version may miss saying so before it is not counted on.
-const SILENT_TIMES: f64 = 3.4;
-
-/// Time after which another failure domain isn't counted on, of whose loaders that bring a version none has
-/// said anything here.
-const SILENT_FAR: Duration = Duration::from_millis(1300);
-
 /// Time after the beginning in which loaders are counted on that said nothing yet.
-const SETTLED: Duration = Duration::from_millis(400);
+pub(crate) const SETTLED: Duration = Duration::from_millis(400);
 
 /// Pause after the origin failed, so that it isn't asked in a tight loop, where up to
 /// [`ORIGIN_PAUSE_LOADERS`] loaders do so; where there are more, it grows with them.
@@ -71,13 +55,13 @@
 const ORIGIN_PAUSE_LOADERS: usize = 16;
 
 /// Fetch of one version.
-struct Fetch {
-    cx: Arc<Cx>,
-    set: Arc<Set>,
+pub(crate) struct Fetch {
+    pub(crate) cx: Arc<Cx>,
+    pub(crate) set: Arc<Set>,
     origin: OriginVersion,
     client: Client,
-    swarm: Swarm,
-    rule: Rule,
+    pub(crate) swarm: Swarm,
+    pub(crate) rule: Rule,
     in_flight: HashSet<usize>,
     /// How many chunks may be brought at once.
     at_once: f64,
@@ -89,19 +73,19 @@
     /// Chunks that any loader held when it failed.
     held_before: usize,
     origin_rests_until: Instant,
-    begun: Instant,
+    pub(crate) begun: Instant,
     progress: Instant,
     /// When it was last looked at what others have said.
     learned: Instant,
     /// Other loaders of the failure domain.
-    near: usize,
-    counts: Counts,
+    pub(crate) near: usize,
+    pub(crate) counts: Counts,
 }
 
 /// How chunks came, for the log.
 #[derive(Debug, Default)]
-struct Counts {
-    origin: u32,
+pub(crate) struct Counts {
+    pub(crate) origin: u32,
     near: u32,
     far: u32,
     busy: u32,
@@ -169,78 +153,6 @@
     tokio::time::sleep_until((learned + LEARN_PAUSE).into()).await;
 }
 
-/// Time after which it is said again to so many loaders of the failure domain.
-fn say_again(loaders: usize) -> Duration {
-    let each = SAY_AGAIN_EACH * u32::try_from(loaders).unwrap_or(u32::MAX);
-    each.max(SAY_AGAIN)
-}
-
-/// What was last told of a version that is being brought.
-struct Said {
-    /// Chunks held, as those that take chunks from here were last told.
-    have: Vec<bool>,
-    /// When these were last told.
-    near: Instant,
-    /// When those of other failure domains were.
-    far: Instant,
-    /// Chunks drawn from the origin by then.
-    drawn: u32,
-    /// Whether those of other failure domains are to hear of them once more, should the first have been lost.
-    drawn_again: bool,
-    /// Whether the others were asked for what they have a second time.
-    asked_again: bool,
-}
-
-impl Said {
-    fn new(fetch: &Fetch, now: Instant) -> Said {
-        Said {
-            have: fetch.set.have(),
-            near: now,
-            far: now,
-            drawn: 0,
-            drawn_again: false,
-            asked_again: false,
-        }
-    }
-
-    /// Tells those that take chunks from here of each chunk as it comes.
-    fn say_to_takers(&mut self, fetch: &Fetch) {
-        let have = fetch.set.have();
-        if have != self.have {
-            let takers = fetch.swarm.takers(&fetch.rule);
-            let takers: Vec<SocketAddr> = takers.iter().map(|p| p.addr).collect();
-            announce_to(&fetch.cx, &fetch.set, &takers);
-            self.have = have;
-        }
-    }
-
-    /// Tells other loaders what has come since: those near after a while, those far of chunks that were
-    /// drawn from the origin, and all again after a longer one.
-    fn say(&mut self, fetch: &Fetch) {
-        if !self.asked_again && fetch.begun.elapsed() > SETTLED / 2 {
-            // What others have is asked for once more, in case the first was lost.
-            self.asked_again = true;
-            announce(&fetch.cx, &fetch.set, true, Reach::NearAndSome);
-            return;
-        }
-        if self.near.elapsed() >= say_again(fetch.near) {
-            announce(&fetch.cx, &fetch.set, false, Reach::Near);
-            self.near = Instant::now();
-        }
-        let drawn = fetch.counts.origin != self.drawn;
-        if drawn || self.far.elapsed() >= SAY_AGAIN_FAR {
-            let reach = match drawn || self.drawn_again {
-                true => Reach::Far,
-                false => Reach::Some,
-            };
-            announce(&fetch.cx, &fetch.set, false, reach);
-            self.drawn = fetch.counts.origin;
-            self.drawn_again = drawn;
-            self.far = Instant::now();
-        }
-    }
-}
-
 /// Chunks that this loader may draw at once, so that all together stay within the connections that
 /// the origin takes.
 fn origin_fetches(cx: &Cx) -> usize {
@@ -281,45 +193,6 @@
     }
 }
 
-/// Which loaders are counted on, by what they have said.
-struct Present<'a> {
-    heard: &'a Map<SocketAddr, Heard>,
-    own: &'a DomainName,
-    silent: Duration,
-    /// Other failure domains of which any loader was heard.
-    domains: HashSet<&'a DomainName>,
-}
-
-impl<'a> Present<'a> {
-    fn new(
-        members: &'a [Member],
-        heard: &'a Map<SocketAddr, Heard>,
-        own: &'a DomainName,
-        near: usize,
-    ) -> Present<'a> {
-        let is_heard = |m: &&Member| {
-            let heard = heard.get(&m.passes_on);
-            heard.is_some_and(|h| h.is_whole() || h.at.elapsed() < SILENT_FAR)
-        };
-        let domains = members.iter().filter(is_heard).map(|m| &m.domain);
-        Present {
-            heard,
-            own,
-            silent: say_again(near).mul_f64(SILENT_TIMES),
-            domains: domains.collect(),
-        }
-    }
-
-    /// Whether a loader is counted on; those that have said nothing are until all have had time to.
-    fn is_present(&self, m: &Member, settled: bool) -> bool {
-        match self.heard.get(&m.passes_on) {
-            _ if m.domain != *self.own && self.domains.contains(&m.domain) => true,
-            Some(heard) => heard.is_whole() || heard.at.elapsed() < self.silent,
-            None => !settled,
-        }
-    }
-}
-
 impl Fetch {
     /// Takes what other loaders have said since it was last looked at.
     fn learn_newest(&mut self) {
