Have engines tried by some gateways in a moment, not by all that know the same

Hypothesis: what one gateway sends, others know 25 ms later, 130 ms in other failure domains; until then all that have a request waiting find the same engines empty. Of 149 gateways each sends one prompt to the first engines in service: the line there takes seconds, requests are taken for lost after 1.2 s and sent again elsewhere. Change: decide::contention. An engine is tried in a moment by a part of the gateways, drawn anew for each engine and moment, so that all together send about twice what it has room for; eight times for engines of the own failure domain while a request has just arrived. Few gateways try every engine as before.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -20,8 +20,11 @@
 pub use place::{Domains, Place};
 pub use settled::Settled;
 
+/// A fast hasher, seeded anew in each process.
+pub type RandomHasher = foldhash::fast::RandomState;
+
 /// Hash map with a fast hasher.
-pub type Map<K, V> = std::collections::HashMap<K, V, foldhash::fast::RandomState>;
+pub type Map<K, V> = std::collections::HashMap<K, V, RandomHasher>;
 
 /// Hash set with a fast hasher.
-pub type Set<K> = std::collections::HashSet<K, foldhash::fast::RandomState>;
+pub type Set<K> = std::collections::HashSet<K, RandomHasher>;
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`age`]: how long ago a caller first asked, and so whether it can still be served in its objective.
 //! - [`audience`]: which gateways of a failure domain are told of a change of load at once.
+//! - [`contention`]: whether an engine is tried now that other gateways know the same of.
 //! - [`line`]: requests that wait, for how long, and which of them is next.
 //! - [`placement`]: the upstream of a request.
 //! - [`come_back`]: when a caller that is refused is told to come back.
@@ -15,6 +16,7 @@
 pub mod age;
 pub mod audience;
 pub mod come_back;
+pub mod contention;
 pub mod denial;
 pub mod line;
 pub mod outcomes;
--- a/crates/decide/src/placement.rs
+++ b/crates/decide/src/placement.rs
@@ -85,6 +85,18 @@
         Some(f64::from(candidate.requests) + unread + far + overrun)
     }
 
+    /// Requests like this one that an engine has room for, by its slots and by prompts that can be read in
+    /// time; endless for a plain service.
+    pub fn room(&self, candidate: &Candidate) -> f64 {
+        let Some(rate) = self.prompt_rate else {
+            return f64::INFINITY;
+        };
+        let slots = candidate.slots.saturating_sub(candidate.requests);
+        let readable = rate * self.objective.as_secs_f64() * UNREAD_PART;
+        let unread = (readable - candidate.unread as f64) / TOKENS_PER_REQUEST;
+        f64::from(slots).min(unread.max(0.0))
+    }
+
     fn is_full(&self, candidate: &Candidate) -> bool {
         let Some(rate) = self.prompt_rate else {
             let most = f64::from(candidate.slots) * PLAIN_FILL;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -101,9 +101,10 @@
     until: Instant,
 ) -> Result<Slot, Refusal> {
     let ticket = cx.admission.enter(&job.service, job);
+    let mut waits = false;
     loop {
         if cx.admission.is_first(&ticket) {
-            match pick(cx, job, service, tried) {
+            match pick(cx, job, service, tried, waits) {
                 Pick::Chosen(upstream, version) => {
                     // There may be room for the next one too.
                     cx.admission.freed.notify_one();
@@ -113,7 +114,7 @@
                         .map_or(0, |_| job.call.prompt_tokens);
                     return Ok(Slot::take(upstream, version, unread, cx.admission.told()));
                 }
-                Pick::Full => {}
+                Pick::Full => waits = true,
                 Pick::Nobody => return Err(Refusal::NoUpstream(come_back(Reason::Nobody))),
             }
         }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -3,10 +3,12 @@
 //! Candidates take new work, hold a version that may begin requests, weren't tried yet, and don't fail
 //! most of what they get.
 
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Instant;
 
 use catalog::{Service, WeightsVersion};
+use decide::contention::{is_tried, moment};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
 use rand::RngExt;
@@ -43,12 +45,19 @@
     lightest: Option<Found>,
 }
 
-/// Chooses an upstream that isn't among `tried`.
-pub(crate) fn pick(cx: &Cx, job: &Job, service: &Service, tried: &[Arc<Upstream>]) -> Pick {
+/// Chooses an upstream that isn't among `tried`; `waits` says whether none had room before.
+pub(crate) fn pick(
+    cx: &Cx,
+    job: &Job,
+    service: &Service,
+    tried: &[Arc<Upstream>],
+    waits: bool,
+) -> Pick {
     let now = Instant::now();
     let ask = ask(cx, job, service);
     let model = service.engine.as_ref().and(job.call.model.as_ref());
     let oldest = model.map_or(0, |model| cx.releases.oldest(model, now));
+    let (near_gateways, all_gateways) = (cx.near_gateways(), cx.gateways());
     let entries = cx.roster.entries(&job.service);
     let sums = cx.loads.sums();
     let mut rng = rand::rng();
@@ -65,7 +74,16 @@
         search.fits = true;
         search.sound |= sound;
         let is_far = upstream.domain != cx.roster.domain;
-        if let Some(weight) = ask.weight(&candidate(&view, others, is_far)) {
+        let candidate = candidate(&view, others, is_far);
+        let gateways = match is_far {
+            true => all_gateways,
+            false => near_gateways,
+        };
+        let draw = draw(cx, upstream, is_far, now);
+        if !is_tried(ask.room(&candidate), gateways, is_far, waits, draw) {
+            continue;
+        }
+        if let Some(weight) = ask.weight(&candidate) {
             let weight = weight + rng.random_range(0.0..JITTER);
             search.offer(weight, upstream, view.serves, sound);
         }
@@ -119,6 +137,15 @@
     ended.is_failing()
 }
 
+/// A draw in 0..1 for an upstream, which holds for as long as other gateways don't know what this one sends.
+fn draw(cx: &Cx, upstream: &Upstream, is_far: bool, now: Instant) -> f64 {
+    let since_start = now.saturating_duration_since(cx.started);
+    let moment = since_start.as_millis() / moment(is_far).as_millis();
+    // The upper half of the hash, so that it is exact as a float.
+    let hash = cx.draws.hash_one((upstream.addr, moment)) >> 32;
+    hash as f64 / f64::from(u32::MAX)
+}
+
 fn ask(cx: &Cx, job: &Job, service: &Service) -> Ask {
     let tokens = job.call.expected_tokens.unwrap_or(job.call.max_tokens);
     Ask {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -33,8 +33,9 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::Instant;
 
-use base::{Incarnation, Map, Revision, VmId};
+use base::{Incarnation, Map, RandomHasher, Revision, VmId};
 use catalog::Catalog;
 use decide::retry::RetryBudget;
 use mirror::{DocName, Mirror};
@@ -91,6 +92,10 @@
     pub documents: Vec<DocName>,
     /// Incarnation of this process.
     pub incarnation: Incarnation,
+    /// When it started.
+    pub started: Instant,
+    /// Draws that differ from those of other gateways.
+    pub draws: RandomHasher,
     /// Other processes, as they are known now.
     pub peers: watch::Receiver<Peers>,
     /// Turns true when a planned stop begins.
@@ -144,6 +149,8 @@
             ages: Ages::default(),
             loads: LoadBook::default(),
             incarnation: base::unix_ms(),
+            started: Instant::now(),
+            draws: RandomHasher::default(),
             codec: wiring.codec,
             catalog: wiring.catalog,
             mirror: wiring.mirror,
@@ -168,6 +175,11 @@
         peers.near_gateways.len() + far + 1
     }
 
+    /// Gateways of the own failure domain, this one among them.
+    pub fn near_gateways(&self) -> usize {
+        self.peers.borrow().near_gateways.len() + 1
+    }
+
     /// Whether callers' requests can be served.
     pub fn is_ready(&self) -> bool {
         let stopping = *self.stop.borrow();
