--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -23,7 +23,7 @@
 const REPEAT: Duration = Duration::from_millis(1000);
 
 /// Time for which an unchanged state is news: gateways go by a note for 3 s, and by then the platform's list
-/// shows the same. Afterwards only one gateway is told, which tells the loader of releases that it missed: of
+/// shows the same. Afterwards two gateways are told, which tell the loader of releases that it missed: of
 /// 204 loaders that each told 149 gateways every second came 30,000 datagrams a second.
 const NEWS_TIME: Duration = Duration::from_millis(3500);
 
