--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -201,6 +201,7 @@
     /// another version.
     fn most_urgent(&self) -> Vec<(usize, Source, Option<Bytes>)> {
         let (waited, stalled) = (self.begun.elapsed(), self.progress.elapsed());
+        let choosing = self.swarm.choosing(&self.rule, waited, stalled);
         let mut ready: Vec<_> = self
             .wanted
             .difference(&self.in_flight)
@@ -209,7 +210,7 @@
                 if let Some(buf) = self.agent.chunks().get(chunk) {
                     return Some(((0, 0), *i, Source::Origin, Some(buf)));
                 }
-                let choice = self.swarm.choose(*i, chunk, &self.rule, waited, stalled)?;
+                let choice = choosing.choose(*i, chunk)?;
                 Some((choice.urgency, *i, choice.source, None))
             })
             .collect();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -53,10 +53,10 @@
 /// Takes what a loader tells of its engine, and tells it of releases that it has missed.
 fn hear_loader(cx: &Cx, beacon: &Beacon, note: EngineNote, from: SocketAddr) {
     let now = Instant::now();
-    let whole = |h: &Holding| Some((h.model.clone(), h.version?));
-    let held: Vec<_> = note.holdings.iter().filter_map(whole).collect();
-    for (model, version) in held {
-        cx.releases.observe(&model, version, now);
+    for Holding { model, version } in &note.holdings {
+        if let Some(version) = version {
+            cx.releases.observe(model, *version, now);
+        }
     }
     if let Some(newer) = cx.releases.newer_than(&note.releases) {
         beacon.send(&Msg::Releases(newer), [from]);
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -179,7 +179,7 @@
         near.collect()
     }
 
-    /// The same among those that reach the store. While none does, this gateway included, among all: each
+    /// Rank of a gateway among those that reach the store. While none does, this gateway included, among all: each
     /// would be the first, and all would read the whole configuration at once when the store is back.
     pub fn store_rank(&self, own: &VmId, reaches_store: bool, now: Instant) -> usize {
         let state = self.state();
--- a/crates/gateway/src/tell.rs
+++ b/crates/gateway/src/tell.rs
@@ -53,16 +53,16 @@
     let mut told = Instant::now();
     let mut told_all = told;
     loop {
-        let due = told_all + repeat(near_gateways(&cx, Instant::now()).len());
+        let others = near_gateways(&cx, Instant::now()).len();
+        let due = told_all + repeat(others);
         let news = tokio::select! {
             Ok(()) = peers.changed() => News::Due,
             _ = tokio::time::sleep_until(due.into()) => News::Due,
             _ = tokio::time::sleep_until((told + REPEAT).into()) => News::StillUp,
             Ok(()) = documents.changed() => News::Document,
             _ = cx.admission.changed() => {
-                let now = Instant::now();
-                let others = near_gateways(&cx, now).len();
-                tokio::time::sleep(delay(audience(&cx, News::Load, others, now))).await;
+                let audience = audience(&cx, News::Load, others, Instant::now());
+                tokio::time::sleep(delay(audience)).await;
                 News::Load
             }
         };
