Tell upstreams that end from connections that break off, and name the request

Cause: the record of the incident doesn't show which requests ran at an engine that ended, nor whether it ended. Ruled out: waiting for the platform's list, which is 2 to 4 s behind. Change: a fingerprint of each request over its attempts; a connection after one that broke off; a log line, a word among a request's tries and a counter. No request goes another way.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 //! agents and the bench read one definition.
 
 pub mod digest;
+pub mod fingerprint;
 pub mod header;
 pub mod id;
 pub mod nearest;
@@ -15,6 +16,7 @@
 pub mod units;
 
 pub use digest::Digest;
+pub use fingerprint::Fingerprint;
 pub use id::*;
 pub use outcome::Outcome;
 pub use place::{Domains, Place};
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -1,10 +1,10 @@
 //! What a request and an answer say of themselves.
 
 use std::fmt;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use base::Model;
+use base::{Fingerprint, Model};
 use bytes::Bytes;
 use catalog::{ApiKey, Route, ServiceName, Tenant, WeightsVersion};
 use decide::Standing;
@@ -116,6 +116,8 @@
     pub arrived: Instant,
     /// When it gets its final answer at the latest.
     pub deadline: Instant,
+    /// Filled in by [`Job::fingerprint`].
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Job {
@@ -139,6 +141,26 @@
         }
     }
 
+    /// What all attempts of this request have in common: what runs, and for whom. The attempt's id and the
+    /// time that is left differ each time; another service or workspace makes another request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let workspace = self.tenant.as_ref().map(|t| t.workspace.as_bytes());
+            let target = self
+                .head
+                .uri
+                .path_and_query()
+                .map(|p| p.as_str().as_bytes());
+            Fingerprint::of(&[
+                self.service.as_bytes(),
+                workspace.unwrap_or_default(),
+                self.head.method.as_str().as_bytes(),
+                target.unwrap_or_default(),
+                &self.body,
+            ])
+        })
+    }
+
     /// Whether it may be sent again after it may have run.
     pub fn repeatable(&self) -> bool {
         self.route.kind.repeatable()
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -1,6 +1,6 @@
 //! A request from its head to its answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use crate::admission::{slot, wait_until};
 use crate::call::{Call, Job};
 use crate::confirm::{confirmed, verdict};
+use crate::loss::{self, Loss};
 use crate::record::{Ending, Record};
 use crate::refusal::Refusal;
 use crate::relay::{self, Stream};
@@ -89,6 +90,7 @@
         tenant,
         arrived,
         deadline: arrived + patience,
+        fingerprint: OnceLock::new(),
     };
     Ok((job, service))
 }
@@ -215,7 +217,7 @@
     pub sent: u32,
     unreachable: u32,
     /// Why it may have run although no answer can be had.
-    lost: Option<String>,
+    lost: Option<Loss>,
     /// A failure that an upstream answered with.
     failure: Option<Response>,
 }
@@ -225,7 +227,7 @@
     fn give_up(self, refusal: Refusal, record: Record) -> Response {
         match (self.failure, self.lost) {
             (Some(res), _) => answered(res, record),
-            (None, Some(why)) => refused(&Refusal::Lost(why), record),
+            (None, Some(loss)) => refused(&Refusal::Lost(loss.to_string()), record),
             (None, None) => refused(&refusal, record),
         }
     }
@@ -252,7 +254,9 @@
         tries.upstreams.push(slot.upstream().clone());
         let instance = slot.upstream().instance.clone();
         let sent = send(cx, &job, &slot, None, patience(cx, &job, &slot)).await;
-        record.tried(&instance, sent.name());
+        if !matches!(sent, Sent::Lost(_)) {
+            record.tried(&instance, sent.name());
+        }
         match sent {
             Sent::Unreached(why) => {
                 debug!(target: PART, "{PART}: event=unreachable id={} upstream={instance} why=\"{why}\"", job.call.id);
@@ -263,18 +267,20 @@
                 debug!(target: PART, "{PART}: event=not_run id={} upstream={instance} why=\"{why}\"", job.call.id);
                 tries.sent += 1;
             }
-            Sent::Lost(why) => {
+            Sent::Lost(loss) => {
                 tries.sent += 1;
-                tries.lost = Some(why);
+                let fate = loss::note(&job, slot.upstream(), &loss).await;
+                record.tried(&instance, fate.name());
+                tries.lost = Some(loss);
             }
             Sent::Answer(answer) if streams(&job, &answer) => {
                 tries.sent += 1;
                 let stream = Stream::new(cx, &job, &service, *answer, slot);
                 match relay::begin(stream, tries.upstreams.clone(), tries.sent).await {
                     Ok(begun) => return begun.respond(record),
-                    Err(why) => {
-                        record.tried(&instance, "broke");
-                        tries.lost = Some(why);
+                    Err((loss, fate)) => {
+                        record.tried(&instance, fate.name());
+                        tries.lost = Some(loss);
                     }
                 }
             }
@@ -283,9 +289,10 @@
                 match whole(cx, &job, &slot, *answer).await {
                     Ok(res) if res.status().is_server_error() => tries.failure = Some(res),
                     Ok(res) => return answered(res, record),
-                    Err(why) => {
-                        record.tried(&instance, "broke");
-                        tries.lost = Some(why);
+                    Err(loss) => {
+                        let fate = loss::note(&job, slot.upstream(), &loss).await;
+                        record.tried(&instance, fate.name());
+                        tries.lost = Some(loss);
                     }
                 }
             }
@@ -321,7 +328,7 @@
 }
 
 /// Reads an answer to its end, so that one that breaks off is never passed on as whole.
-async fn whole(cx: &Cx, job: &Job, slot: &Slot, answer: Answer) -> Result<Response, String> {
+async fn whole(cx: &Cx, job: &Job, slot: &Slot, answer: Answer) -> Result<Response, Loss> {
     let Answer {
         head,
         body,
@@ -329,25 +336,18 @@
     } = answer;
     let buf = read_whole(body, job.remaining()).await;
     drop(connection);
-    match buf {
-        Ok(buf) => {
-            if !head.status.is_server_error() {
-                report(slot.upstream(), Health::Answered);
-            }
-            let mut res = Response::new(full(buf));
-            *res.status_mut() = head.status;
-            *res.headers_mut() = (cx.codec.back)(&head.headers);
-            // A status that promises what the upstream did not say isn't passed on; where it did say so,
-            // this was no answer but a refusal.
-            let promises = matches!(head.status.as_u16(), 408 | 429 | 503);
-            match promises && !job.repeatable() {
-                true => Err(format!("status {} without a refusal", head.status)),
-                false => Ok(res),
-            }
-        }
-        Err(why) => {
-            report(slot.upstream(), Health::Failed);
-            Err(why)
-        }
+    let buf = buf?;
+    let status = head.status.as_u16();
+    // A status that promises what the upstream did not say isn't passed on; where it did say so,
+    // this was no answer but a refusal.
+    if matches!(status, 408 | 429 | 503) && !job.repeatable() {
+        return Err(Loss::Unclear(status));
+    }
+    if !head.status.is_server_error() {
+        report(slot.upstream(), Health::Answered);
     }
+    let mut res = Response::new(full(buf));
+    *res.status_mut() = head.status;
+    *res.headers_mut() = (cx.codec.back)(&head.headers);
+    Ok(res)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod gossip;
 mod handle;
 pub mod loads;
+mod loss;
 pub mod membership;
 mod record;
 pub mod refusal;
--- /dev/null
+++ b/crates/gateway/src/loss.rs
@@ -0,0 +1,87 @@
+//! Answers that were lost, and whether the upstream ended with them.
+//!
+//! A connection that breaks off looks the same whether the upstream ended, cut one answer off, or the network
+//! did. A connection made right afterwards tells them apart: where a process has ended and its VM hasn't,
+//! it's refused at once.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use displaydoc::Display;
+use log::info;
+use tokio::net::TcpStream;
+
+use crate::call::Job;
+use crate::send::report;
+use crate::upstream::{Health, Upstream};
+
+/// Log prefix of this part.
+const PART: &str = "loss";
+
+/// Longest wait for a connection that tells whether an upstream has ended. One round trip between failure
+/// domains takes 6 ms; what takes much longer is a VM or a link that is gone, of which nothing follows.
+const PROBE_TIME: Duration = Duration::from_millis(50);
+
+/// Why no whole answer came of a request that was sent.
+#[derive(Debug, Clone, Display, PartialEq, Eq)]
+pub enum Loss {
+    /// the connection broke off: {0}
+    BrokeOff(String),
+    /// the upstream fell silent
+    Silent,
+    /// the answer belongs to another request
+    Foreign,
+    /// the answer isn't signed
+    Unsigned,
+    /// status {0} without a refusal
+    Unclear(u16),
+}
+
+impl std::error::Error for Loss {}
+
+/// What became of an upstream whose answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// Nothing listens at its address any more.
+    Ended,
+    /// It lives, or nothing is known of it.
+    Unknown,
+}
+
+impl Fate {
+    /// Short name for logs.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Fate::Ended => "ended",
+            Fate::Unknown => "broke",
+        }
+    }
+}
+
+/// Notes that an upstream's answer to a request was lost, and finds out whether the upstream ended.
+pub(crate) async fn note(job: &Job, upstream: &Arc<Upstream>, loss: &Loss) -> Fate {
+    // A status that is unclear was noted as a failure when it came.
+    if !matches!(loss, Loss::Unclear(_)) {
+        report(upstream, Health::Failed);
+    }
+    let fate = match loss {
+        Loss::BrokeOff(_) if refuses(upstream).await => Fate::Ended,
+        _ => Fate::Unknown,
+    };
+    if fate == Fate::Ended {
+        info!(
+            target: PART,
+            "{PART}: event=upstream_ended upstream={} addr={} fingerprint={} route={} id={} why=\"{loss}\"",
+            upstream.instance, upstream.addr, job.fingerprint(), job.route.name, job.call.id,
+        );
+    }
+    metrics::counter!("driftnotch_lost_answers_total", "upstream" => fate.name()).increment(1);
+    fate
+}
+
+/// Whether a connection to an upstream is refused.
+async fn refuses(upstream: &Upstream) -> bool {
+    let connecting = TcpStream::connect(upstream.addr);
+    let connected = tokio::time::timeout(PROBE_TIME, connecting).await;
+    matches!(connected, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+}
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::call::Job;
 use crate::connection::Connection;
 use crate::events::Events;
+use crate::loss::{self, Fate, Loss};
 use crate::record::{Ending, Record};
 use crate::send::{Answer, Sent, patience, report, send};
 use crate::upstream::{Health, Slot, Upstream};
@@ -50,7 +51,7 @@
 enum Next {
     Events(Bytes),
     End,
-    Broken(String),
+    Lost(Loss),
 }
 
 /// A stream whose first event has come.
@@ -110,20 +111,22 @@
                     }
                 }
                 Ok(None) if self.events.is_whole() => return Next::End,
-                Ok(None) => return Next::Broken("it ended within an event".to_owned()),
-                Ok(Some(Err(e))) => return Next::Broken(format!("it broke off ({e})")),
-                Err(_) => return Next::Broken("it fell silent".to_owned()),
+                Ok(None) => {
+                    return Next::Lost(Loss::BrokeOff("it ended within an event".to_owned()));
+                }
+                Ok(Some(Err(e))) => return Next::Lost(Loss::BrokeOff(e.to_string())),
+                Err(_) => return Next::Lost(Loss::Silent),
             }
         }
     }
 }
 
-/// Waits for the first event; the error says why none came.
+/// Waits for the first event; the error says why none came, and what became of the upstream.
 pub async fn begin(
     mut stream: Stream,
     tried: Vec<Arc<Upstream>>,
     sent: u32,
-) -> Result<Begun, String> {
+) -> Result<Begun, (Loss, Fate)> {
     let patience = patience(&stream.cx, &stream.job, &stream.source.slot);
     let first = match stream.source.next(stream.job.deadline, patience).await {
         Next::Events(first) => {
@@ -131,9 +134,9 @@
             first
         }
         Next::End => Bytes::new(),
-        Next::Broken(why) => {
-            report(stream.source.slot.upstream(), Health::Failed);
-            return Err(why);
+        Next::Lost(loss) => {
+            let fate = loss::note(&stream.job, stream.source.slot.upstream(), &loss).await;
+            return Err((loss, fate));
         }
     };
     Ok(Begun {
@@ -208,21 +211,21 @@
                     self.record.ending = Ending::Answered(status);
                     return Ok(None);
                 }
-                Next::Broken(why) => self.resume(&why).await?,
+                Next::Lost(loss) => self.resume(&loss).await?,
             }
         }
     }
 
     /// Goes on at another upstream after the last event passed on.
-    async fn resume(&mut self, why: &str) -> Result<(), BodyError> {
+    async fn resume(&mut self, loss: &Loss) -> Result<(), BodyError> {
         let broken = self.stream.source.slot.upstream().clone();
-        report(&broken, Health::Failed);
-        self.record.tried(&broken.instance, "broke");
+        let fate = loss::note(&self.stream.job, &broken, loss).await;
+        self.record.tried(&broken.instance, fate.name());
         let cut = |record: &mut Record, why: &'static str| {
             record.ending = Ending::Cut(why);
             Err(BodyError::Cut(why))
         };
-        log::debug!(target: "relay", "relay: event=broke id={} upstream={} why=\"{why}\"", self.stream.job.call.id, broken.instance);
+        log::debug!(target: "relay", "relay: event=broke id={} upstream={} why=\"{loss}\"", self.stream.job.call.id, broken.instance);
         let (cx, job) = (self.stream.cx.clone(), self.stream.job.clone());
         if job.remaining().is_zero() {
             return cut(&mut self.record, "the time is over");
@@ -244,8 +247,15 @@
         self.tried.push(slot.upstream().clone());
         let within = patience(&cx, &job, &slot);
         let sent = send(&cx, &job, &slot, last.as_deref(), within).await;
-        self.record.tried(&slot.upstream().instance, sent.name());
+        if !matches!(sent, Sent::Lost(_)) {
+            self.record.tried(&slot.upstream().instance, sent.name());
+        }
         match sent {
+            Sent::Lost(loss) => {
+                let fate = loss::note(&job, slot.upstream(), &loss).await;
+                self.record.tried(&slot.upstream().instance, fate.name());
+                cut(&mut self.record, "no upstream went on")
+            }
             Sent::Answer(answer) if answer.head.status.is_success() => {
                 // The last event passed on is kept, should this upstream break off before its first.
                 let mut events = std::mem::take(&mut self.stream.source.events);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -12,6 +12,7 @@
 use crate::Cx;
 use crate::call::{Forward, Job};
 use crate::connection::Connection;
+use crate::loss::Loss;
 use crate::upstream::{Health, Slot, Upstream};
 
 /// Log prefix of this part.
@@ -40,8 +41,8 @@
     Unreached(String),
     /// The upstream refused for certain; it has not run there.
     NotRun(String),
-    /// It may have run; no answer can be had.
-    Lost(String),
+    /// It may have run; no answer can be had. To be noted by [`crate::loss::note`].
+    Lost(Loss),
 }
 
 impl Sent {
@@ -77,14 +78,8 @@
     let sent = tokio::time::timeout(within.min(job.remaining()), connection.send(req)).await;
     match sent {
         Ok(Ok(res)) => sort(cx, job, upstream, res, connection),
-        Ok(Err(e)) => {
-            report(upstream, Health::Failed);
-            Sent::Lost(format!("the connection broke ({e})"))
-        }
-        Err(_) => {
-            report(upstream, Health::Failed);
-            Sent::Lost("no answer came in time".to_owned())
-        }
+        Ok(Err(e)) => Sent::Lost(Loss::BrokeOff(e.to_string())),
+        Err(_) => Sent::Lost(Loss::Silent),
     }
 }
 
@@ -141,12 +136,10 @@
         return Sent::NotRun(format!("status {status}"));
     }
     if reply.id.as_ref().is_some_and(|id| *id != job.call.id) {
-        report(upstream, Health::Failed);
-        return Sent::Lost("the answer belongs to another request".to_owned());
+        return Sent::Lost(Loss::Foreign);
     }
     if head.status.is_success() && !reply.signed {
-        report(upstream, Health::Failed);
-        return Sent::Lost("the answer isn't signed".to_owned());
+        return Sent::Lost(Loss::Unsigned);
     }
     if head.status.is_server_error() {
         report(upstream, Health::Failed);
@@ -166,10 +159,10 @@
 }
 
 /// Reads a body to its end.
-pub async fn read_whole(body: Incoming, within: Duration) -> Result<Bytes, String> {
+pub async fn read_whole(body: Incoming, within: Duration) -> Result<Bytes, Loss> {
     match tokio::time::timeout(within, body.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) => Err(format!("the answer broke off ({e})")),
-        Err(_) => Err("the answer did not end in time".to_owned()),
+        Ok(Err(e)) => Err(Loss::BrokeOff(e.to_string())),
+        Err(_) => Err(Loss::Silent),
     }
 }
