Keep in the store which requests are held back

Cause: what was known of a request under which upstreams end lay in gateways alone, and went when all lost power. Ruled out: a table of its own, which each gateway would read and watch; rows by the time of day, which differs. Change: a row of each held request among those of our own processes, which gateways follow anyway; requests of a gateway that has just started wait for it as for a configuration (90 ms at most, in its first second).

--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Fingerprint, Map};
+use base::{Fingerprint, Map, Set};
 use beacon::{SuspectNote, TrialNote};
 use decide::quarantine::{self, Care, Case, End, Quarantine, Verdict};
 use log::info;
@@ -30,6 +30,10 @@
 /// who sends the same meanwhile would wait for seconds, and is refused.
 const TRIED_WAIT: Duration = Duration::from_millis(60);
 
+/// Time after its start in which a gateway has learned what the store has of such requests, if it can. Until
+/// then its requests wait for that, as they do for a configuration.
+const LEARN_TIME: Duration = Duration::from_secs(1);
+
 /// Time between two looks whether it's over.
 const RECHECK: Duration = Duration::from_millis(5);
 
@@ -51,7 +55,7 @@
 
 /// Whom news goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Reach {
+pub enum Reach {
     /// Gateways of the own failure domain.
     Near,
     /// These, and one or two of each other domain, which pass it on.
@@ -84,7 +88,11 @@
     /// Told when there is something to tell.
     pub(crate) news: Notify,
     /// Told when a request is held back, or no more.
-    held: watch::Sender<()>,
+    changed: watch::Sender<()>,
+    /// Requests that this gateway found are to be held back, and that aren't stored yet.
+    own: Mutex<Set<Fingerprint>>,
+    /// Whether what the store has of them is known.
+    known: watch::Sender<bool>,
 }
 
 /// The run of a suspect; over when dropped.
@@ -114,7 +122,9 @@
             quarantine: Mutex::new(Quarantine::new(hold_time)),
             untold: Mutex::default(),
             news: Notify::new(),
-            held: watch::Sender::new(()),
+            changed: watch::Sender::new(()),
+            own: Mutex::default(),
+            known: watch::Sender::new(false),
         }
     }
 
@@ -215,7 +225,8 @@
             let workspace = job.tenant.as_ref().map_or("-", |t| &t.workspace);
             info!(target: PART, "{PART}: event=held request={request} ends={ends} route={} workspace={workspace} again={was_held}", job.route.name);
             metrics::counter!("driftnotch_held_total").increment(1);
-            self.held.send_replace(());
+            self.own().insert(request);
+            self.changed.send_replace(());
         }
     }
 
@@ -230,13 +241,13 @@
         if quarantine.finished(&request, now) {
             drop(quarantine);
             self.tell(request, Reach::Everywhere);
-            self.held.send_replace(());
+            self.changed.send_replace(());
         }
     }
 
     /// Takes what another gateway tells; `reach` says whom what is news is passed on to, if anyone. Gives the
     /// lives of upstreams that ended just now.
-    pub(crate) fn hear(&self, notes: Vec<SuspectNote>, reach: Option<Reach>) {
+    pub fn hear(&self, notes: Vec<SuspectNote>, reach: Option<Reach>) {
         let now = Instant::now();
         for note in notes {
             let request = note.request;
@@ -250,7 +261,7 @@
             }
             if was_held != is_held {
                 info!(target: PART, "{PART}: event=heard request={request} held={is_held}");
-                self.held.send_replace(());
+                self.changed.send_replace(());
             }
         }
     }
@@ -305,14 +316,64 @@
         gravest.filter_map(note).collect()
     }
 
+    /// Told when a request is held back, or no more.
+    pub fn changes(&self) -> watch::Receiver<()> {
+        self.changed.subscribe()
+    }
+
+    /// Requests that are held back now.
+    pub fn held(&self) -> Vec<SuspectNote> {
+        let now = Instant::now();
+        let quarantine = self.quarantine();
+        let gravest = quarantine.gravest().into_iter();
+        let held = gravest.filter(|request| quarantine.is_held(request, now));
+        let note = |request| Some(note(request, quarantine.case(&request)?, now));
+        held.filter_map(note).collect()
+    }
+
+    fn own(&self) -> MutexGuard<'_, Set<Fingerprint>> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether this gateway found that a request is to be held back, and hasn't stored it.
+    pub fn is_own(&self, request: &Fingerprint) -> bool {
+        self.own().contains(request)
+    }
+
+    /// Notes that such a request is stored.
+    pub fn stored(&self, request: &Fingerprint) {
+        self.own().remove(request);
+    }
+
+    /// Notes that what the store has of such requests is known.
+    pub fn learned(&self) {
+        self.known.send_replace(true);
+    }
+
+    /// Waits until that is known, at most until a moment.
+    async fn is_known(&self, until: Instant) {
+        if *self.known.borrow() {
+            return;
+        }
+        let mut known = self.known.subscribe();
+        let learned = known.wait_for(|known| *known);
+        // What isn't known by then is learned from what happens.
+        let _ = tokio::time::timeout_at(until.into(), learned).await;
+    }
+
     /// Whether nothing is held against any request.
-    pub(crate) fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.quarantine().is_empty()
     }
 }
 
 /// Waits until a request may be sent on; with which care, where upstreams ended under it.
 pub(crate) async fn permitted(cx: &Cx, job: &Job) -> Result<Option<Care>, Refusal> {
+    let arrived = Instant::now();
+    let known_by = cx.started + LEARN_TIME.max(cx.cfg.start_wait);
+    cx.suspects
+        .is_known(known_by.min(arrived + cx.cfg.start_wait))
+        .await;
     let patience = (Instant::now() + TRIED_WAIT).min(job.deadline);
     loop {
         let now = Instant::now();
