--- a/crates/agent/src/fetch.rs
+++ b/crates/agent/src/fetch.rs
@@ -68,7 +68,7 @@
 pub async fn fetch(agent: Arc<Agent>, version: Digest, permille: Arc<AtomicU64>) -> Arc<Manifest> {
     let manifest = find_manifest(&agent, version).await;
     agent.manifests().insert(version, manifest.clone());
-    let now = Instant::now();
+    let now = clock::now();
     let mut fetch = Fetch {
         rule: rule(&agent, version),
         swarm: Swarm::default(),
@@ -83,7 +83,7 @@
         manifest,
     };
     fetch.run().await;
-    let took = now.elapsed();
+    let took = clock::since(now);
     info!(target: PART, "{PART}: {} is staged whole after {took:?}", version.short());
     fetch.manifest
 }
@@ -115,9 +115,9 @@
         while !self.wanted.is_empty() {
             tokio::select! {
                 _ = look.tick() => {
-                    if asked.is_none_or(|at| at.elapsed() > ASK) {
+                    if asked.is_none_or(|at| clock::since(at) > ASK) {
                         self.ask_entries().await;
-                        asked = Some(Instant::now());
+                        asked = Some(clock::now());
                     }
                     self.look_at_peers().await;
                 }
@@ -200,7 +200,7 @@
     /// Chunks that can be taken now, each with its source, or its bytes where they are held from
     /// another version.
     fn most_urgent(&self) -> Vec<(usize, Source, Option<Bytes>)> {
-        let (waited, stalled) = (self.begun.elapsed(), self.progress.elapsed());
+        let (waited, stalled) = (clock::since(self.begun), clock::since(self.progress));
         let choosing = self.swarm.choosing(&self.rule, waited, stalled);
         let mut ready: Vec<_> = self
             .wanted
@@ -237,7 +237,7 @@
                 self.wanted.remove(&i);
                 if !fetched.from_origin {
                     // What this agent draws is no sign that others bring chunks.
-                    self.progress = Instant::now();
+                    self.progress = clock::now();
                 }
                 let all = self.manifest.chunks.len();
                 let permille = (all - self.wanted.len()) * 1000 / all;
--- a/crates/agent/src/handle.rs
+++ b/crates/agent/src/handle.rs
@@ -81,7 +81,7 @@
     }
     let run = Run {
         upstream_req: upstream_request(&ask, &head, body),
-        deadline: Instant::now() + ask.remaining,
+        deadline: clock::now() + ask.remaining,
         agent,
         ask,
         pass,
@@ -164,7 +164,7 @@
         let mut listens = tx.send(res).is_ok();
         let mut kept = BytesMut::new();
         loop {
-            let frame = tokio::time::timeout_at(self.deadline.into(), body.frame()).await;
+            let frame = clock::timeout_at(self.deadline, body.frame()).await;
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
                 Ok(None) => break,
@@ -191,7 +191,7 @@
     }
 
     async fn send(&mut self) -> Taken {
-        let remaining = self.deadline.saturating_duration_since(Instant::now());
+        let remaining = self.deadline.saturating_duration_since(clock::now());
         if remaining.is_zero() {
             return Taken::Refused(Closed::Late);
         }
@@ -316,7 +316,7 @@
 fn pass_through(body: Incoming, pass: Pass, deadline: Instant, up: Arc<Pacer>) -> Body {
     let frames = stream::unfold(Some((body, pass, up)), move |state| async move {
         let (mut body, pass, up) = state?;
-        match tokio::time::timeout_at(deadline.into(), body.frame()).await {
+        match clock::timeout_at(deadline, body.frame()).await {
             Ok(Some(Ok(frame))) => {
                 up.request(frame.data_ref().map_or(0, Bytes::len));
                 Some((Ok(frame), Some((body, pass, up))))
--- a/crates/agent/src/ledger.rs
+++ b/crates/agent/src/ledger.rs
@@ -97,7 +97,7 @@
             Some(recorded) if recorded.body.len() <= self.memory => {
                 inner.bytes += recorded.body.len();
                 inner.oldest_answer.push_back(id.to_owned());
-                State::Done(recorded, Instant::now())
+                State::Done(recorded, clock::now())
             }
             _ => State::Gone,
         };
@@ -151,7 +151,7 @@
     fn drop_answers(&mut self, memory: usize, retention: Duration) {
         while let Some(oldest) = self.oldest_answer.front().cloned() {
             let expired = match self.ids.get(&oldest) {
-                Some(State::Done(_, at)) => at.elapsed() > retention,
+                Some(State::Done(_, at)) => clock::since(*at) > retention,
                 _ => true,
             };
             if !expired && self.bytes <= memory {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,6 +7,8 @@
 //! the [`pace`] that requests leave, and [`engine`] gives orders.
 //! [`links`] keeps links to the entries of the failure domain.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod admin;
 pub mod ask;
 pub mod bring;
--- a/crates/agent/src/links.rs
+++ b/crates/agent/src/links.rs
@@ -75,7 +75,7 @@
 impl Homes {
     fn new(agent: Arc<Agent>, live: Live) -> Homes {
         let (learnt_tx, learnt) = mpsc::unbounded_channel();
-        let now = Instant::now();
+        let now = clock::now();
         Homes {
             known: agent.cfg.entries.iter().map(|addr| (*addr, now)).collect(),
             agent,
@@ -88,7 +88,7 @@
     }
 
     fn learn(&mut self, addrs: Vec<SocketAddr>) {
-        let now = Instant::now();
+        let now = clock::now();
         self.known.extend(addrs.into_iter().map(|addr| (addr, now)));
         self.review();
     }
@@ -115,7 +115,7 @@
                 tokio::task::spawn_local(async move {
                     let linked = use_link(&agent, addr, &live, &learnt).await;
                     live.borrow_mut().remove(&addr);
-                    failed.borrow_mut().insert(addr, Instant::now());
+                    failed.borrow_mut().insert(addr, clock::now());
                     if let Err(e) = linked {
                         debug!(target: PART, "{PART}: link to entry {addr} ended: {e}");
                     }
@@ -130,14 +130,14 @@
         let failed = self.failed.borrow();
         self.known.retain(|addr, heard| {
             let failing = failed.get(addr).is_some_and(|at| at > heard);
-            settings.contains(addr) || !failing || heard.elapsed() < FORGET
+            settings.contains(addr) || !failing || clock::since(*heard) < FORGET
         });
         let vm = &self.agent.cfg.upkeep.vm;
         let mut ranked: Vec<(bool, Digest, SocketAddr)> = self
             .known
             .keys()
             .map(|addr| {
-                let failing = failed.get(addr).is_some_and(|at| at.elapsed() < AVOID);
+                let failing = failed.get(addr).is_some_and(|at| clock::since(*at) < AVOID);
                 let up = self.live.borrow().contains_key(addr);
                 (failing && !up, rank(vm, addr), *addr)
             })
@@ -206,7 +206,7 @@
     entries_seen: u64,
     told: &mut Option<Vec<Holding>>,
 ) -> Result<BeatReply, WireError> {
-    let asked = Instant::now();
+    let asked = clock::now();
     let holdings = agent.holdings.borrow().clone();
     let same_holdings = told.as_ref() == Some(&holdings);
     *told = Some(holdings.clone());
--- a/crates/agent/src/pace.rs
+++ b/crates/agent/src/pace.rs
@@ -31,7 +31,7 @@
         let rate = link as f64 * share as f64 / 100.0;
         Pacer {
             rate: (link > 0).then_some(rate),
-            free_at: Mutex::new(Instant::now()),
+            free_at: Mutex::new(clock::now()),
         }
     }
 
@@ -42,7 +42,7 @@
     /// Takes up the link for so many bytes; returns when they may go.
     fn take(&self, bytes: usize) -> Option<Instant> {
         let rate = self.rate?;
-        let now = Instant::now();
+        let now = clock::now();
         let mut free_at = self.free_at();
         let start = (*free_at).max(now.checked_sub(SLACK).unwrap_or(now));
         *free_at = start + Duration::from_secs_f64(bytes as f64 / rate);
@@ -57,7 +57,7 @@
     /// Waits until so many bytes of weights may go.
     pub async fn weights(&self, bytes: usize) {
         if let Some(at) = self.take(bytes) {
-            tokio::time::sleep_until(at.into()).await;
+            clock::sleep_until(at).await;
         }
     }
 }
--- a/crates/agent/src/swarm.rs
+++ b/crates/agent/src/swarm.rs
@@ -165,7 +165,7 @@
     /// while.
     pub fn silent(&mut self, addr: SocketAddr) {
         self.have.remove(&addr);
-        self.busy.insert(addr, Instant::now() + SILENT_TIME);
+        self.busy.insert(addr, clock::now() + SILENT_TIME);
         let silences = self.silences.entry(addr).or_default();
         *silences += 1;
         if *silences >= SILENCES {
@@ -175,20 +175,20 @@
 
     /// Whether an agent may be asked now.
     pub fn may_ask(&self, addr: SocketAddr, rule: &Rule) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let busy = self.busy.get(&addr).is_some_and(|until| *until > now);
         !busy && !self.banned(addr, rule)
     }
 
     /// Notes that an agent has too many to serve just now.
     pub fn busy(&mut self, addr: SocketAddr) {
-        self.busy.insert(addr, Instant::now() + BUSY_TIME);
+        self.busy.insert(addr, clock::now() + BUSY_TIME);
     }
 
     /// Notes a bad chunk from an agent.
     pub fn bad(&mut self, addr: SocketAddr, rule: &Rule) {
-        let bad = self.bad.entry(addr).or_insert((0, Instant::now()));
-        *bad = (bad.0 + 1, Instant::now());
+        let bad = self.bad.entry(addr).or_insert((0, clock::now()));
+        *bad = (bad.0 + 1, clock::now());
         if bad.0 >= rule.bad_chunks {
             self.shun(addr);
         }
@@ -206,7 +206,7 @@
     pub fn banned(&self, addr: SocketAddr, rule: &Rule) -> bool {
         self.bad
             .get(&addr)
-            .is_some_and(|(n, at)| *n >= rule.bad_chunks && at.elapsed() < rule.bad_time)
+            .is_some_and(|(n, at)| *n >= rule.bad_chunks && clock::since(*at) < rule.bad_time)
     }
 
     /// Notes that a chunk is being taken from an agent.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,8 @@
 //! - [`quarantine`]: which requests are tried with care or held back, since upstreams ended under them.
 //! - [`retry`]: the budget of requests sent again.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod age;
 pub mod audience;
 pub mod come_back;
--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -121,7 +121,7 @@
         domain: upkeep.domain.clone(),
         leaving: entry.stopping(),
         revision: view.edition.revision,
-        in_force_ms: view.since.elapsed().as_millis() as u64,
+        in_force_ms: clock::since(view.since).as_millis() as u64,
         age_ms: entry.force.age().map(|age| age.as_millis() as u64),
         entries: others.map(|e| e.note.vm).collect(),
         upstreams,
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -88,7 +88,7 @@
     /// Notes a freed slot and wakes the first in line.
     pub fn freed(&self) {
         let mut state = self.state();
-        let now = Instant::now();
+        let now = clock::now();
         if let Some(last) = state.freed.replace(now) {
             let gap = now.duration_since(last).as_secs_f64().min(1.0);
             state.mean_gap += NEWEST * (gap - state.mean_gap);
@@ -138,7 +138,7 @@
 impl Ticket<'_> {
     /// Waits until it is worth looking for a slot; refuses a request that was displaced.
     pub async fn turn(&mut self, deadline: Instant) -> Result<(), Refusal> {
-        let until = (Instant::now() + RECHECK).min(deadline);
+        let until = (clock::now() + RECHECK).min(deadline);
         tokio::select! {
             woken = &mut self.woken => match woken {
                 Ok(()) => {
@@ -147,7 +147,7 @@
                 }
                 Err(_) => Err(Refusal::Overloaded(self.queue.retry_after())),
             },
-            _ = tokio::time::sleep_until(until.into()) => Ok(()),
+            _ = clock::sleep_until(until) => Ok(()),
         }
     }
 
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -96,7 +96,7 @@
         let mut trailer = false;
         let (body, outcome) = match self.body {
             AnswerBody::Whole(buf) => {
-                telemetry.first_token(&labels, call.arrived.elapsed());
+                telemetry.first_token(&labels, clock::since(call.arrived));
                 telemetry.ended(&labels, Outcome::Done, "ok", false);
                 (web::full(buf), Outcome::Done)
             }
@@ -167,7 +167,7 @@
             if self.ended {
                 return None;
             }
-            let frame = tokio::time::timeout_at(self.deadline.into(), self.body.frame()).await;
+            let frame = clock::timeout_at(self.deadline, self.body.frame()).await;
             let data = match frame {
                 Ok(Some(Ok(frame))) => frame.into_data().ok(),
                 Ok(Some(Err(_))) => return self.cut("the upstream broke off"),
@@ -204,7 +204,7 @@
     }
 
     fn note_tokens(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         self.last_seen = now;
         if self.first_seen.is_none() {
             self.first_seen = Some(now);
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -92,7 +92,7 @@
 impl Call {
     /// Reads a request and its body, within the bounds of the settings.
     pub async fn read(req: Request, cfg: &EntryCfg) -> Result<Call, Refusal> {
-        let arrived = Instant::now();
+        let arrived = clock::now();
         let (head, body) = req.into_parts();
         let path = head.uri.path().to_owned();
         let completion = COMPLETIONS.contains(&path.as_str());
@@ -133,7 +133,7 @@
 
     /// Time left.
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.saturating_duration_since(clock::now())
     }
 
     /// Whether it must run at most once.
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -233,9 +233,9 @@
     let writes = Arc::new(Semaphore::new(MAX_WRITES));
     while let Some(first) = rx.recv().await {
         let mut batch = vec![first];
-        let until = tokio::time::Instant::now() + gather.interval / 2;
+        let until = clock::now() + gather.interval / 2;
         while batch.len() < gather.batch {
-            match tokio::time::timeout_at(until, rx.recv()).await {
+            match clock::timeout_at(until, rx.recv()).await {
                 Ok(Some(next)) => batch.push(next),
                 Ok(None) | Err(_) => break,
             }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,8 @@
 //! entries, and [`membership::links`] keeps links to other entries. [`membership::fleet`] is what
 //! they learn.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod admin;
 pub mod admission;
 pub mod answer;
@@ -110,7 +112,7 @@
         match self.force.age() {
             _ if self.stopping() => Readiness::Stopping,
             None => Readiness::NoTable,
-            Some(_) if self.begun.elapsed() < JOIN_TIME && !any_live() => Readiness::NoAgents,
+            Some(_) if clock::since(self.begun) < JOIN_TIME && !any_live() => Readiness::NoAgents,
             Some(_) => Readiness::Ready,
         }
     }
--- a/crates/entry/src/limit.rs
+++ b/crates/entry/src/limit.rs
@@ -78,7 +78,7 @@
         for (subject, who, rps, running) in wanted {
             let counter = counters.entry(subject.clone()).or_insert_with(|| Counter {
                 tokens: f64::INFINITY,
-                filled: Instant::now(),
+                filled: clock::now(),
                 running: 0,
             });
             counter.check(
@@ -101,7 +101,7 @@
     /// Drops counters that have been idle.
     pub fn tidy(&self) {
         self.lock()
-            .retain(|_, c| c.running > 0 || c.filled.elapsed() < IDLE);
+            .retain(|_, c| c.running > 0 || clock::since(c.filled) < IDLE);
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Map<Subject, Counter>> {
@@ -135,7 +135,7 @@
     }
 
     fn fill(&mut self, rate: f64) {
-        let now = Instant::now();
+        let now = clock::now();
         let earned = now.duration_since(self.filled).as_secs_f64() * rate;
         let most = (rate * BURST.as_secs_f64()).max(1.0);
         self.tokens = (self.tokens + earned).min(most);
--- a/crates/entry/src/membership/control.rs
+++ b/crates/entry/src/membership/control.rs
@@ -148,14 +148,14 @@
     fn new() -> Pushes {
         Pushes {
             allowance: PUSH_BURST,
-            filled: Instant::now(),
+            filled: clock::now(),
         }
     }
 
     /// Takes one push; how long to wait before it.
     fn take(&mut self) -> Duration {
-        let earned = self.filled.elapsed().as_secs_f64() / PUSH_GAP.as_secs_f64();
-        self.filled = Instant::now();
+        let earned = clock::since(self.filled).as_secs_f64() / PUSH_GAP.as_secs_f64();
+        self.filled = clock::now();
         self.allowance = (self.allowance + earned).min(PUSH_BURST) - 1.0;
         PUSH_GAP.mul_f64((-self.allowance).max(0.0))
     }
--- a/crates/entry/src/membership/fleet.rs
+++ b/crates/entry/src/membership/fleet.rs
@@ -47,7 +47,7 @@
 
 impl OtherEntry {
     fn alive(&self) -> bool {
-        !self.note.leaving && self.heard.elapsed() < self.lease
+        !self.note.leaving && clock::since(self.heard) < self.lease
     }
 }
 
@@ -211,7 +211,7 @@
             note,
             rollouts,
             applied,
-            heard: Instant::now(),
+            heard: clock::now(),
             lease: entry_lease,
         };
         entries.insert(from, entry);
--- a/crates/entry/src/membership/links.rs
+++ b/crates/entry/src/membership/links.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base::{Digest, DomainName, Map, Revision, Set, rendezvous};
 use log::{debug, info, warn};
@@ -161,13 +161,13 @@
 async fn keep_link(entry: Arc<Entry>, addr: SocketAddr, live: Live) {
     let [mut pause, longest] = BACKOFF;
     loop {
-        let made = Instant::now();
+        let made = clock::now();
         match use_link(&entry, addr, &live).await {
             Ok(()) => {}
             Err(e) => debug!(target: PART, "{PART}: link to entry {addr} ended: {e}"),
         }
         live.borrow_mut().remove(&addr);
-        if made.elapsed() > longest {
+        if clock::since(made) > longest {
             pause = BACKOFF[0];
         }
         let jitter = rand::random::<f64>() + 0.5;
@@ -210,7 +210,7 @@
     link: &Link,
     to: Option<(&DomainName, SocketAddr)>,
 ) -> Result<DomainName, WireError> {
-    let asked = Instant::now();
+    let asked = clock::now();
     let own = match to {
         Some((domain, addr)) => own_note(entry, domain, Some(addr)),
         None => own_note(entry, "", None),
--- a/crates/entry/src/membership/upstream.rs
+++ b/crates/entry/src/membership/upstream.rs
@@ -41,7 +41,7 @@
                 holdings: Vec::new(),
                 live_since: Map::default(),
                 leaving: false,
-                lease_until: Instant::now() + lease,
+                lease_until: clock::now() + lease,
                 reported: 0,
                 revision: 0,
                 failures: 0,
@@ -59,7 +59,7 @@
     /// Takes a heartbeat; says whether versions, or whether it is leaving, changed.
     pub fn beat(&self, beat: Beat, lease: Duration) -> bool {
         let mut c = self.condition();
-        let now = Instant::now();
+        let now = clock::now();
         c.lease_until = now + lease;
         c.reported = beat.running;
         c.revision = beat.revision;
@@ -106,13 +106,13 @@
     /// Notes that others still hear of it.
     pub fn renew(&self, lease: Duration) {
         let mut c = self.condition();
-        c.lease_until = c.lease_until.max(Instant::now() + lease);
+        c.lease_until = c.lease_until.max(clock::now() + lease);
     }
 
     /// Notes that another domain's entries tell of a version live there.
     pub fn seen_live(&self, model: &str, version: &Version, lease: Duration) {
         let mut c = self.condition();
-        let now = Instant::now();
+        let now = clock::now();
         c.lease_until = now + lease;
         let key = (model.to_owned(), version.clone());
         c.live_since.entry(key).or_insert(now);
@@ -120,7 +120,7 @@
 
     /// Whether its lease has not run out.
     pub fn leased(&self) -> bool {
-        self.condition().lease_until >= Instant::now()
+        self.condition().lease_until >= clock::now()
     }
 
     /// Notes that it takes no new work.
@@ -142,7 +142,7 @@
     /// Since when a version has been live there, where requests may be sent for it now.
     pub fn live_since(&self, model: &str, version: &Version) -> Option<Instant> {
         let c = self.condition();
-        if c.leaving || c.lease_until < Instant::now() {
+        if c.leaving || c.lease_until < clock::now() {
             return None;
         }
         let key = (model.to_owned(), version.clone());
@@ -153,7 +153,7 @@
     pub fn ejected(&self) -> bool {
         self.condition()
             .ejected_until
-            .is_some_and(|until| until > Instant::now())
+            .is_some_and(|until| until > clock::now())
     }
 
     /// Notes a failure; leaves it alone for a while after several in a row.
@@ -161,7 +161,7 @@
         let mut c = self.condition();
         c.failures += 1;
         if c.failures >= eject_after {
-            c.ejected_until = Some(Instant::now() + eject_time);
+            c.ejected_until = Some(clock::now() + eject_time);
         }
     }
 
--- a/crates/entry/src/poll.rs
+++ b/crates/entry/src/poll.rs
@@ -1,7 +1,7 @@
 //! Reads the platform: the table's edition in force and the list of VMs.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base::{Revision, Set};
 use log::{info, warn};
@@ -18,7 +18,7 @@
     let mut known: Option<(Tag, Revision)> = None;
     let mut down = false;
     loop {
-        let asked = Instant::now();
+        let asked = clock::now();
         let tag = known.as_ref().map(|(tag, _)| tag);
         match tables.current(tag).await {
             Ok(Some(current)) => {
--- a/crates/entry/src/route/pick.rs
+++ b/crates/entry/src/route/pick.rs
@@ -44,7 +44,7 @@
 impl Candidate {
     /// Load, raised while the replica is warming up.
     fn weight(&self, slow_start: Duration) -> f64 {
-        let warmth = match self.live_since.elapsed() {
+        let warmth = match clock::since(self.live_since) {
             age if age >= slow_start => 1.0,
             age => (age.as_secs_f64() / slow_start.as_secs_f64()).max(0.1),
         };
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base::rendezvous::rank;
 use displaydoc::Display;
@@ -97,7 +97,7 @@
 /// meanwhile and asks another entry. An entry that stays without table or agents listens all the
 /// same, and says so to each caller.
 async fn until_ready(entry: &Entry, stop: &Stop) {
-    while entry.readiness() != Readiness::Ready && entry.begun.elapsed() < JOIN_TIME {
+    while entry.readiness() != Readiness::Ready && clock::since(entry.begun) < JOIN_TIME {
         if *stop.borrow() {
             return;
         }
@@ -153,7 +153,7 @@
             telemetry: Arc::new(Telemetry::new(bounds)),
             traffic: Traffic::default(),
             book: AddressBook::new(cfg.control_reached(), &cfg.entries),
-            begun: Instant::now(),
+            begun: clock::now(),
             stopping: AtomicBool::new(false),
             cfg,
         }
--- a/crates/entry/src/telemetry.rs
+++ b/crates/entry/src/telemetry.rs
@@ -44,7 +44,7 @@
     pub fn new(bounds: BurnBounds) -> Telemetry {
         Telemetry {
             bounds,
-            begun: Instant::now(),
+            begun: clock::now(),
             workspaces: Mutex::default(),
             history: Mutex::default(),
         }
@@ -115,7 +115,7 @@
     }
 
     fn minute(&self) -> u64 {
-        self.begun.elapsed().as_secs() / 60
+        clock::since(self.begun).as_secs() / 60
     }
 
     fn lock(&self) -> MutexGuard<'_, History> {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -121,14 +121,14 @@
                 Pick::Nobody => return Err(Refusal::NoUpstream(come_back(Reason::Nobody))),
             }
         }
-        let now = Instant::now();
+        let now = clock::now();
         if now >= until {
             return Err(Refusal::Busy(come_back(Reason::Busy)));
         }
         let recheck = (now + RECHECK).min(until);
         tokio::select! {
             _ = cx.admission.freed.notified() => {}
-            _ = tokio::time::sleep_until(recheck.into()) => {}
+            _ = clock::sleep_until(recheck) => {}
         }
     }
 }
@@ -145,7 +145,7 @@
     let Some(care) = care else {
         return pick(cx, job, service, tried, &[], waits);
     };
-    let trials = cx.suspects.trials(Instant::now());
+    let trials = cx.suspects.trials(clock::now());
     match pick(cx, job, service, tried, &trials, waits) {
         Pick::Full if care == Care::Preferably => pick(cx, job, service, tried, &[], waits),
         picked => picked,
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -56,7 +56,7 @@
     apart: &[SocketAddr],
     waits: bool,
 ) -> Pick {
-    let now = Instant::now();
+    let now = clock::now();
     let ask = ask(cx, job, service);
     let model = service.engine.as_ref().and(job.call.model.as_ref());
     let oldest = model.map_or(0, |model| cx.releases.oldest(model, now));
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -129,7 +129,7 @@
 
     /// Time left.
     pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline.saturating_duration_since(clock::now())
     }
 
     /// How long a silent upstream is waited for: a request that may be sent again isn't left with one
--- a/crates/gateway/src/confirm.rs
+++ b/crates/gateway/src/confirm.rs
@@ -64,12 +64,12 @@
     let held = cx.mirror.get(cx.configuration.name);
     let in_force = *cx.configuration.in_force.borrow();
     let held = held.filter(|copy| copy.revision == in_force);
-    held.map_or(Duration::MAX, |copy| copy.confirmed.elapsed())
+    held.map_or(Duration::MAX, |copy| clock::since(copy.confirmed))
 }
 
 /// What to do with a request that the configuration in force here doesn't allow.
 pub(crate) fn verdict(cx: &Cx) -> Verdict {
-    cx.confirmations.denials().verdict(age(cx), Instant::now())
+    cx.confirmations.denials().verdict(age(cx), clock::now())
 }
 
 /// Asks for a confirmation, unless that is under way, and waits until the configuration was confirmed or a
@@ -88,7 +88,7 @@
             _ = over.wait_for(|over| *over) => {}
         }
     };
-    if tokio::time::timeout_at(until.into(), news).await.is_err() {
+    if clock::timeout_at(until, news).await.is_err() {
         debug!(target: PART, "{PART}: event=late");
     }
 }
@@ -108,7 +108,7 @@
     let cx = &question.0;
     let reaches_store = *cx.reaches_store.borrow();
     let own = &cx.cfg.node.vm;
-    let reader = cx.loads.reader(own, reaches_store, Instant::now());
+    let reader = cx.loads.reader(own, reaches_store, clock::now());
     match reader {
         Some(reader) => ask_gateway(cx, reader).await,
         None if reaches_store => {
@@ -122,7 +122,7 @@
     let age = age(cx);
     if age > cx.confirmations.oldest() {
         warn!(target: PART, "{PART}: event=unconfirmed revision={} age={age:?} reaches_store={reaches_store}", cx.mirror.revision(cx.configuration.name));
-        cx.confirmations.denials().failed(Instant::now());
+        cx.confirmations.denials().failed(clock::now());
     }
 }
 
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -1,7 +1,7 @@
 //! Metrics of what a gateway knows: which configuration, since when, and how far others are ahead.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::Cx;
 
@@ -20,7 +20,7 @@
     let name = cx.configuration.name;
     let version = cx.catalog.borrow().as_ref().map_or(0, |c| c.revision);
     let held = cx.mirror.revision(name);
-    let heard = cx.loads.newest_configuration(Instant::now()).max(held);
+    let heard = cx.loads.newest_configuration(clock::now()).max(held);
     let age = cx.mirror.age(name).unwrap_or_default();
     let reaches_store = u8::from(*cx.reaches_store.borrow());
     metrics::gauge!("driftnotch_configuration_version").set(version as f64);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,17 +6,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use base::Revision;
-use beacon::{Beacon, EngineNote, Holding, LoadNote, Msg};
+use beacon::{Beacon, EngineNote, Holding, LoadNote, Msg, SuspectNote};
 use log::{debug, warn};
 use mirror::DocName;
 use web::{Client, Dial};
 
+use crate::send::report;
 use crate::spread::greet;
 use crate::suspects::Reach;
 use crate::tell::greeting;
+use crate::upstream::Health;
 use crate::{Cx, Followed};
 
 /// Log prefix of this part.
@@ -44,19 +46,32 @@
             Msg::RelayedLoad(note) => hear_domain(&cx, &client, note),
             Msg::LoadChanges(changes) => {
                 let own = &cx.cfg.node.vm;
-                cx.loads.take_changes(own, changes, Instant::now());
+                cx.loads.take_changes(own, changes, clock::now());
             }
             Msg::Engine(note) => hear_loader(&cx, &beacon, note, from),
-            Msg::Suspects(notes) => cx.suspects.hear(notes, None),
-            Msg::FarSuspects(notes) => cx.suspects.hear(notes, Some(Reach::Near)),
+            Msg::Suspects(notes) => hear_suspects(&cx, notes, None),
+            Msg::FarSuspects(notes) => hear_suspects(&cx, notes, Some(Reach::Near)),
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
 }
 
+/// Takes what another gateway tells of requests under which upstreams ended; those upstreams are left alone,
+/// so that not each gateway finds out by requests that reach nobody.
+fn hear_suspects(cx: &Cx, notes: Vec<SuspectNote>, pass_on: Option<Reach>) {
+    let ended = cx.suspects.hear(notes, pass_on);
+    if ended.is_empty() {
+        return;
+    }
+    let all = cx.roster.all();
+    for upstream in all.iter().filter(|u| ended.contains(&u.life)) {
+        report(upstream, Health::Unreachable);
+    }
+}
+
 /// Takes what a loader tells of its engine, and tells it of releases that it has missed.
 fn hear_loader(cx: &Cx, beacon: &Beacon, note: EngineNote, from: SocketAddr) {
-    let now = Instant::now();
+    let now = clock::now();
     for Holding { model, version } in &note.holdings {
         if let Some(version) = version {
             cx.releases.observe(model, *version, now);
@@ -73,7 +88,7 @@
 /// Takes what a gateway of the failure domain tells: its load, and which documents it holds.
 fn hear(cx: &Arc<Cx>, client: &Client, beacon: &Beacon, note: LoadNote, sender: SocketAddr) {
     // That the store confirmed the list goes for this process too.
-    if let Some(confirmed) = Instant::now().checked_sub(note.upstreams_age) {
+    if let Some(confirmed) = clock::now().checked_sub(note.upstreams_age) {
         cx.mirror
             .confirm(cx.upstreams.name, note.upstreams, confirmed);
     }
@@ -82,7 +97,7 @@
     copy_newer(cx, client, |cx| &cx.upstreams, note.upstreams, from);
     copy_newer(cx, client, |cx| &cx.members, note.members, from);
     cx.loads.heard_from(&note.from, sender);
-    if cx.loads.take(note, Instant::now()) {
+    if cx.loads.take(note, clock::now()) {
         beacon.send(&greeting(cx), [sender]);
         greet(cx, beacon, sender);
     }
@@ -91,7 +106,7 @@
 /// Takes what another failure domain tells.
 fn hear_domain(cx: &Arc<Cx>, client: &Client, note: LoadNote) {
     follow(cx, client, &note);
-    cx.loads.take_domain(note, Instant::now());
+    cx.loads.take_domain(note, clock::now());
 }
 
 /// Copies a document of another gateway of the failure domain where it is newer, unless that is under
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -42,7 +42,7 @@
 
 /// Handles a request.
 pub async fn handle(cx: Arc<Cx>, req: Request) -> Response {
-    let arrived = Instant::now();
+    let arrived = clock::now();
     let mut record = Record::new(arrived);
     match admit(&cx, req, arrived, &mut record).await {
         Ok((job, service)) => dispatch(&cx, job, service, record).await,
@@ -128,7 +128,7 @@
             Verdict::Confirm => confirmed(cx, until).await,
             Verdict::Refuse => return Err(Refusal::Unconfirmed(NOT_READY_RETRY)),
         }
-        if Instant::now() >= until && verdict(cx) != Verdict::Deny {
+        if clock::now() >= until && verdict(cx) != Verdict::Deny {
             return Err(Refusal::Unconfirmed(NOT_READY_RETRY));
         }
     }
@@ -236,7 +236,7 @@
 
 /// Sends a request until an upstream answers or it must be given up.
 async fn dispatch(cx: &Arc<Cx>, job: Job, service: Arc<Service>, mut record: Record) -> Response {
-    cx.budget.earn(&job.service, Instant::now());
+    cx.budget.earn(&job.service, clock::now());
     let job = Arc::new(job);
     let mut tries = Tries::default();
     loop {
@@ -246,7 +246,7 @@
         };
         let until = match tries.upstreams.is_empty() {
             true => wait_until(&job),
-            false => (Instant::now() + AGAIN_WAIT).min(job.deadline),
+            false => (clock::now() + AGAIN_WAIT).min(job.deadline),
         };
         let chosen = slot(cx, &job, &service, &tries.upstreams, care, until).await;
         let mut slot = match chosen {
@@ -329,7 +329,7 @@
     if job.remaining().is_zero() {
         return Some(Refusal::NoTime(NOT_TAKEN_RETRY));
     }
-    let pays = || cx.budget.spend(&job.service, cx.gateways(), Instant::now());
+    let pays = || cx.budget.spend(&job.service, cx.gateways(), clock::now());
     (attempts || (tries.sent > 0 && !pays())).then_some(Refusal::NotTaken(NOT_TAKEN_RETRY))
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,8 @@
 //! What a request says of itself travels in headers whose names belong to the platform; [`Codec`]
 //! holds the functions that read and write them.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod admission;
 mod ages;
 mod balance;
@@ -156,7 +158,7 @@
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadBook::default(),
             incarnation: base::unix_ms(),
-            started: Instant::now(),
+            started: clock::now(),
             draws: RandomHasher::default(),
             codec: wiring.codec,
             catalog: wiring.catalog,
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -82,7 +82,7 @@
 
     /// Milliseconds since the request arrived.
     pub fn elapsed_ms(&self) -> u64 {
-        self.arrived.elapsed().as_millis() as u64
+        clock::since(self.arrived).as_millis() as u64
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -99,13 +99,13 @@
     }
 
     async fn next(&mut self, deadline: Instant, patience: Duration) -> Next {
-        let until = (Instant::now() + patience).min(deadline);
+        let until = (clock::now() + patience).min(deadline);
         loop {
             if let Some(whole) = self.events.take() {
                 self.slot.begun();
                 return Next::Events(whole);
             }
-            let frame = tokio::time::timeout_at(until.into(), self.body.frame()).await;
+            let frame = clock::timeout_at(until, self.body.frame()).await;
             match frame {
                 Ok(Some(Ok(frame))) => {
                     if let Some(data) = frame.data_ref() {
@@ -184,7 +184,7 @@
             first: Some(first),
             tried,
             sent,
-            passed: Instant::now(),
+            passed: clock::now(),
             record,
         };
         let events = stream::unfold(Some(rest), |rest| async move {
@@ -210,9 +210,9 @@
             let deadline = self.stream.job.deadline;
             match self.stream.source.next(deadline, patience).await {
                 Next::Events(bytes) => {
-                    let gap = self.passed.elapsed().as_millis() as u64;
+                    let gap = clock::since(self.passed).as_millis() as u64;
                     self.record.longest_gap_ms = self.record.longest_gap_ms.max(gap);
-                    self.passed = Instant::now();
+                    self.passed = clock::now();
                     return Ok(Some(bytes));
                 }
                 Next::End => {
@@ -250,7 +250,7 @@
             return Err("the upstream broke off");
         }
         let mut slot = self.slot().await?;
-        if !cx.budget.spend(&job.service, cx.gateways(), Instant::now()) {
+        if !cx.budget.spend(&job.service, cx.gateways(), clock::now()) {
             return Err("the retry budget is used up");
         }
         for _ in 0..MOST_UNREACHABLE {
@@ -270,7 +270,7 @@
         } = &self.stream;
         let suspect = |_| "upstreams ended under it";
         let care = permitted(cx, job).await.map_err(suspect)?;
-        let until = (Instant::now() + RESUME_WAIT).min(job.deadline);
+        let until = (clock::now() + RESUME_WAIT).min(job.deadline);
         let slot = slot(cx, job, service, &self.tried, care, until).await;
         let mut slot = slot.map_err(|_| "no upstream can go on")?;
         // What is known of it may have changed while it waited.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream, and sorts what came back by what may be said of it.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -74,8 +74,13 @@
             return Sent::Unreached(e.to_string());
         }
     };
+    // While it connected its time may have ended, or that of the version, if only since the VM was suspended.
+    let within = within.min(patience(cx, job, slot));
+    if within.is_zero() {
+        return Sent::Unreached("the time to begin it is over".to_owned());
+    }
     let req = request(cx, job, slot, last_event);
-    let sent = tokio::time::timeout(within.min(job.remaining()), connection.send(req)).await;
+    let sent = tokio::time::timeout(within, connection.send(req)).await;
     match sent {
         Ok(Ok(res)) => sort(cx, job, upstream, res, connection),
         Ok(Err(e)) => Sent::Lost(Loss::BrokeOff(e.to_string())),
@@ -93,7 +98,7 @@
         }
         _ => None,
     };
-    let left = begin_by.map(|at| at.saturating_duration_since(Instant::now()));
+    let left = begin_by.map(|at| at.saturating_duration_since(clock::now()));
     left.map_or(patience, |left| left.min(patience))
 }
 
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -35,11 +35,11 @@
 /// Tells news, and now and then what is known.
 pub(crate) async fn spread(cx: Arc<Cx>, beacon: Beacon) {
     let mut number = 0;
-    let mut renewed = Instant::now();
+    let mut renewed = clock::now();
     let mut next = None;
     loop {
         wait(&cx, next, renewed + RENEW_INTERVAL).await;
-        let now = Instant::now();
+        let now = clock::now();
         let (due, more) = cx.suspects.due(now, MOST_FAR);
         next = more.map(|at| at.max(now + GATHER_TIME));
         number += 1;
@@ -63,7 +63,7 @@
     };
     tokio::select! {
         () = gathered(cx) => {}
-        () = tokio::time::sleep_until(until.into()) => {}
+        () = clock::sleep_until(until) => {}
     }
 }
 
@@ -73,7 +73,7 @@
 }
 
 fn send(cx: &Cx, beacon: &Beacon, near: Vec<SuspectNote>, far: Vec<SuspectNote>, number: u64) {
-    let to: Vec<SocketAddr> = near_gateways(cx, Instant::now()).into_values().collect();
+    let to: Vec<SocketAddr> = near_gateways(cx, clock::now()).into_values().collect();
     for msg in packed(near, Msg::Suspects) {
         beacon.send(&msg, to.iter().copied());
     }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Fingerprint, Map, Set};
+use base::{Fingerprint, LifeId, Map, Set};
 use beacon::{SuspectNote, TrialNote};
 use decide::quarantine::{self, Care, Case, End, Quarantine, Verdict};
 use log::info;
@@ -41,6 +41,10 @@
 /// of the first.
 const SPREAD: Duration = Duration::from_millis(40);
 
+/// Age of an end up to which other requests have yet to meet the upstream: its entry lapses within 4 s, and it
+/// may be back after 2 s.
+const JUST_ENDED: Duration = Duration::from_secs(1);
+
 /// Time between the announcement of a trial and the trial: news takes 4 ms within a failure domain and up to
 /// twice that and two ways between regions elsewhere.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(20);
@@ -53,6 +57,9 @@
     Duration::from_millis(1000),
 ];
 
+/// Time after which news that doesn't fit what goes to other failure domains is told there.
+const FAR_INTERVAL: Duration = Duration::from_millis(60);
+
 /// Whom news goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reach {
@@ -145,7 +152,7 @@
         let news = Untold {
             reach: before.map_or(reach, |before| before.max(reach)),
             told: 0,
-            due: Instant::now(),
+            due: clock::now(),
         };
         untold.insert(request, news);
         drop(untold);
@@ -173,7 +180,7 @@
         job: &Job,
         upstream: SocketAddr,
     ) -> Result<Option<Trial>, Refusal> {
-        let now = Instant::now();
+        let now = clock::now();
         if self.verdict(job, now) == Verdict::Free {
             return Ok(None);
         }
@@ -193,7 +200,7 @@
         let goes_on = self.quarantine().is_under_way(&request, number, upstream);
         match goes_on {
             true => Ok(Some(trial)),
-            false => Err(self.refusal(job, Instant::now())),
+            false => Err(self.refusal(job, clock::now())),
         }
     }
 
@@ -206,7 +213,7 @@
 
     /// Notes that an upstream ended while it had a request.
     pub(crate) fn ended(&self, job: &Job, upstream: &Upstream) {
-        let now = Instant::now();
+        let now = clock::now();
         let request = job.fingerprint();
         let end = End {
             life: upstream.life,
@@ -232,7 +239,7 @@
 
     /// Notes that a request ran to its end.
     pub(crate) fn finished(&self, job: &Job) {
-        let now = Instant::now();
+        let now = clock::now();
         let mut quarantine = self.quarantine();
         if quarantine.is_empty() {
             return;
@@ -246,16 +253,22 @@
     }
 
     /// Takes what another gateway tells; `reach` says whom what is news is passed on to, if anyone. Gives the
-    /// lives of upstreams that ended just now.
-    pub fn hear(&self, notes: Vec<SuspectNote>, reach: Option<Reach>) {
-        let now = Instant::now();
+    /// lives of upstreams that ended just now, as far as that is news.
+    pub fn hear(&self, notes: Vec<SuspectNote>, reach: Option<Reach>) -> Vec<LifeId> {
+        let now = clock::now();
+        let mut ended = Vec::new();
         for note in notes {
             let request = note.request;
+            let lately = note.ends.iter().filter(|(_, ago)| *ago < JUST_ENDED);
+            let lately: Vec<LifeId> = lately.map(|(life, _)| *life).collect();
             let mut quarantine = self.quarantine();
             let was_held = quarantine.is_held(&request, now);
             let is_news = quarantine.merge(request, case(note, now));
             let is_held = quarantine.is_held(&request, now);
             drop(quarantine);
+            if is_news {
+                ended.extend(lately);
+            }
             if let Some(reach) = reach.filter(|_| is_news) {
                 self.tell(request, reach);
             }
@@ -264,6 +277,7 @@
                 self.changed.send_replace(());
             }
         }
+        ended
     }
 
     /// What is to be told now, the gravest first, at most so much to other failure domains; and when more is.
@@ -288,13 +302,15 @@
                 untold.remove(&request);
                 continue;
             };
-            if news.reach == Reach::Everywhere {
-                if due.far.len() == most_far {
+            due.near.push(note(request, case, now));
+            match news.reach {
+                Reach::Everywhere if due.far.len() == most_far => {
+                    news.due = now + FAR_INTERVAL;
                     continue;
                 }
-                due.far.push(note(request, case, now));
+                Reach::Everywhere => due.far.push(note(request, case, now)),
+                Reach::Near => {}
             }
-            due.near.push(note(request, case, now));
             match ROUNDS.get(news.told) {
                 Some(pause) => news.due = now + *pause,
                 None => drop(untold.remove(&request)),
@@ -309,7 +325,7 @@
 
     /// All that something is held against, the gravest first, at most so many.
     pub(crate) fn gravest(&self, most: usize) -> Vec<SuspectNote> {
-        let now = Instant::now();
+        let now = clock::now();
         let quarantine = self.quarantine();
         let gravest = quarantine.gravest().into_iter().take(most);
         let note = |request| Some(note(request, quarantine.case(&request)?, now));
@@ -323,7 +339,7 @@
 
     /// Requests that are held back now.
     pub fn held(&self) -> Vec<SuspectNote> {
-        let now = Instant::now();
+        let now = clock::now();
         let quarantine = self.quarantine();
         let gravest = quarantine.gravest().into_iter();
         let held = gravest.filter(|request| quarantine.is_held(request, now));
@@ -358,7 +374,7 @@
         let mut known = self.known.subscribe();
         let learned = known.wait_for(|known| *known);
         // What isn't known by then is learned from what happens.
-        let _ = tokio::time::timeout_at(until.into(), learned).await;
+        let _ = clock::timeout_at(until, learned).await;
     }
 
     /// Whether nothing is held against any request.
@@ -369,14 +385,14 @@
 
 /// Waits until a request may be sent on; with which care, where upstreams ended under it.
 pub(crate) async fn permitted(cx: &Cx, job: &Job) -> Result<Option<Care>, Refusal> {
-    let arrived = Instant::now();
+    let arrived = clock::now();
     let known_by = cx.started + LEARN_TIME.max(cx.cfg.start_wait);
     cx.suspects
         .is_known(known_by.min(arrived + cx.cfg.start_wait))
         .await;
-    let patience = (Instant::now() + TRIED_WAIT).min(job.deadline);
+    let patience = (clock::now() + TRIED_WAIT).min(job.deadline);
     loop {
-        let now = Instant::now();
+        let now = clock::now();
         match cx.suspects.verdict(job, now) {
             Verdict::Free => return Ok(None),
             Verdict::Try(care) => return Ok(Some(care)),
--- a/crates/gateway/src/tell.rs
+++ b/crates/gateway/src/tell.rs
@@ -47,23 +47,23 @@
 pub(crate) async fn tell(cx: Arc<Cx>, beacon: Beacon) {
     let mut documents = cx.mirror.changes();
     let mut peers = cx.peers.clone();
-    let mut told = Instant::now();
+    let mut told = clock::now();
     let mut told_all = told;
     loop {
-        let others = near_gateways(&cx, Instant::now()).len();
+        let others = near_gateways(&cx, clock::now()).len();
         let due = told_all + repeat(others);
         let news = tokio::select! {
             Ok(()) = peers.changed() => News::Due,
-            _ = tokio::time::sleep_until(due.into()) => News::Due,
-            _ = tokio::time::sleep_until((told + REPEAT).into()) => News::StillUp,
+            _ = clock::sleep_until(due) => News::Due,
+            _ = clock::sleep_until(told + REPEAT) => News::StillUp,
             Ok(()) = documents.changed() => News::Document,
             _ = cx.admission.changed() => {
-                let audience = audience(&cx, News::Load, others, Instant::now());
+                let audience = audience(&cx, News::Load, others, clock::now());
                 tokio::time::sleep(delay(audience)).await;
                 News::Load
             }
         };
-        let now = Instant::now();
+        let now = clock::now();
         let near = near_gateways(&cx, now);
         let audience = audience(&cx, news, near.len(), now);
         let note = load_note(&cx, largest(own_loads(&cx)));
@@ -97,7 +97,7 @@
     match audience {
         Audience::All => near.values().copied().collect(),
         Audience::First => {
-            let first = cx.loads.first(&cx.cfg.node.vm, RELAYS, Instant::now());
+            let first = cx.loads.first(&cx.cfg.node.vm, RELAYS, clock::now());
             first
                 .iter()
                 .filter_map(|vm| near.get(vm))
@@ -113,7 +113,7 @@
     let mut pause = GATHER_TIME;
     loop {
         tokio::time::sleep(pause).await;
-        let now = Instant::now();
+        let now = clock::now();
         let near = near_gateways(&cx, now);
         let rank = cx.loads.rank(&cx.cfg.node.vm, now);
         if !passes_on(near.len(), rank, cx.loads.is_relayed(now)) {
@@ -188,7 +188,7 @@
     let mut pause = DOMAIN_LOAD_INTERVAL;
     loop {
         tokio::time::sleep(pause).await;
-        let rank = cx.loads.rank(&cx.cfg.node.vm, Instant::now());
+        let rank = cx.loads.rank(&cx.cfg.node.vm, clock::now());
         if rank > 0 {
             told = Told::default();
             pause = looks_again(rank);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -180,7 +180,7 @@
                 failures: 0,
                 pauses: 0,
                 paused_until: None,
-                outcomes: Outcomes::new(Instant::now()),
+                outcomes: Outcomes::new(clock::now()),
             }),
         }
     }
@@ -235,7 +235,7 @@
 
     /// Version of a model that it can serve now; `None` where it holds none whole, or changes it.
     pub fn serves(&self, model: &Model) -> Option<WeightsVersion> {
-        self.state().serves(model, Instant::now())
+        self.state().serves(model, clock::now())
     }
 
     /// Time until it is to leave service for new weights, as its loader has told.
@@ -266,7 +266,7 @@
     /// This gateway's part of its load.
     pub fn load(&self) -> Load {
         let state = self.state();
-        let counts = state.outcomes.counts(Instant::now());
+        let counts = state.outcomes.counts(clock::now());
         Load {
             upstream: self.addr,
             requests: state.requests.min(u32::from(u16::MAX)) as u16,
@@ -280,12 +280,12 @@
     /// Whether it is left alone for now.
     pub fn is_paused(&self) -> bool {
         let until = self.state().paused_until;
-        until.is_some_and(|until| until > Instant::now())
+        until.is_some_and(|until| until > clock::now())
     }
 
     /// Notes how sending went; `true` where the upstream is left alone from now on.
     pub fn report(&self, health: Health) -> bool {
-        let now = Instant::now();
+        let now = clock::now();
         let mut state = self.state();
         match health {
             Health::Answered => {
@@ -299,7 +299,7 @@
             Health::Unreachable => state.failures = FAILURES_IN_A_ROW,
             Health::Replaced => {
                 // Its entry lapses by itself within this time.
-                state.paused_until = Some(Instant::now() + LONGEST_PAUSE);
+                state.paused_until = Some(clock::now() + LONGEST_PAUSE);
                 return true;
             }
         }
@@ -309,7 +309,7 @@
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(state.pauses);
         state.pauses += 1;
-        state.paused_until = Some(Instant::now() + pause.min(LONGEST_PAUSE));
+        state.paused_until = Some(clock::now() + pause.min(LONGEST_PAUSE));
         true
     }
 }
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -94,7 +94,7 @@
 
 /// Brings all chunks of a set; returns when it is whole.
 pub(crate) async fn fetch(cx: Arc<Cx>, set: Arc<Set>, origin: OriginVersion, client: Client) {
-    let now = Instant::now();
+    let now = clock::now();
     let rule = rule(&cx);
     let origin_fetches = origin_fetches(&cx);
     let at_once = cx.cfg.fetches as f64;
@@ -143,14 +143,14 @@
         }
     }
     announce(&fetch.cx, &fetch.set, false, Reach::NearAndSome);
-    info!(target: PART, "{PART}: event=whole model={} version={} took={:?} {:?}", fetch.set.model, fetch.set.version, fetch.begun.elapsed(), fetch.counts);
+    info!(target: PART, "{PART}: event=whole model={} version={} took={:?} {:?}", fetch.set.model, fetch.set.version, clock::since(fetch.begun), fetch.counts);
 }
 
 /// Waits until another loader has said something, and at least a while after what was said before that
 /// was taken.
 async fn heard(cx: &Cx, learned: Instant) {
     cx.heard.notified().await;
-    tokio::time::sleep_until((learned + LEARN_PAUSE).into()).await;
+    clock::sleep_until(learned + LEARN_PAUSE).await;
 }
 
 /// Chunks that this loader may draw at once, so that all together stay within the connections that
@@ -196,7 +196,7 @@
 impl Fetch {
     /// Takes what other loaders have said since it was last looked at.
     fn learn_newest(&mut self) {
-        let since = std::mem::replace(&mut self.learned, Instant::now());
+        let since = std::mem::replace(&mut self.learned, clock::now());
         for (addr, heard) in self.heard_since(Some(since)) {
             self.swarm.set_have(addr, heard.have);
         }
@@ -205,13 +205,13 @@
     /// Takes all that other loaders have said. Those that bring the version too say so again and
     /// again; one that has fallen silent is not counted on, and what fell to it falls to others.
     fn learn(&mut self) {
-        self.learned = Instant::now();
+        self.learned = clock::now();
         let heard = self.heard_since(None);
         let members = loaders(&self.cx);
         let own = &self.rule.domain;
         self.near = members.iter().filter(|m| m.domain == *own).count();
         let present = Present::new(&members, &heard, own, self.near);
-        let settled = self.begun.elapsed() > SETTLED;
+        let settled = clock::since(self.begun) > SETTLED;
         let peers = members
             .iter()
             .map(|m| Peer {
@@ -251,7 +251,7 @@
     /// Has what is left drawn in order again, from now on. All loaders learn of the first chunk that
     /// comes, so they begin at about the same moment.
     fn origin_is_back(&mut self) {
-        let now = Instant::now();
+        let now = clock::now();
         self.origin_away = false;
         self.origin_rests_until = now;
         self.progress = now;
@@ -265,7 +265,7 @@
         if self.in_flight.len() >= most {
             return;
         }
-        let (waited, stalled) = (self.begun.elapsed(), self.progress.elapsed());
+        let (waited, stalled) = (clock::since(self.begun), clock::since(self.progress));
         let have = self.set.have();
         let choosing = self.swarm.choosing(&self.rule, waited, stalled);
         let mut ready: Vec<_> = (0..have.len())
@@ -284,9 +284,9 @@
             }
             match source {
                 Source::Origin => {
-                    let rests = Instant::now() < self.origin_rests_until;
+                    let rests = clock::now() < self.origin_rests_until;
                     if rests
-                        || !self.order.is_due(i, Instant::now())
+                        || !self.order.is_due(i, clock::now())
                         || self.from_origin >= self.origin_fetches
                     {
                         continue;
@@ -304,9 +304,9 @@
             let (cx, set) = (self.cx.clone(), self.set.clone());
             let (origin, client) = (self.origin.clone(), self.client.clone());
             fetching.spawn(async move {
-                let begun = Instant::now();
+                let begun = clock::now();
                 let result = bring(&cx, &set, origin, &client, i, source).await;
-                let took = begun.elapsed();
+                let took = clock::since(begun);
                 Fetched {
                     i,
                     source,
@@ -347,7 +347,7 @@
         let good = result.as_ref().map(|buf| self.set.put(i, buf.clone()));
         match (good, source) {
             (Ok(true), Source::Peer(addr)) => {
-                self.progress = Instant::now();
+                self.progress = clock::now();
                 match self.is_near(addr) {
                     true => self.counts.near += 1,
                     false => self.counts.far += 1,
@@ -382,7 +382,7 @@
                     debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
                 }
                 self.counts.failed += 1;
-                let now = Instant::now();
+                let now = clock::now();
                 if !self.origin_away {
                     self.origin_away = true;
                     self.held_before = self.held();
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`tell`] tells gateways what it serves. How to talk to the engine and to the origin belongs to
 //! the platform; [`api`] holds the functions for it.
 
+#![deny(clippy::disallowed_methods)]
+
 pub mod api;
 mod bring;
 mod fetch;
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -63,7 +63,7 @@
     pub(crate) fn take(&mut self, map: ChunkMap) {
         let key = (map.model.clone(), map.version);
         let of_version = self.maps.entry(key).or_default();
-        of_version.insert(map.from, (map, Instant::now()));
+        of_version.insert(map.from, (map, clock::now()));
     }
 
     /// What loaders last said of a version of `n` chunks; only what they said `since` a moment, where given.
--- a/crates/loader/src/present.rs
+++ b/crates/loader/src/present.rs
@@ -34,7 +34,7 @@
     ) -> Present<'a> {
         let is_heard = |m: &&Member| {
             let heard = heard.get(&m.passes_on);
-            heard.is_some_and(|h| h.is_whole() || h.at.elapsed() < SILENT_FAR)
+            heard.is_some_and(|h| h.is_whole() || clock::since(h.at) < SILENT_FAR)
         };
         let domains = members.iter().filter(is_heard).map(|m| &m.domain);
         Present {
@@ -49,7 +49,7 @@
     pub(crate) fn is_present(&self, m: &Member, settled: bool) -> bool {
         match self.heard.get(&m.passes_on) {
             _ if m.domain != *self.own && self.domains.contains(&m.domain) => true,
-            Some(heard) => heard.is_whole() || heard.at.elapsed() < self.silent,
+            Some(heard) => heard.is_whole() || clock::since(heard.at) < self.silent,
             None => !settled,
         }
     }
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -196,7 +196,7 @@
     fn can_skip(&self, model: &Model, version: WeightsVersion) -> bool {
         let bound = self.cx.cfg.node.version_time;
         let since = self.since(model, version);
-        since.is_none_or(|at| can_skip(at.elapsed(), bound))
+        since.is_none_or(|at| can_skip(clock::since(at), bound))
     }
 
     /// Has the engine take the newest version that is here whole, when its turn has come.
@@ -222,14 +222,12 @@
                     .store(wanted.is_some() && idle, Ordering::Relaxed);
                 self.cx.look.notify_one();
             }
-            Some(ordered) if ordered.at.elapsed() < ORDER_TIME => return,
+            Some(ordered) if clock::since(ordered.at) < ORDER_TIME => return,
             _ => {}
         }
         match wanted {
             Some(set)
-                if idle
-                    || held.is_none()
-                    || Instant::now() >= self.turn(&set.model, set.version) =>
+                if idle || held.is_none() || clock::now() >= self.turn(&set.model, set.version) =>
             {
                 self.order(&set, held.is_some()).await;
             }
@@ -265,11 +263,11 @@
         let coming = Coming {
             missing: set.as_ref().map_or(older.len(), |s| s.missing()),
             chunk_time: chunk_time(&self.cx, older),
-            stood_still: set.map_or_else(|| since.elapsed(), |s| s.stood_still()),
+            stood_still: set.map_or_else(|| clock::since(since), |s| s.stood_still()),
             since,
         };
         let (needed, over) = (last_turn(older_since, bound), older_since + bound);
-        !coming.is_too_late(needed, over, bound, Instant::now())
+        !coming.is_too_late(needed, over, bound, clock::now())
     }
 
     fn turn(&self, model: &Model, version: WeightsVersion) -> Instant {
@@ -279,7 +277,7 @@
             &self.cx.cfg.node.vm,
             &others,
             version,
-            since.unwrap_or_else(Instant::now),
+            since.unwrap_or_else(clock::now),
             self.cx.cfg.node.version_time,
         )
     }
@@ -310,7 +308,7 @@
         let version = set.version;
         self.ordered = Some(Ordered {
             version,
-            at: Instant::now(),
+            at: clock::now(),
         });
         match self.give(set, serves).await {
             Ok(Started::Taken) => return,
@@ -392,19 +390,19 @@
 /// have it for the rest. Each asks the origin itself when those before it have had time to, and the
 /// later it comes the more seldom, so that an origin that was away isn't swamped when it returns.
 async fn manifest(cx: &Cx, origin: &OriginVersion, client: &Client) -> Manifest {
-    let begun = Instant::now();
+    let begun = clock::now();
     let mut drawn_at = None;
     loop {
         let before = before(cx, origin);
         let turn = MANIFEST_TURN * before.len() as u32;
         let again = MANIFEST_AGAIN * (before.len() as u32 + 1);
         let is_turn = match drawn_at {
-            None => begun.elapsed() >= turn,
-            Some(at) => Instant::now() >= at + again,
+            None => clock::since(begun) >= turn,
+            Some(at) => clock::now() >= at + again,
         };
         let asked = match is_turn {
             true => {
-                drawn_at = Some(Instant::now());
+                drawn_at = Some(clock::now());
                 (cx.api.manifest)(origin.clone()).await
             }
             false => {
@@ -416,7 +414,7 @@
         };
         match asked {
             Ok(manifest) => {
-                info!(target: PART, "{PART}: event=manifest version={} took={:?}", origin.version, begun.elapsed());
+                info!(target: PART, "{PART}: event=manifest version={} took={:?}", origin.version, clock::since(begun));
                 return manifest;
             }
             Err(e) => {
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
-use std::time::Instant;
 
 use beacon::{Beacon, Msg};
 use log::{info, warn};
@@ -76,7 +75,7 @@
             }
             (Msg::Releases(list), from) => {
                 let revision = list.revision;
-                let newer = cx.known.send_if_modified(|k| k.take(&list, Instant::now()));
+                let newer = cx.known.send_if_modified(|k| k.take(&list, clock::now()));
                 if newer {
                     info!(target: PART, "{PART}: event=releases revision={revision} from={from}");
                 }
--- a/crates/loader/src/said.rs
+++ b/crates/loader/src/said.rs
@@ -64,18 +64,18 @@
     /// Tells other loaders what has come since: those near after a while, those far of chunks that were
     /// drawn from the origin, and all again after a longer one.
     pub(crate) fn say(&mut self, fetch: &Fetch) {
-        if !self.asked_again && fetch.begun.elapsed() > SETTLED / 2 {
+        if !self.asked_again && clock::since(fetch.begun) > SETTLED / 2 {
             // What others have is asked for once more, in case the first was lost.
             self.asked_again = true;
             announce(&fetch.cx, &fetch.set, true, Reach::NearAndSome);
             return;
         }
-        if self.near.elapsed() >= say_again(fetch.near) {
+        if clock::since(self.near) >= say_again(fetch.near) {
             announce(&fetch.cx, &fetch.set, false, Reach::Near);
-            self.near = Instant::now();
+            self.near = clock::now();
         }
         let drawn = fetch.counts.origin != self.drawn;
-        if drawn || self.far.elapsed() >= SAY_AGAIN_FAR {
+        if drawn || clock::since(self.far) >= SAY_AGAIN_FAR {
             let reach = match drawn || self.drawn_again {
                 true => Reach::Far,
                 false => Reach::Some,
@@ -83,7 +83,7 @@
             announce(&fetch.cx, &fetch.set, false, reach);
             self.drawn = fetch.counts.origin;
             self.drawn_again = drawn;
-            self.far = Instant::now();
+            self.far = clock::now();
         }
     }
 }
--- a/crates/loader/src/sets.rs
+++ b/crates/loader/src/sets.rs
@@ -40,7 +40,7 @@
             manifest,
             chunks,
             obtainable: AtomicUsize::new(0),
-            progress: Mutex::new(Instant::now()),
+            progress: Mutex::new(clock::now()),
         }
     }
 
@@ -59,7 +59,7 @@
         let good = self.is_chunk(i, &buf);
         if good {
             self.lock()[i] = Some(buf);
-            *self.progress() = Instant::now();
+            *self.progress() = clock::now();
         }
         good
     }
@@ -70,7 +70,7 @@
 
     /// Time since the last chunk came.
     pub fn stood_still(&self) -> Duration {
-        self.progress().elapsed()
+        clock::since(*self.progress())
     }
 
     /// Chunks that aren't held.
--- a/crates/loader/src/tell.rs
+++ b/crates/loader/src/tell.rs
@@ -39,10 +39,10 @@
 /// Reads the state again and again; what was read last is in `tx`.
 pub(crate) async fn tell(cx: Arc<Cx>, tx: watch::Sender<Option<EngineState>>) {
     let mut number = 0;
-    let mut told = Instant::now();
-    let mut told_far = Instant::now();
+    let mut told = clock::now();
+    let mut told_far = clock::now();
     let mut told_plan = None;
-    let mut news_at = Instant::now();
+    let mut news_at = clock::now();
     loop {
         let before = tx.borrow().clone();
         match (cx.api.state)(()).await {
@@ -62,23 +62,23 @@
                 };
                 let news = changed || replanned;
                 if news || state.switching || planned.is_some() {
-                    news_at = Instant::now();
+                    news_at = clock::now();
                 }
-                let near = news || told.elapsed() >= repeat;
-                let far = news || told_far.elapsed() >= repeat_far;
+                let near = news || clock::since(told) >= repeat;
+                let far = news || clock::since(told_far) >= repeat_far;
                 if near || far {
                     number += 1;
-                    let receivers = match news_at.elapsed() < NEWS_TIME {
+                    let receivers = match clock::since(news_at) < NEWS_TIME {
                         true => gateways(&cx, near, far),
                         false => any_gateway(&cx),
                     };
                     send(&cx, number, &state, receivers);
                 }
                 if near {
-                    told = Instant::now();
+                    told = clock::now();
                 }
                 if far {
-                    told_far = Instant::now();
+                    told_far = clock::now();
                 }
                 tx.send_replace(Some(state));
             }
@@ -142,7 +142,7 @@
         number,
         upstream: cx.cfg.engine,
         switching: state.switching,
-        leaves_in: leaves_at(cx).map(|at| at.saturating_duration_since(Instant::now())),
+        leaves_in: leaves_at(cx).map(|at| at.saturating_duration_since(clock::now())),
         holdings: state.holdings.clone(),
         running: state.running,
         queued: state.queued,
--- a/crates/mirror/src/ask.rs
+++ b/crates/mirror/src/ask.rs
@@ -83,7 +83,7 @@
     within: Duration,
     query: String,
 ) -> Result<(Passed, Instant), AskError> {
-    let sent = Instant::now();
+    let sent = clock::now();
     let req = hyper::Request::get(format!("{PATH}{name}?{query}"))
         .body(empty())
         .map_err(|e| AskError(e.to_string()))?;
--- a/crates/mirror/src/copy.rs
+++ b/crates/mirror/src/copy.rs
@@ -115,7 +115,7 @@
         let documents = self.lock();
         documents
             .get(name)
-            .map(|held| held.copy.confirmed.elapsed())
+            .map(|held| clock::since(held.copy.confirmed))
     }
 
     /// Told of every new revision of any document.
--- a/crates/mirror/src/lib.rs
+++ b/crates/mirror/src/lib.rs
@@ -6,6 +6,8 @@
 //! off from the store [`ask`] others for their copies; of a document that both hold in an earlier revision
 //! only what changed since travels.
 
+#![deny(clippy::disallowed_methods)]
+
 mod ask;
 mod copy;
 mod earlier;
--- a/crates/mirror/src/serve.rs
+++ b/crates/mirror/src/serve.rs
@@ -82,7 +82,7 @@
 fn passed(copy: &Copy, body: Option<PassedBody>) -> Passed {
     Passed {
         revision: copy.revision,
-        age: copy.confirmed.elapsed(),
+        age: clock::since(copy.confirmed),
         body,
     }
 }
