--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -21,6 +21,12 @@
 /// stay behind for good: a watch's answer, with each of the changes missed, has grown beyond what they read.
 const DENYING: [Seed; 2] = [105, 10];
 
+/// Seed on which callers send a request under which engines end.
+const DEADLY: Seed = 700;
+
+/// Such callers.
+const DEADLY_CALLERS: usize = 2;
+
 fn options(span: Duration) -> Options {
     Options {
         span,
@@ -51,3 +57,17 @@
         assert!(report.served > 0 && !report.changes.is_empty());
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_under_which_engines_end_is_held_back_amid_faults() {
+    let options = Options {
+        deadly: DEADLY_CALLERS,
+        ..options(SPAN)
+    };
+    println!("seed {DEADLY}");
+
+    let report = soak::run(options, DEADLY).await.expect("a run");
+
+    assert_eq!(report.broken, [], "seed {DEADLY}: {:?}", report.faults);
+    assert!(report.served > 0 && report.ended > 0);
+}
--- a/crates/lab/src/standin/relay.rs
+++ b/crates/lab/src/standin/relay.rs
@@ -36,6 +36,8 @@
     Up,
     /// Connections are closed, new ones too.
     Cut,
+    /// Connections are closed, and new ones refused: nothing listens there.
+    Refused,
     /// Connections stay open and carry nothing.
     Stalled,
     /// Each read is passed on after a pause.
@@ -46,6 +48,13 @@
     Corrupt,
 }
 
+impl LinkState {
+    /// Whether open connections are closed.
+    fn closes(self) -> bool {
+        matches!(self, LinkState::Cut | LinkState::Refused)
+    }
+}
+
 #[derive(Debug, Clone, Default)]
 struct States {
     between: Map<(Side, Side), LinkState>,
@@ -159,30 +168,54 @@
 
     /// Starts a relay from an address to another.
     pub async fn relay(&self, from: SocketAddr, to: SocketAddr) -> std::io::Result<()> {
-        let listener = TcpListener::bind(from).await?;
+        let mut listener = TcpListener::bind(from).await?;
         let board = self.clone();
         tokio::spawn(async move {
-            while let Ok((near, caller)) = listener.accept().await {
-                let states = board.states.subscribe();
-                let silenced = states.borrow().silenced(from);
-                let link = Link {
-                    states,
-                    caller: caller.ip(),
-                    to: from,
-                    silenced,
-                };
-                let far = board.link_towards(from);
-                let ends = [
-                    board.vm_link(caller.ip()),
-                    far.or_else(|| board.vm_link(from.ip())),
-                ];
-                if link.state() != LinkState::Cut {
-                    tokio::spawn(carry(near, to, link, ends));
+            loop {
+                tokio::select! {
+                    () = board.accept(&listener, from, to) => return,
+                    () = board.refuses(from, true) => drop(listener),
                 }
+                board.refuses(from, false).await;
+                listener = match TcpListener::bind(from).await {
+                    Ok(listener) => listener,
+                    Err(e) => panic!("the relay's own address {from} is taken: {e}"),
+                };
             }
         });
         Ok(())
     }
+
+    /// Takes connections until that fails.
+    async fn accept(&self, listener: &TcpListener, from: SocketAddr, to: SocketAddr) {
+        while let Ok((near, caller)) = listener.accept().await {
+            let states = self.states.subscribe();
+            let silenced = states.borrow().silenced(from);
+            let link = Link {
+                states,
+                caller: caller.ip(),
+                to: from,
+                silenced,
+            };
+            let far = self.link_towards(from);
+            let ends = [
+                self.vm_link(caller.ip()),
+                far.or_else(|| self.vm_link(from.ip())),
+            ];
+            if !link.state().closes() {
+                tokio::spawn(carry(near, to, link, ends));
+            }
+        }
+    }
+
+    /// Waits until new connections to an address are refused, or are no more.
+    async fn refuses(&self, from: SocketAddr, refused: bool) {
+        let mut states = self.states.subscribe();
+        let is = |states: &States| states.towards.get(&from) == Some(&LinkState::Refused);
+        if states.wait_for(|s| is(s) == refused).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
 }
 
 /// The side of an address.
@@ -263,7 +296,7 @@
     };
     let mut cut = link;
     tokio::select! {
-        _ = cut.until(|s| s == LinkState::Cut) => {}
+        _ = cut.until(LinkState::closes) => {}
         _ = async { tokio::join!(pump(near_rx, far_tx, there), pump(far_rx, near_tx, back)) } => {}
     }
 }
