Take from the platform's list that an upstream ended, where it didn't show at once

Cause: only an upstream whose address refuses connections counted as ended; one that is back at once, or whose VM went with it, didn't, and the request under it was never held back. Ruled out: to count each answer that breaks off: links and single answers do that while the upstream lives. Change: answers that were lost are remembered for 10 s (1,024 at most), and count once the list shows another life or none.

--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection that breaks off looks the same whether the upstream ended, cut one answer off, or the network
 //! did. A connection made right afterwards tells them apart: where a process has ended and its VM hasn't,
-//! it's refused at once.
+//! it's refused at once. Where the VM went too, or the process is back already, the platform's list tells.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,7 +77,10 @@
         }
         // It was noted as a failure when it came.
         (Fate::Unknown, Loss::Unclear(_)) => {}
-        (Fate::Unknown, _) => report(upstream, Health::Failed),
+        (Fate::Unknown, _) => {
+            report(upstream, Health::Failed);
+            cx.suspects.lost_answer(job, upstream);
+        }
     }
     metrics::counter!("driftnotch_lost_answers_total", "upstream" => fate.name()).increment(1);
     fate
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Map, Revision};
+use base::{DomainName, LifeId, Map, Revision, Set};
 use beacon::EngineNote;
 use catalog::ServiceName;
 use log::info;
@@ -153,6 +153,12 @@
         usable.map(|e| e.upstream.clone()).collect()
     }
 
+    /// Lives of all upstreams.
+    pub fn lives(&self) -> Set<LifeId> {
+        let state = self.state();
+        state.entries.values().map(|e| e.upstream.life).collect()
+    }
+
     /// All upstreams.
     pub fn all(&self) -> Vec<Arc<Upstream>> {
         let state = self.state();
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -4,6 +4,7 @@
 //! and again as it has one: the first try, one after an answer was lost, and a stream that goes on elsewhere.
 //! [`crate::spread`] tells other gateways.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -60,6 +61,13 @@
 /// Time after which news that doesn't fit what goes to other failure domains is told there.
 const FAR_INTERVAL: Duration = Duration::from_millis(60);
 
+/// Time in which the platform's list shows that an upstream ended, which didn't show at once: an entry lapses
+/// after three heartbeats, and a list is up to 1.4 s old.
+const LIST_TIME: Duration = Duration::from_secs(10);
+
+/// Most lost answers of which that is still awaited, the latest.
+const MOST_LOST: usize = 1024;
+
 /// Whom news goes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Reach {
@@ -78,6 +86,14 @@
     due: Instant,
 }
 
+/// An answer that was lost, of whose upstream it isn't known whether it ended.
+#[derive(Debug, Clone, Copy)]
+struct Lost {
+    request: Fingerprint,
+    upstream: SocketAddr,
+    end: End,
+}
+
 /// What is to be told now.
 #[derive(Debug, Default)]
 pub(crate) struct Due {
@@ -92,6 +108,7 @@
 pub struct Suspects {
     quarantine: Mutex<Quarantine>,
     untold: Mutex<Map<Fingerprint, Untold>>,
+    lost: Mutex<VecDeque<Lost>>,
     /// Told when there is something to tell.
     pub(crate) news: Notify,
     /// Told when a request is held back, or no more.
@@ -128,6 +145,7 @@
         Suspects {
             quarantine: Mutex::new(Quarantine::new(hold_time)),
             untold: Mutex::default(),
+            lost: Mutex::default(),
             news: Notify::new(),
             changed: watch::Sender::new(()),
             own: Mutex::default(),
@@ -211,17 +229,61 @@
         }
     }
 
+    fn lost(&self) -> MutexGuard<'_, VecDeque<Lost>> {
+        self.lost.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes that an answer was lost; whether its upstream ended may show later.
+    pub(crate) fn lost_answer(&self, job: &Job, upstream: &Upstream) {
+        let mut lost = self.lost();
+        if lost.len() == MOST_LOST {
+            lost.pop_front();
+        }
+        lost.push_back(Lost {
+            request: job.fingerprint(),
+            upstream: upstream.addr,
+            end: end_of(upstream),
+        });
+    }
+
+    /// Takes which upstreams live: those that aren't among them have ended, also under requests whose answer
+    /// was lost before.
+    pub fn lives(&self, lives: &Set<LifeId>) {
+        let now = clock::now();
+        let mut lost = self.lost();
+        lost.retain(|l| now.saturating_duration_since(l.end.at) < LIST_TIME);
+        let (ended, unknown) = lost.drain(..).partition(|l| !lives.contains(&l.end.life));
+        *lost = unknown;
+        drop(lost);
+        let ended: VecDeque<Lost> = ended;
+        for Lost {
+            request,
+            upstream,
+            end,
+        } in ended
+        {
+            self.note_end(request, upstream, end, "-", "-");
+        }
+    }
+
     /// Notes that an upstream ended while it had a request.
     pub(crate) fn ended(&self, job: &Job, upstream: &Upstream) {
+        let workspace = job.tenant.as_ref().map_or("-", |t| &t.workspace);
+        let (request, end) = (job.fingerprint(), end_of(upstream));
+        self.note_end(request, upstream.addr, end, &job.route.name, workspace);
+    }
+
+    fn note_end(
+        &self,
+        request: Fingerprint,
+        upstream: SocketAddr,
+        end: End,
+        route: &str,
+        workspace: &str,
+    ) {
         let now = clock::now();
-        let request = job.fingerprint();
-        let end = End {
-            life: upstream.life,
-            at: now,
-        };
         let mut quarantine = self.quarantine();
-        let was_held = quarantine.is_held(&request, now);
-        let is_news = quarantine.ended(request, upstream.addr, end);
+        let is_news = quarantine.ended(request, upstream, end);
         let is_held = quarantine.is_held(&request, now);
         let ends = quarantine.case(&request).map_or(0, |c| c.ends.len());
         drop(quarantine);
@@ -229,8 +291,7 @@
             self.tell(request, Reach::Everywhere);
         }
         if is_held && is_news {
-            let workspace = job.tenant.as_ref().map_or("-", |t| &t.workspace);
-            info!(target: PART, "{PART}: event=held request={request} ends={ends} route={} workspace={workspace} again={was_held}", job.route.name);
+            info!(target: PART, "{PART}: event=held request={request} ends={ends} route={route} workspace={workspace}");
             metrics::counter!("driftnotch_held_total").increment(1);
             self.own().insert(request);
             self.changed.send_replace(());
@@ -240,6 +301,7 @@
     /// Notes that a request ran to its end.
     pub(crate) fn finished(&self, job: &Job) {
         let now = clock::now();
+        self.found(job);
         let mut quarantine = self.quarantine();
         if quarantine.is_empty() {
             return;
@@ -252,6 +314,15 @@
         }
     }
 
+    /// Forgets that answers to a request were lost: it ran to its end since.
+    fn found(&self, job: &Job) {
+        let mut lost = self.lost();
+        if !lost.is_empty() {
+            let request = job.fingerprint();
+            lost.retain(|l| l.request != request);
+        }
+    }
+
     /// Takes what another gateway tells; `reach` says whom what is news is passed on to, if anyone. Gives the
     /// lives of upstreams that ended just now, as far as that is news.
     pub fn hear(&self, notes: Vec<SuspectNote>, reach: Option<Reach>) -> Vec<LifeId> {
@@ -408,6 +479,13 @@
     }
 }
 
+fn end_of(upstream: &Upstream) -> End {
+    End {
+        life: upstream.life,
+        at: clock::now(),
+    }
+}
+
 fn note(request: Fingerprint, case: &Case, now: Instant) -> SuspectNote {
     let ago = |at: Instant| now.saturating_duration_since(at);
     SuspectNote {
