--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -194,7 +194,7 @@
             return None;
         }
         let case = self.cases.get_mut(request)?;
-        let number = case.trial.map_or(0, |t| t.number) + 1;
+        let number = case.trial.map_or(0, |t| t.number).saturating_add(1);
         case.trial = Some(Trial {
             number,
             upstream: Some(upstream),
--- a/crates/decide/tests/quarantine.rs
+++ b/crates/decide/tests/quarantine.rs
@@ -287,3 +287,26 @@
     assert!(!released, "it's the other one's");
     assert_eq!(there.trials(now), [upstream(3)]);
 }
+
+#[test]
+fn a_trial_with_the_largest_number_there_is_ends_nobody_who_hears_of_it() {
+    let (mut quarantine, now) = with_ends(1, Instant::now());
+    let trial = Trial {
+        number: u32::MAX,
+        upstream: None,
+        at: now,
+    };
+
+    quarantine.merge(
+        request(1),
+        Case {
+            trial: Some(trial),
+            ..Case::default()
+        },
+    );
+
+    assert_eq!(
+        quarantine.begin(&request(1), upstream(3), now),
+        Some(u32::MAX)
+    );
+}
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -4,11 +4,13 @@
 //! did. A connection made right afterwards tells them apart: where a process has ended and its VM hasn't,
 //! it's refused at once. Where the VM went too, or the process is back already, the platform's list tells.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 use displaydoc::Display;
 use log::info;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 use crate::Cx;
@@ -23,6 +25,10 @@
 /// domains takes 6 ms; what takes much longer is a VM or a link that is gone, of which nothing follows.
 const PROBE_TIME: Duration = Duration::from_millis(50);
 
+/// Time in which a process that ends closes all of its sockets. A retry after an answer that broke off while its
+/// upstream lives comes so much later.
+const CLOSING_TIME: Duration = Duration::from_millis(10);
+
 /// Why no whole answer came of a request that was sent.
 #[derive(Debug, Clone, Display, PartialEq, Eq)]
 pub enum Loss {
@@ -86,9 +92,38 @@
     fate
 }
 
-/// Whether a connection to an upstream is refused.
+/// Whether a connection to an upstream is refused, or closed at once and then refused: a process that ends
+/// closes its connections one after the other, and what it listens on may be the last.
 async fn refuses(upstream: &Upstream) -> bool {
+    match connect(upstream).await {
+        Reached::Refused => true,
+        Reached::Unknown => false,
+        Reached::Connected(stream) => {
+            closes(stream).await && matches!(connect(upstream).await, Reached::Refused)
+        }
+    }
+}
+
+/// What came of a connection.
+enum Reached {
+    Connected(TcpStream),
+    Refused,
+    Unknown,
+}
+
+async fn connect(upstream: &Upstream) -> Reached {
     let connecting = TcpStream::connect(upstream.addr);
-    let connected = tokio::time::timeout(PROBE_TIME, connecting).await;
-    matches!(connected, Ok(Err(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused)
+    match tokio::time::timeout(PROBE_TIME, connecting).await {
+        Ok(Ok(stream)) => Reached::Connected(stream),
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reached::Refused,
+        Ok(Err(_)) | Err(_) => Reached::Unknown,
+    }
+}
+
+/// Whether a connection on which nothing was asked is closed at once; an upstream that lives waits for a
+/// request.
+async fn closes(mut stream: TcpStream) -> bool {
+    let mut buf = [0; 1];
+    let read = tokio::time::timeout(CLOSING_TIME, stream.read(&mut buf)).await;
+    matches!(read, Ok(Ok(0) | Err(_)))
 }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -314,6 +314,19 @@
         }
     }
 
+    /// Clears a request that is held back, as an operator wants.
+    pub fn clear(&self, request: &Fingerprint) {
+        let now = clock::now();
+        let mut quarantine = self.quarantine();
+        let cleared = quarantine.is_held(request, now) && quarantine.finished(request, now);
+        drop(quarantine);
+        if cleared {
+            info!(target: PART, "{PART}: event=cleared request={request}");
+            self.tell(*request, Reach::Everywhere);
+            self.changed.send_replace(());
+        }
+    }
+
     /// Forgets that answers to a request were lost: it ran to its end since.
     fn found(&self, job: &Job) {
         let mut lost = self.lost();
@@ -448,6 +461,15 @@
         let _ = clock::timeout_at(until, learned).await;
     }
 
+    /// How many requests something is held against, and how many of them are held back.
+    pub(crate) fn counts(&self) -> (usize, usize) {
+        let now = clock::now();
+        let quarantine = self.quarantine();
+        let known = quarantine.gravest();
+        let held = known.iter().filter(|r| quarantine.is_held(r, now)).count();
+        (known.len(), held)
+    }
+
     /// Whether nothing is held against any request.
     pub fn is_empty(&self) -> bool {
         self.quarantine().is_empty()
