Give news of suspects, and lost answers, modules of their own

Ruled out: none. Change: suspects.rs keeps what is known and judged, news.rs what is to be told when, lost.rs answers whose upstream may turn out to have ended. No change of behaviour. Measured: tests of gateway, platform, decide and beacon pass.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -14,9 +14,9 @@
 use mirror::DocName;
 use web::{Client, Dial};
 
+use crate::news::Reach;
 use crate::send::report;
 use crate::spread::greet;
-use crate::suspects::Reach;
 use crate::tell::greeting;
 use crate::upstream::Health;
 use crate::{Cx, Followed};
--- /dev/null
+++ b/crates/gateway/src/news.rs
@@ -0,0 +1,160 @@
+//! What other gateways are still to be told of requests under which upstreams ended, and when.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use base::{Fingerprint, Map};
+use beacon::{SuspectNote, TrialNote};
+use decide::quarantine::{Case, End, Quarantine, Trial};
+use tokio::sync::Notify;
+
+/// Times after which news is told again, in case that a datagram was lost: of 10 in 100 lost, four leave out
+/// one receiver in 10,000.
+const ROUNDS: [Duration; 3] = [
+    Duration::from_millis(60),
+    Duration::from_millis(250),
+    Duration::from_millis(1000),
+];
+
+/// Time after which news that doesn't fit what goes to other failure domains is told there.
+const FAR_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Whom news goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reach {
+    /// Gateways of the own failure domain.
+    Near,
+    /// These, and one or two of each other domain, which pass it on.
+    Everywhere,
+}
+
+/// A request of which there is news.
+#[derive(Debug, Clone, Copy)]
+struct Untold {
+    reach: Reach,
+    /// Rounds in which it was told.
+    told: usize,
+    due: Instant,
+}
+
+/// What is to be told now.
+#[derive(Debug, Default)]
+pub(crate) struct Due {
+    /// To gateways of the failure domain.
+    pub(crate) near: Vec<SuspectNote>,
+    /// To other failure domains.
+    pub(crate) far: Vec<SuspectNote>,
+}
+
+/// News that is still to be told.
+#[derive(Debug, Default)]
+pub(crate) struct News {
+    untold: Mutex<Map<Fingerprint, Untold>>,
+    arrived: Notify,
+}
+
+impl News {
+    fn untold(&self) -> MutexGuard<'_, Map<Fingerprint, Untold>> {
+        self.untold.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has news told, from the next moment on.
+    pub(crate) fn tell(&self, request: Fingerprint, reach: Reach) {
+        let mut untold = self.untold();
+        let before = untold.get(&request).map(|u| u.reach);
+        let news = Untold {
+            reach: before.map_or(reach, |before| before.max(reach)),
+            told: 0,
+            due: clock::now(),
+        };
+        untold.insert(request, news);
+        drop(untold);
+        self.arrived.notify_one();
+    }
+
+    /// Waits until there is something new to tell.
+    pub(crate) async fn arrived(&self) {
+        self.arrived.notified().await;
+    }
+
+    /// What is to be told now, the gravest first, at most so many cases to other failure domains; and when more
+    /// is.
+    pub(crate) fn due(
+        &self,
+        quarantine: &Quarantine,
+        now: Instant,
+        most_far: usize,
+    ) -> (Due, Option<Instant>) {
+        let mut untold = self.untold();
+        let mut due = Due::default();
+        let mut ready: Vec<Fingerprint> = untold
+            .iter()
+            .filter(|(_, u)| u.due <= now)
+            .map(|(r, _)| *r)
+            .collect();
+        ready.sort_by_cached_key(|r| {
+            std::cmp::Reverse(quarantine.case(r).map_or(0, |c| c.ends.len()))
+        });
+        for request in ready {
+            let Some(news) = untold.get_mut(&request) else {
+                continue;
+            };
+            let Some(case) = quarantine.case(&request) else {
+                untold.remove(&request);
+                continue;
+            };
+            due.near.push(note(request, case, now));
+            match news.reach {
+                Reach::Everywhere if due.far.len() == most_far => {
+                    news.due = now + FAR_INTERVAL;
+                    continue;
+                }
+                Reach::Everywhere => due.far.push(note(request, case, now)),
+                Reach::Near => {}
+            }
+            match ROUNDS.get(news.told) {
+                Some(pause) => news.due = now + *pause,
+                None => drop(untold.remove(&request)),
+            }
+            if let Some(news) = untold.get_mut(&request) {
+                news.told += 1;
+            }
+        }
+        let next = untold.values().map(|u| u.due).min();
+        (due, next)
+    }
+}
+
+/// What others are told of a request.
+pub(crate) fn note(request: Fingerprint, case: &Case, now: Instant) -> SuspectNote {
+    let ago = |at: Instant| now.saturating_duration_since(at);
+    SuspectNote {
+        request,
+        ends: case.ends.iter().map(|e| (e.life, ago(e.at))).collect(),
+        finished: case.finished.map(ago),
+        trial: case.trial.map(|t| TrialNote {
+            number: t.number,
+            upstream: t.upstream,
+            ago: ago(t.at),
+        }),
+    }
+}
+
+/// What they tell, as this gateway's clock has it.
+pub(crate) fn case(note: SuspectNote, now: Instant) -> Case {
+    // What is older than this clock tells was as long ago as it can tell.
+    let at = |ago: Duration| now.checked_sub(ago).unwrap_or(now);
+    Case {
+        ends: note
+            .ends
+            .into_iter()
+            .map(|(life, ago)| End { life, at: at(ago) })
+            .collect(),
+        finished: note.finished.map(at),
+        trial: note.trial.map(|t| Trial {
+            number: t.number,
+            upstream: t.upstream,
+            at: at(t.ago),
+        }),
+    }
+}
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -68,7 +68,7 @@
 }
 
 async fn gathered(cx: &Cx) {
-    cx.suspects.news.notified().await;
+    cx.suspects.news.arrived().await;
     tokio::time::sleep(GATHER_TIME).await;
 }
 
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -4,20 +4,21 @@
 //! and again as it has one: the first try, one after an answer was lost, and a stream that goes on elsewhere.
 //! [`crate::spread`] tells other gateways.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Fingerprint, LifeId, Map, Set};
-use beacon::{SuspectNote, TrialNote};
-use decide::quarantine::{self, Care, Case, End, Quarantine, Verdict};
+use base::{Fingerprint, LifeId, Set};
+use beacon::SuspectNote;
+use decide::quarantine::{Care, End, Quarantine, Verdict};
 use log::info;
 use rand::RngExt;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 
 use crate::Cx;
 use crate::call::Job;
+use crate::lost::{LostAnswer, LostAnswers};
+use crate::news::{Due, News, Reach, case, note};
 use crate::refusal::Refusal;
 use crate::upstream::Upstream;
 
@@ -50,67 +51,13 @@
 /// twice that and two ways between regions elsewhere.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(20);
 
-/// Times after which news is told again, in case that a datagram was lost: of 10 in 100 lost, four leave out
-/// one receiver in 10,000.
-const ROUNDS: [Duration; 3] = [
-    Duration::from_millis(60),
-    Duration::from_millis(250),
-    Duration::from_millis(1000),
-];
-
-/// Time after which news that doesn't fit what goes to other failure domains is told there.
-const FAR_INTERVAL: Duration = Duration::from_millis(60);
-
-/// Time in which the platform's list shows that an upstream ended, which didn't show at once: an entry lapses
-/// after three heartbeats, and a list is up to 1.4 s old.
-const LIST_TIME: Duration = Duration::from_secs(10);
-
-/// Most lost answers of which that is still awaited, the latest.
-const MOST_LOST: usize = 1024;
-
-/// Whom news goes to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reach {
-    /// Gateways of the own failure domain.
-    Near,
-    /// These, and one or two of each other domain, which pass it on.
-    Everywhere,
-}
-
-/// News that is still to be told.
-#[derive(Debug, Clone, Copy)]
-struct Untold {
-    reach: Reach,
-    /// Rounds in which it was told.
-    told: usize,
-    due: Instant,
-}
-
-/// An answer that was lost, of whose upstream it isn't known whether it ended.
-#[derive(Debug, Clone, Copy)]
-struct Lost {
-    request: Fingerprint,
-    upstream: SocketAddr,
-    end: End,
-}
-
-/// What is to be told now.
-#[derive(Debug, Default)]
-pub(crate) struct Due {
-    /// To gateways of the failure domain.
-    pub(crate) near: Vec<SuspectNote>,
-    /// To other failure domains.
-    pub(crate) far: Vec<SuspectNote>,
-}
-
 /// All that is known of them.
 #[derive(Debug)]
 pub struct Suspects {
     quarantine: Mutex<Quarantine>,
-    untold: Mutex<Map<Fingerprint, Untold>>,
-    lost: Mutex<VecDeque<Lost>>,
-    /// Told when there is something to tell.
-    pub(crate) news: Notify,
+    lost: LostAnswers,
+    /// What other gateways are to be told.
+    pub(crate) news: News,
     /// Told when a request is held back, or no more.
     changed: watch::Sender<()>,
     /// Requests that this gateway found are to be held back, and that aren't stored yet.
@@ -134,7 +81,7 @@
         let was_under_way = quarantine.release(&self.request, self.number, self.upstream);
         drop(quarantine);
         if was_under_way {
-            self.suspects.tell(self.request, Reach::Everywhere);
+            self.suspects.news.tell(self.request, Reach::Everywhere);
         }
     }
 }
@@ -144,9 +91,8 @@
     pub(crate) fn new(hold_time: Duration) -> Suspects {
         Suspects {
             quarantine: Mutex::new(Quarantine::new(hold_time)),
-            untold: Mutex::default(),
-            lost: Mutex::default(),
-            news: Notify::new(),
+            lost: LostAnswers::default(),
+            news: News::default(),
             changed: watch::Sender::new(()),
             own: Mutex::default(),
             known: watch::Sender::new(false),
@@ -159,24 +105,6 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn untold(&self) -> MutexGuard<'_, Map<Fingerprint, Untold>> {
-        self.untold.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Has news told, from the next moment on.
-    fn tell(&self, request: Fingerprint, reach: Reach) {
-        let mut untold = self.untold();
-        let before = untold.get(&request).map(|u| u.reach);
-        let news = Untold {
-            reach: before.map_or(reach, |before| before.max(reach)),
-            told: 0,
-            due: clock::now(),
-        };
-        untold.insert(request, news);
-        drop(untold);
-        self.news.notify_one();
-    }
-
     fn verdict(&self, job: &Job, now: Instant) -> Verdict {
         let quarantine = self.quarantine();
         match quarantine.is_empty() {
@@ -213,7 +141,7 @@
             number,
             upstream,
         };
-        self.tell(request, Reach::Everywhere);
+        self.news.tell(request, Reach::Everywhere);
         tokio::time::sleep(ANNOUNCE_TIME).await;
         let goes_on = self.quarantine().is_under_way(&request, number, upstream);
         match goes_on {
@@ -229,17 +157,9 @@
         }
     }
 
-    fn lost(&self) -> MutexGuard<'_, VecDeque<Lost>> {
-        self.lost.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Notes that an answer was lost; whether its upstream ended may show later.
     pub(crate) fn lost_answer(&self, job: &Job, upstream: &Upstream) {
-        let mut lost = self.lost();
-        if lost.len() == MOST_LOST {
-            lost.pop_front();
-        }
-        lost.push_back(Lost {
+        self.lost.add(LostAnswer {
             request: job.fingerprint(),
             upstream: upstream.addr,
             end: end_of(upstream),
@@ -249,20 +169,8 @@
     /// Takes which upstreams live: those that aren't among them have ended, also under requests whose answer
     /// was lost before.
     pub fn lives(&self, lives: &Set<LifeId>) {
-        let now = clock::now();
-        let mut lost = self.lost();
-        lost.retain(|l| now.saturating_duration_since(l.end.at) < LIST_TIME);
-        let (ended, unknown) = lost.drain(..).partition(|l| !lives.contains(&l.end.life));
-        *lost = unknown;
-        drop(lost);
-        let ended: VecDeque<Lost> = ended;
-        for Lost {
-            request,
-            upstream,
-            end,
-        } in ended
-        {
-            self.note_end(request, upstream, end, "-", "-");
+        for lost in self.lost.of_ended(lives, clock::now()) {
+            self.note_end(lost.request, lost.upstream, lost.end, "-", "-");
         }
     }
 
@@ -288,7 +196,7 @@
         let ends = quarantine.case(&request).map_or(0, |c| c.ends.len());
         drop(quarantine);
         if is_news {
-            self.tell(request, Reach::Everywhere);
+            self.news.tell(request, Reach::Everywhere);
         }
         if is_held && is_news {
             info!(target: PART, "{PART}: event=held request={request} ends={ends} route={route} workspace={workspace}");
@@ -301,7 +209,7 @@
     /// Notes that a request ran to its end.
     pub(crate) fn finished(&self, job: &Job) {
         let now = clock::now();
-        self.found(job);
+        self.lost.found(|| job.fingerprint());
         let mut quarantine = self.quarantine();
         if quarantine.is_empty() {
             return;
@@ -309,7 +217,7 @@
         let request = job.fingerprint();
         if quarantine.finished(&request, now) {
             drop(quarantine);
-            self.tell(request, Reach::Everywhere);
+            self.news.tell(request, Reach::Everywhere);
             self.changed.send_replace(());
         }
     }
@@ -322,20 +230,11 @@
         drop(quarantine);
         if cleared {
             info!(target: PART, "{PART}: event=cleared request={request}");
-            self.tell(*request, Reach::Everywhere);
+            self.news.tell(*request, Reach::Everywhere);
             self.changed.send_replace(());
         }
     }
 
-    /// Forgets that answers to a request were lost: it ran to its end since.
-    fn found(&self, job: &Job) {
-        let mut lost = self.lost();
-        if !lost.is_empty() {
-            let request = job.fingerprint();
-            lost.retain(|l| l.request != request);
-        }
-    }
-
     /// Takes what another gateway tells; `reach` says whom what is news is passed on to, if anyone. Gives the
     /// lives of upstreams that ended just now, as far as that is news.
     pub fn hear(&self, notes: Vec<SuspectNote>, reach: Option<Reach>) -> Vec<LifeId> {
@@ -354,7 +253,7 @@
                 ended.extend(lately);
             }
             if let Some(reach) = reach.filter(|_| is_news) {
-                self.tell(request, reach);
+                self.news.tell(request, reach);
             }
             if was_held != is_held {
                 info!(target: PART, "{PART}: event=heard request={request} held={is_held}");
@@ -364,47 +263,11 @@
         ended
     }
 
-    /// What is to be told now, the gravest first, at most so much to other failure domains; and when more is.
+    /// What is to be told now, at most so many cases to other failure domains; and when more is.
     pub(crate) fn due(&self, now: Instant, most_far: usize) -> (Due, Option<Instant>) {
         let mut quarantine = self.quarantine();
         quarantine.forget(now);
-        let mut untold = self.untold();
-        let mut due = Due::default();
-        let mut ready: Vec<Fingerprint> = untold
-            .iter()
-            .filter(|(_, u)| u.due <= now)
-            .map(|(r, _)| *r)
-            .collect();
-        ready.sort_by_cached_key(|r| {
-            std::cmp::Reverse(quarantine.case(r).map_or(0, |c| c.ends.len()))
-        });
-        for request in ready {
-            let Some(news) = untold.get_mut(&request) else {
-                continue;
-            };
-            let Some(case) = quarantine.case(&request) else {
-                untold.remove(&request);
-                continue;
-            };
-            due.near.push(note(request, case, now));
-            match news.reach {
-                Reach::Everywhere if due.far.len() == most_far => {
-                    news.due = now + FAR_INTERVAL;
-                    continue;
-                }
-                Reach::Everywhere => due.far.push(note(request, case, now)),
-                Reach::Near => {}
-            }
-            match ROUNDS.get(news.told) {
-                Some(pause) => news.due = now + *pause,
-                None => drop(untold.remove(&request)),
-            }
-            if let Some(news) = untold.get_mut(&request) {
-                news.told += 1;
-            }
-        }
-        let next = untold.values().map(|u| u.due).min();
-        (due, next)
+        self.news.due(&quarantine, now, most_far)
     }
 
     /// All that something is held against, the gravest first, at most so many.
@@ -507,35 +370,3 @@
         at: clock::now(),
     }
 }
-
-fn note(request: Fingerprint, case: &Case, now: Instant) -> SuspectNote {
-    let ago = |at: Instant| now.saturating_duration_since(at);
-    SuspectNote {
-        request,
-        ends: case.ends.iter().map(|e| (e.life, ago(e.at))).collect(),
-        finished: case.finished.map(ago),
-        trial: case.trial.map(|t| TrialNote {
-            number: t.number,
-            upstream: t.upstream,
-            ago: ago(t.at),
-        }),
-    }
-}
-
-fn case(note: SuspectNote, now: Instant) -> Case {
-    // What is older than this clock tells was as long ago as it can tell.
-    let at = |ago: Duration| now.checked_sub(ago).unwrap_or(now);
-    Case {
-        ends: note
-            .ends
-            .into_iter()
-            .map(|(life, ago)| End { life, at: at(ago) })
-            .collect(),
-        finished: note.finished.map(at),
-        trial: note.trial.map(|t| quarantine::Trial {
-            number: t.number,
-            upstream: t.upstream,
-            at: at(t.ago),
-        }),
-    }
-}
