--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -26,7 +26,7 @@
 const FAR_RECEIVERS: u64 = 2;
 
 /// Cases told to another failure domain at once, which fit a datagram. Where a seventh of 12,000 engines ends
-/// they take 1 MB/s of the links between two regions.
+/// that bounds them, by reckoning, to 0.8 MB/s between two regions.
 const MOST_FAR: usize = 15;
 
 /// Cases told again, and to gateways that start, two datagrams.
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -41,7 +41,7 @@
 
 /// Longest time by which trials of the same request at several gateways are parted, so that the others hear
 /// of the first.
-const SPREAD: Duration = Duration::from_millis(40);
+const APART_TIME: Duration = Duration::from_millis(40);
 
 /// Age of an end up to which other requests have yet to meet the upstream: its entry lapses within 4 s, and it
 /// may be back after 2 s.
@@ -354,7 +354,7 @@
             Verdict::Try(care) => return Ok(Some(care)),
             Verdict::Later(at) if at < job.deadline => {
                 let more = rand::rng().random_range(0.0..1.0);
-                tokio::time::sleep(at.saturating_duration_since(now) + SPREAD.mul_f64(more)).await;
+                tokio::time::sleep(at.saturating_duration_since(now) + APART_TIME.mul_f64(more)).await;
             }
             Verdict::Tried if now < patience => tokio::time::sleep(RECHECK).await,
             Verdict::Later(_) | Verdict::Tried | Verdict::Held(_) => {
