--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -353,8 +353,8 @@
             Verdict::Free => return Ok(None),
             Verdict::Try(care) => return Ok(Some(care)),
             Verdict::Later(at) if at < job.deadline => {
-                let more = rand::rng().random_range(0.0..1.0);
-                tokio::time::sleep(at.saturating_duration_since(now) + APART_TIME.mul_f64(more)).await;
+                let apart = APART_TIME.mul_f64(rand::rng().random_range(0.0..1.0));
+                tokio::time::sleep(at.saturating_duration_since(now) + apart).await;
             }
             Verdict::Tried if now < patience => tokio::time::sleep(RECHECK).await,
             Verdict::Later(_) | Verdict::Tried | Verdict::Held(_) => {
