Say once what was said twice about suspects and sending; ask for no time while nothing is known

Cause: read of the whole change. A refusal looked its verdict up again; the wait for an answer was worked out by each sender and again by what sends; counts sorted all cases each second; news was made twice and looked up three times; each request read the clock three times although no upstream had ended; two modules were named loss and lost. Ruled out: one function for the wait, the slot and the trial of both that send: they differ in where the budget is asked and in how long they wait, and the order would change. Change: none of behaviour. send works out its own time; a verdict makes its refusal; cases are walked over unsorted where they are counted, and forgotten in place; lost.rs is unconfirmed.rs.

--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -15,6 +15,7 @@
 //! Cases are merged, not replaced: news may come late, twice, in any order, or not at all, and gateways that
 //! have heard the same decide alike.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -136,14 +137,17 @@
         self.cases.get(request)
     }
 
-    /// All that something is held against, those with most ends first, the latest first among equals.
-    pub fn gravest(&self) -> Vec<Fingerprint> {
+    /// All that something is held against, in no order.
+    pub fn open(&self) -> impl Iterator<Item = (Fingerprint, &Case)> {
         let open = self.cases.iter().filter(|(_, case)| !case.ends.is_empty());
-        let mut all: Vec<_> = open
-            .map(|(request, case)| (gravity(case), *request))
-            .collect();
-        all.sort_unstable_by(|a, b| b.cmp(a));
-        all.into_iter().map(|(_, request)| request).collect()
+        open.map(|(request, case)| (*request, case))
+    }
+
+    /// The same, those with most ends first, the latest first among equals.
+    pub fn gravest(&self) -> Vec<(Fingerprint, &Case)> {
+        let mut all: Vec<_> = self.open().collect();
+        all.sort_unstable_by_key(|(request, case)| Reverse((gravity(case), *request)));
+        all
     }
 
     /// What to do with a request now.
@@ -154,7 +158,8 @@
         let Some(last) = case.ends.last() else {
             return Verdict::Free;
         };
-        let (held_until, settled) = (self.held_until(case), last.at + SETTLE_TIME);
+        let held_until = case.held_until(self.hold_time);
+        let settled = last.at + SETTLE_TIME;
         match held_until {
             Some(until) if now < until => Verdict::Held(until),
             _ if case.is_tried(now) => Verdict::Tried,
@@ -164,14 +169,6 @@
         }
     }
 
-    /// Until when a case is held back, if it is.
-    fn held_until(&self, case: &Case) -> Option<Instant> {
-        let more = case.ends.len().checked_sub(MOST_ENDS)?;
-        let doublings = u32::try_from(more).map_or(MOST_DOUBLINGS, |n| n.min(MOST_DOUBLINGS));
-        let last = case.ends.last()?;
-        Some(last.at + self.hold_time * 2_u32.pow(doublings))
-    }
-
     /// Whether a request is held back now.
     pub fn is_held(&self, request: &Fingerprint, now: Instant) -> bool {
         matches!(self.verdict(request, now), Verdict::Held(_))
@@ -211,11 +208,11 @@
 
     /// Ends a trial that showed nothing; `true` where it was under way.
     pub fn release(&mut self, request: &Fingerprint, number: u32, upstream: SocketAddr) -> bool {
-        if !self.is_under_way(request, number, upstream) {
-            return false;
+        let was_under_way = self.is_under_way(request, number, upstream);
+        if let Some(case) = self.cases.get_mut(request).filter(|_| was_under_way) {
+            case.trial = case.trial.map(Trial::over);
         }
-        let trial = self.cases.get_mut(request).and_then(|c| c.trial.as_mut());
-        trial.is_some_and(|t| t.upstream.take().is_some())
+        was_under_way
     }
 
     /// Notes that an upstream ended while a request was at work there; `true` where that is news.
@@ -262,21 +259,13 @@
     /// Forgets cases that are over.
     pub fn forget(&mut self, now: Instant) {
         let hold_time = self.hold_time;
-        let kept = |case: &Case| match (case.ends.last(), case.finished) {
-            // As long again as it was held back, so that one more end counts with those before.
-            (Some(last), _) => now < self.held_until(case).unwrap_or(last.at) + hold_time,
-            (None, Some(finished)) => now < finished + CLEARED_TIME,
-            (None, None) => false,
-        };
-        let over: Vec<Fingerprint> = self
-            .cases
-            .iter()
-            .filter(|(_, c)| !kept(c))
-            .map(|(r, _)| *r)
-            .collect();
-        for request in over {
-            self.cases.remove(&request);
-        }
+        self.cases
+            .retain(|_, case| match (case.ends.last(), case.finished) {
+                // As long again as it was held back, so that one more end counts with those before.
+                (Some(last), _) => now < case.held_until(hold_time).unwrap_or(last.at) + hold_time,
+                (None, Some(finished)) => now < finished + CLEARED_TIME,
+                (None, None) => false,
+            });
     }
 
     /// Drops the cases whose loss does least harm where there are too many: those that are cleared, then those
@@ -314,6 +303,14 @@
             .is_some_and(|t| t.upstream.is_some() && lasts(&t))
     }
 
+    /// Until when it is held back, if it is.
+    fn held_until(&self, hold_time: Duration) -> Option<Instant> {
+        let more = self.ends.len().checked_sub(MOST_ENDS)?;
+        let doublings = u32::try_from(more).map_or(MOST_DOUBLINGS, |n| n.min(MOST_DOUBLINGS));
+        let last = self.ends.last()?;
+        Some(last.at + hold_time * 2_u32.pow(doublings))
+    }
+
     /// Whether two differ by times alone, which are never quite the same: news takes a while.
     fn is_like(&self, other: &Case) -> bool {
         let lives = |case: &Case| -> Vec<LifeId> { case.ends.iter().map(|e| e.life).collect() };
@@ -351,13 +348,7 @@
     let (Some(a), Some(b)) = (a, b) else {
         return a.or(b);
     };
-    let rank = |t: &Trial| {
-        (
-            t.number,
-            t.upstream.is_none(),
-            std::cmp::Reverse(t.upstream),
-        )
-    };
+    let rank = |t: &Trial| (t.number, t.upstream.is_none(), Reverse(t.upstream));
     match rank(&b) > rank(&a) {
         true => Some(b),
         false => Some(a),
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -20,7 +20,7 @@
 use crate::record::{Ending, Record};
 use crate::refusal::Refusal;
 use crate::relay::{self, Stream};
-use crate::send::{Answer, Sent, patience, read_whole, report, send};
+use crate::send::{Answer, Sent, read_whole, report, send};
 use crate::suspects::permitted;
 use crate::upstream::{Health, Slot, Upstream};
 
@@ -263,7 +263,7 @@
         };
         tries.upstreams.push(slot.upstream().clone());
         let instance = slot.upstream().instance.clone();
-        let sent = send(cx, &job, &slot, None, patience(cx, &job, &slot)).await;
+        let sent = send(cx, &job, &slot, None).await;
         if !matches!(sent, Sent::Lost(_)) {
             record.tried(&instance, sent.name());
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,7 +23,6 @@
 mod handle;
 pub mod loads;
 mod loss;
-mod lost;
 pub mod membership;
 mod news;
 mod record;
@@ -36,6 +35,7 @@
 pub mod suspects;
 mod tally;
 pub mod tell;
+mod unconfirmed;
 pub mod upstream;
 
 use std::sync::Arc;
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -96,27 +96,27 @@
 /// closes its connections one after the other, and what it listens on may be the last.
 async fn refuses(upstream: &Upstream) -> bool {
     match connect(upstream).await {
-        Reached::Refused => true,
-        Reached::Unknown => false,
-        Reached::Connected(stream) => {
-            closes(stream).await && matches!(connect(upstream).await, Reached::Refused)
+        Probe::Refused => true,
+        Probe::Unknown => false,
+        Probe::Connected(stream) => {
+            closes(stream).await && matches!(connect(upstream).await, Probe::Refused)
         }
     }
 }
 
-/// What came of a connection.
-enum Reached {
+/// What came of a connection made to find out.
+enum Probe {
     Connected(TcpStream),
     Refused,
     Unknown,
 }
 
-async fn connect(upstream: &Upstream) -> Reached {
+async fn connect(upstream: &Upstream) -> Probe {
     let connecting = TcpStream::connect(upstream.addr);
     match tokio::time::timeout(PROBE_TIME, connecting).await {
-        Ok(Ok(stream)) => Reached::Connected(stream),
-        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reached::Refused,
-        Ok(Err(_)) | Err(_) => Reached::Unknown,
+        Ok(Ok(stream)) => Probe::Connected(stream),
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::Unknown,
     }
 }
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -96,28 +96,24 @@
             std::cmp::Reverse(quarantine.case(r).map_or(0, |c| c.ends.len()))
         });
         for request in ready {
-            let Some(news) = untold.get_mut(&request) else {
+            let (Some(mut news), Some(case)) = (untold.remove(&request), quarantine.case(&request))
+            else {
                 continue;
             };
-            let Some(case) = quarantine.case(&request) else {
-                untold.remove(&request);
-                continue;
-            };
-            due.near.push(note(request, case, now));
-            match news.reach {
-                Reach::Everywhere if due.far.len() == most_far => {
+            let note = note(request, case, now);
+            due.near.push(note.clone());
+            if news.reach == Reach::Everywhere {
+                if due.far.len() == most_far {
                     news.due = now + FAR_INTERVAL;
+                    untold.insert(request, news);
                     continue;
                 }
-                Reach::Everywhere => due.far.push(note(request, case, now)),
-                Reach::Near => {}
-            }
-            match ROUNDS.get(news.told) {
-                Some(pause) => news.due = now + *pause,
-                None => drop(untold.remove(&request)),
+                due.far.push(note);
             }
-            if let Some(news) = untold.get_mut(&request) {
+            if let Some(pause) = ROUNDS.get(news.told) {
+                news.due = now + *pause;
                 news.told += 1;
+                untold.insert(request, news);
             }
         }
         let next = untold.values().map(|u| u.due).min();
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -289,8 +289,7 @@
         let last = last.or_else(|| job.call.last_event.clone());
         let instance = slot.upstream().instance.clone();
         self.tried.push(slot.upstream().clone());
-        let within = patience(&cx, &job, &slot);
-        let sent = send(&cx, &job, &slot, last.as_deref(), within).await;
+        let sent = send(&cx, &job, &slot, last.as_deref()).await;
         if let Sent::Unreached(_) = sent {
             self.record.tried(&instance, sent.name());
             return Ok(Reached::No);
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -57,16 +57,10 @@
     }
 }
 
-/// Sends to the slot's upstream and waits for the head, at most `within`.
-pub async fn send(
-    cx: &Cx,
-    job: &Job,
-    slot: &Slot,
-    last_event: Option<&str>,
-    within: Duration,
-) -> Sent {
+/// Sends to the slot's upstream and waits for the head.
+pub async fn send(cx: &Cx, job: &Job, slot: &Slot, last_event: Option<&str>) -> Sent {
     let upstream = slot.upstream();
-    let connect = cx.cfg.connect_timeout.min(within);
+    let connect = cx.cfg.connect_timeout.min(patience(cx, job, slot));
     let mut connection = match Connection::open(upstream.addr, connect).await {
         Ok(connection) => connection,
         Err(e) => {
@@ -75,7 +69,7 @@
         }
     };
     // While it connected its time may have ended, or that of the version, if only since the VM was suspended.
-    let within = within.min(patience(cx, job, slot));
+    let within = patience(cx, job, slot);
     if within.is_zero() {
         return Sent::Unreached("the time to begin it is over".to_owned());
     }
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -17,9 +17,9 @@
 
 use crate::Cx;
 use crate::call::Job;
-use crate::lost::{LostAnswer, LostAnswers};
 use crate::news::{Due, News, Reach, case, note};
 use crate::refusal::Refusal;
+use crate::unconfirmed::{UnconfirmedEnd, UnconfirmedEnds};
 use crate::upstream::Upstream;
 
 /// Log prefix of this part.
@@ -55,7 +55,7 @@
 #[derive(Debug)]
 pub struct Suspects {
     quarantine: Mutex<Quarantine>,
-    lost: LostAnswers,
+    unconfirmed: UnconfirmedEnds,
     /// What other gateways are to be told.
     pub(crate) news: News,
     /// Told when a request is held back, or no more.
@@ -91,7 +91,7 @@
     pub(crate) fn new(hold_time: Duration) -> Suspects {
         Suspects {
             quarantine: Mutex::new(Quarantine::new(hold_time)),
-            lost: LostAnswers::default(),
+            unconfirmed: UnconfirmedEnds::default(),
             news: News::default(),
             changed: watch::Sender::new(()),
             own: Mutex::default(),
@@ -105,12 +105,12 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn verdict(&self, job: &Job, now: Instant) -> Verdict {
+    fn verdict(&self, job: &Job) -> Verdict {
         let quarantine = self.quarantine();
         match quarantine.is_empty() {
-            // Usually so; the fingerprint isn't even made.
+            // Usually so; neither fingerprint nor time is asked for.
             true => Verdict::Free,
-            false => quarantine.verdict(&job.fingerprint(), now),
+            false => quarantine.verdict(&job.fingerprint(), clock::now()),
         }
     }
 
@@ -126,14 +126,13 @@
         job: &Job,
         upstream: SocketAddr,
     ) -> Result<Option<Trial>, Refusal> {
-        let now = clock::now();
-        if self.verdict(job, now) == Verdict::Free {
+        if self.verdict(job) == Verdict::Free {
             return Ok(None);
         }
         let request = job.fingerprint();
-        let begun = self.quarantine().begin(&request, upstream, now);
+        let begun = self.quarantine().begin(&request, upstream, clock::now());
         let Some(number) = begun else {
-            return Err(self.refusal(job, now));
+            return Err(refusal(self.verdict(job)));
         };
         let trial = Trial {
             suspects: self.clone(),
@@ -146,20 +145,13 @@
         let goes_on = self.quarantine().is_under_way(&request, number, upstream);
         match goes_on {
             true => Ok(Some(trial)),
-            false => Err(self.refusal(job, clock::now())),
-        }
-    }
-
-    fn refusal(&self, job: &Job, now: Instant) -> Refusal {
-        match self.verdict(job, now) {
-            Verdict::Held(_) => Refusal::Held,
-            _ => Refusal::Suspect(TRIED_RETRY),
+            false => Err(refusal(self.verdict(job))),
         }
     }
 
     /// Notes that an answer was lost; whether its upstream ended may show later.
     pub(crate) fn lost_answer(&self, job: &Job, upstream: &Upstream) {
-        self.lost.add(LostAnswer {
+        self.unconfirmed.add(UnconfirmedEnd {
             request: job.fingerprint(),
             upstream: upstream.addr,
             end: end_of(upstream),
@@ -169,8 +161,8 @@
     /// Takes which upstreams live: those that aren't among them have ended, also under requests whose answer
     /// was lost before.
     pub fn lives(&self, lives: &Set<LifeId>) {
-        for lost in self.lost.of_ended(lives, clock::now()) {
-            self.note_end(lost.request, lost.upstream, lost.end, "-", "-");
+        for ended in self.unconfirmed.confirmed(lives, clock::now()) {
+            self.note_end(ended.request, ended.upstream, ended.end, "-", "-");
         }
     }
 
@@ -209,7 +201,7 @@
     /// Notes that a request ran to its end.
     pub(crate) fn finished(&self, job: &Job) {
         let now = clock::now();
-        self.lost.found(|| job.fingerprint());
+        self.unconfirmed.forget(|| job.fingerprint());
         let mut quarantine = self.quarantine();
         if quarantine.is_empty() {
             return;
@@ -275,8 +267,7 @@
         let now = clock::now();
         let quarantine = self.quarantine();
         let gravest = quarantine.gravest().into_iter().take(most);
-        let note = |request| Some(note(request, quarantine.case(&request)?, now));
-        gravest.filter_map(note).collect()
+        gravest.map(|(r, case)| note(r, case, now)).collect()
     }
 
     /// Told when a request is held back, or no more.
@@ -289,9 +280,8 @@
         let now = clock::now();
         let quarantine = self.quarantine();
         let gravest = quarantine.gravest().into_iter();
-        let held = gravest.filter(|request| quarantine.is_held(request, now));
-        let note = |request| Some(note(request, quarantine.case(&request)?, now));
-        held.filter_map(note).collect()
+        let held = gravest.filter(|(r, _)| quarantine.is_held(r, now));
+        held.map(|(r, case)| note(r, case, now)).collect()
     }
 
     fn own(&self) -> MutexGuard<'_, Set<Fingerprint>> {
@@ -313,11 +303,13 @@
         self.known.send_replace(true);
     }
 
-    /// Waits until that is known, at most until a moment.
-    async fn is_known(&self, until: Instant) {
+    /// Waits until that is known, while the gateway has just started.
+    async fn wait_known(&self, cx: &Cx) {
         if *self.known.borrow() {
             return;
         }
+        let known_by = cx.started + LEARN_TIME.max(cx.cfg.start_wait);
+        let until = known_by.min(clock::now() + cx.cfg.start_wait);
         let mut known = self.known.subscribe();
         let learned = known.wait_for(|known| *known);
         // What isn't known by then is learned from what happens.
@@ -328,9 +320,9 @@
     pub(crate) fn counts(&self) -> (usize, usize) {
         let now = clock::now();
         let quarantine = self.quarantine();
-        let known = quarantine.gravest();
-        let held = known.iter().filter(|r| quarantine.is_held(r, now)).count();
-        (known.len(), held)
+        let open = quarantine.open();
+        let held = open.filter(|(r, _)| quarantine.is_held(r, now));
+        (quarantine.open().count(), held.count())
     }
 
     /// Whether nothing is held against any request.
@@ -341,15 +333,14 @@
 
 /// Waits until a request may be sent on; with which care, where upstreams ended under it.
 pub(crate) async fn permitted(cx: &Cx, job: &Job) -> Result<Option<Care>, Refusal> {
-    let arrived = clock::now();
-    let known_by = cx.started + LEARN_TIME.max(cx.cfg.start_wait);
-    cx.suspects
-        .is_known(known_by.min(arrived + cx.cfg.start_wait))
-        .await;
+    cx.suspects.wait_known(cx).await;
+    if cx.suspects.is_empty() {
+        return Ok(None);
+    }
     let patience = (clock::now() + TRIED_WAIT).min(job.deadline);
     loop {
         let now = clock::now();
-        match cx.suspects.verdict(job, now) {
+        match cx.suspects.verdict(job) {
             Verdict::Free => return Ok(None),
             Verdict::Try(care) => return Ok(Some(care)),
             Verdict::Later(at) if at < job.deadline => {
@@ -357,13 +348,19 @@
                 tokio::time::sleep(at.saturating_duration_since(now) + apart).await;
             }
             Verdict::Tried if now < patience => tokio::time::sleep(RECHECK).await,
-            Verdict::Later(_) | Verdict::Tried | Verdict::Held(_) => {
-                return Err(cx.suspects.refusal(job, now));
-            }
+            verdict => return Err(refusal(verdict)),
         }
     }
 }
 
+/// The answer to a request that may not be sent on now.
+fn refusal(verdict: Verdict) -> Refusal {
+    match verdict {
+        Verdict::Held(_) => Refusal::Held,
+        _ => Refusal::Suspect(TRIED_RETRY),
+    }
+}
+
 fn end_of(upstream: &Upstream) -> End {
     End {
         life: upstream.life,
--- a/crates/gateway/src/lost.rs
+++ b/crates/gateway/src/unconfirmed.rs
@@ -1,4 +1,4 @@
-//! Answers that were lost while it didn't show whether their upstreams ended.
+//! Ends of upstreams that aren't confirmed yet: an answer was lost, and it didn't show at once why.
 //!
 //! Where a VM goes with its process, or a process is back at once, only the platform's list tells, seconds later.
 
@@ -14,12 +14,12 @@
 /// after three heartbeats, and a list is up to 1.4 s old.
 const LIST_TIME: Duration = Duration::from_secs(10);
 
-/// Most lost answers of which that is still awaited, the latest.
-const MOST_LOST: usize = 1024;
+/// Most ends of which that is still awaited, the latest.
+const MOST_UNCONFIRMED: usize = 1024;
 
-/// An answer that was lost, of whose upstream it isn't known whether it ended.
+/// An answer that was lost, of whose upstream it isn't known yet whether it ended.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct LostAnswer {
+pub(crate) struct UnconfirmedEnd {
     /// The request.
     pub(crate) request: Fingerprint,
     /// Where it was sent.
@@ -28,41 +28,41 @@
     pub(crate) end: End,
 }
 
-/// Such answers, the earliest first.
+/// Such ends, the earliest first.
 #[derive(Debug, Default)]
-pub(crate) struct LostAnswers(Mutex<VecDeque<LostAnswer>>);
+pub(crate) struct UnconfirmedEnds(Mutex<VecDeque<UnconfirmedEnd>>);
 
-impl LostAnswers {
-    fn all(&self) -> MutexGuard<'_, VecDeque<LostAnswer>> {
+impl UnconfirmedEnds {
+    fn all(&self) -> MutexGuard<'_, VecDeque<UnconfirmedEnd>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes one.
-    pub(crate) fn add(&self, answer: LostAnswer) {
+    pub(crate) fn add(&self, end: UnconfirmedEnd) {
         let mut all = self.all();
-        if all.len() == MOST_LOST {
+        if all.len() == MOST_UNCONFIRMED {
             all.pop_front();
         }
-        all.push_back(answer);
+        all.push_back(end);
     }
 
     /// Takes out those whose upstream isn't among the `lives` any more, and forgets those that are too old.
-    pub(crate) fn of_ended(&self, lives: &Set<LifeId>, now: Instant) -> VecDeque<LostAnswer> {
+    pub(crate) fn confirmed(&self, lives: &Set<LifeId>, now: Instant) -> VecDeque<UnconfirmedEnd> {
         let mut all = self.all();
-        all.retain(|l| now.saturating_duration_since(l.end.at) < LIST_TIME);
+        all.retain(|e| now.saturating_duration_since(e.end.at) < LIST_TIME);
         let (ended, unknown) = std::mem::take(&mut *all)
             .into_iter()
-            .partition(|l| !lives.contains(&l.end.life));
+            .partition(|e| !lives.contains(&e.end.life));
         *all = unknown;
         ended
     }
 
     /// Forgets those to a request that ran to its end since; its fingerprint is made only where there are any.
-    pub(crate) fn found(&self, request: impl FnOnce() -> Fingerprint) {
+    pub(crate) fn forget(&self, request: impl FnOnce() -> Fingerprint) {
         let mut all = self.all();
         if !all.is_empty() {
             let request = request();
-            all.retain(|l| l.request != request);
+            all.retain(|e| e.request != request);
         }
     }
 }
