Tell callers that were refused before also where the times they state differ by themselves

Cause: how long ago a caller first asked is read off the time it still waits, and one that stated less than 0.97 of the longest time counted as refused before.

Change: where first tries state times that differ, one counts as refused before only if it states less by the time that a refused caller stays away at least. Where they don't differ, nothing changes.

--- a/crates/decide/src/age.rs
+++ b/crates/decide/src/age.rs
@@ -2,11 +2,14 @@
 //!
 //! A request doesn't say whether it is a first try. It does say how long its caller still waits, and
 //! callers of a route usually begin with the same time: one that has 4.4 s left where others have 6 s was
-//! refused or not answered 1.6 s ago. Where callers of a route state all kinds of times, nothing follows
-//! from them, and each request counts as a first try.
+//! refused or not answered 1.6 s ago. Where their times differ by themselves, only one that is shorter by
+//! the time that a refused caller stays away at least says so. Where callers of a route state all kinds of
+//! times, nothing follows from them, and each request counts as a first try.
 
 use std::time::{Duration, Instant};
 
+use crate::come_back;
+
 /// Time after which the longest time stated is forgotten, should no caller state it any more.
 const FORGET: Duration = Duration::from_secs(10);
 
@@ -14,19 +17,26 @@
 /// for up to 8 ms of 6 s, and on a narrow link some times that.
 const SAME_PART: f64 = 0.97;
 
-/// Weight of one request in the share of those that state the longest time.
+/// Weight of one request in a share of all.
 const NEWEST: f64 = 0.02;
 
-/// Share of requests that must state the longest time for the others to count as tries again. When all
-/// were refused once, half of them are first tries.
+/// Share of requests that must be first tries for the others to count as tries again. When all were
+/// refused once, half of them are first tries.
 const LEAST_SHARE: f64 = 0.25;
 
+/// Share of first tries that state less than the longest time from which on times differ by themselves:
+/// a few come from callers whose connection broke off, and who ask again at once.
+const LEAST_DIFFERENT: f64 = 0.1;
+
 /// What callers of one route state.
 #[derive(Debug, Clone)]
 pub struct Stated {
     longest: Duration,
     seen: Instant,
-    share: f64,
+    /// Share of requests that are first tries.
+    first: f64,
+    /// Share that state less than the longest time, of those that weren't refused before.
+    different: f64,
 }
 
 impl Stated {
@@ -35,7 +45,8 @@
         Stated {
             longest: Duration::ZERO,
             seen: now,
-            share: 1.0,
+            first: 1.0,
+            different: 0.0,
         }
     }
 
@@ -46,18 +57,31 @@
         if patience > self.longest || forgotten {
             self.longest = patience;
         }
-        let is_longest = patience >= self.longest.mul_f64(SAME_PART);
-        if is_longest {
+        let states_longest = patience >= self.longest.mul_f64(SAME_PART);
+        if states_longest {
             self.seen = now;
         }
-        let newest = match is_longest {
-            true => 1.0,
-            false => 0.0,
+        let was_refused = patience + come_back::soonest() < self.longest;
+        if !was_refused {
+            count(&mut self.different, !states_longest);
+        }
+        let is_first = match self.different > LEAST_DIFFERENT {
+            true => !was_refused,
+            false => states_longest,
         };
-        self.share += NEWEST * (newest - self.share);
-        match is_longest || self.share < LEAST_SHARE {
+        count(&mut self.first, is_first);
+        match is_first || self.first < LEAST_SHARE {
             true => Duration::ZERO,
             false => self.longest - patience,
         }
     }
 }
+
+/// Counts one request in a share.
+fn count(share: &mut f64, counts: bool) {
+    let newest = match counts {
+        true => 1.0,
+        false => 0.0,
+    };
+    *share += NEWEST * (newest - *share);
+}
--- a/crates/decide/src/come_back.rs
+++ b/crates/decide/src/come_back.rs
@@ -30,3 +30,8 @@
     };
     mean.mul_f64(1.0 - SPREAD + 2.0 * SPREAD * draw)
 }
+
+/// Time for which a caller that found all upstreams busy stays away at least.
+pub fn soonest() -> Duration {
+    after(Reason::Busy, 0.0)
+}
--- a/crates/decide/tests/age.rs
+++ b/crates/decide/tests/age.rs
@@ -52,6 +52,39 @@
     assert_eq!(any, Duration::ZERO);
 }
 
+/// A time that a first try states where callers' times differ by up to 15 in 100.
+fn differing(i: u64) -> Duration {
+    Duration::from_millis(5100 + i * 317 % 900)
+}
+
+#[test]
+fn first_tries_count_as_such_where_their_callers_times_differ() {
+    let now = Instant::now();
+    let mut stated = Stated::new(now);
+    for i in 0..50 {
+        stated.waited(differing(i), now);
+    }
+
+    let waited = (0..500).map(|i| stated.waited(differing(i), now));
+
+    assert_eq!(waited.max(), Some(Duration::ZERO));
+}
+
+#[test]
+fn a_refused_caller_is_told_from_first_tries_whose_times_differ() {
+    let now = Instant::now();
+    let mut stated = Stated::new(now);
+    for i in 0..50 {
+        stated.waited(differing(i), now);
+    }
+
+    for i in 0..500 {
+        stated.waited(differing(i), now);
+        let again = stated.waited(differing(i) - Duration::from_millis(2000), now);
+        assert!(again >= Duration::from_millis(1900), "{again:?}");
+    }
+}
+
 #[test]
 fn a_time_that_no_caller_states_any_more_is_forgotten() {
     let now = Instant::now();
--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -25,10 +25,11 @@
 const PATIENCE: Duration = Duration::from_secs(6);
 const TICK: Duration = Duration::from_millis(1);
 
-/// A request of a caller that first asked at `first`.
+/// A request of a caller that first asked at `first`, and then stated `patience`.
 #[derive(Debug, Clone, Copy)]
 struct Request {
     first: Duration,
+    patience: Duration,
     arrived: Duration,
     again: bool,
 }
@@ -101,14 +102,17 @@
     }
 }
 
-/// Plays so many requests a second for a time, by ranking requests with `standing`.
+/// Plays so many requests a second for a time, by ranking requests with `standing`; the times that callers
+/// state differ by up to a part `differ` of the longest.
 fn play(
     rate: impl Fn(Duration) -> f64,
     span: Duration,
     seed: u64,
+    differ: f64,
     standing: impl Fn(Duration) -> Standing,
 ) -> Fared {
     let mut rng = StdRng::seed_from_u64(seed);
+    let mut times = StdRng::seed_from_u64(seed);
     let start = Instant::now();
     let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
     let (mut waiting, mut returning): (Vec<Request>, Vec<Request>) = (Vec::new(), Vec::new());
@@ -119,6 +123,7 @@
             fared.asked += 1;
             waiting.push(Request {
                 first: now,
+                patience: PATIENCE.mul_f64(1.0 - times.random_range(0.0..=differ)),
                 arrived: now,
                 again: false,
             });
@@ -129,7 +134,7 @@
         let mut ranked: Vec<(Standing, Request)> = waiting
             .drain(..)
             .map(|r| {
-                let patience = PATIENCE.saturating_sub(r.arrived - r.first);
+                let patience = r.patience.saturating_sub(r.arrived - r.first);
                 (standing(stated.waited(patience, start + now)), r)
             })
             .collect();
@@ -192,12 +197,12 @@
 }
 
 /// Plays both rankings over some seeds and prints what callers got.
-fn compare(name: &str, rate: impl Fn(Duration) -> f64 + Copy) -> Vec<(Fared, Fared)> {
+fn compare(name: &str, differ: f64, rate: impl Fn(Duration) -> f64 + Copy) -> Vec<(Fared, Fared)> {
     let span = Duration::from_secs(20);
     let both = |seed| {
         let (alike, by_age) = (
-            play(rate, span, seed, alike),
-            play(rate, span, seed, by_age),
+            play(rate, span, seed, differ, alike),
+            play(rate, span, seed, differ, by_age),
         );
         println!("{name} seed {seed}: alike {alike:?}, by age {by_age:?}");
         (alike, by_age)
@@ -208,7 +213,18 @@
 #[test]
 fn in_lasting_overload_more_callers_are_served_in_time_and_as_many_are_served() {
     // 12 engines serve some 140 a second.
-    let fared = compare("190 a second", |_| 190.0);
+    let fared = compare("190 a second", 0.0, |_| 190.0);
+
+    for (alike, by_age) in fared {
+        assert!(by_age.in_time() > alike.in_time() + 0.1, "{by_age:?}");
+        assert!(by_age.served() > alike.served() - 0.05, "{by_age:?}");
+    }
+}
+
+#[test]
+fn as_many_more_are_in_time_where_the_times_that_callers_state_differ() {
+    // Of two callers the one that states less has not asked before, unless it states much less.
+    let fared = compare("190 a second, times differ", 0.15, |_| 190.0);
 
     for (alike, by_age) in fared {
         assert!(by_age.in_time() > alike.in_time() + 0.1, "{by_age:?}");
@@ -222,7 +238,7 @@
         true => 260.0,
         false => 90.0,
     };
-    let fared = compare("a burst of 2 s", rate);
+    let fared = compare("a burst of 2 s", 0.0, rate);
 
     for (alike, by_age) in fared {
         assert!(by_age.in_time() >= alike.in_time() - 0.01, "{by_age:?}");
@@ -232,7 +248,7 @@
 
 #[test]
 fn below_what_the_engines_serve_nobody_is_refused() {
-    let fared = compare("100 a second", |_| 100.0);
+    let fared = compare("100 a second", 0.0, |_| 100.0);
 
     for (_, by_age) in fared {
         assert!(by_age.in_time() > 0.97, "{by_age:?}");
