Bring chunks of all versions through one window, and fewer where they come slowly

Cause of the open VERSION (two-releases-giver-lost), by the logs of loaders behind the link that is narrowed to 0.91 Mbit/s and of gateways that sent there: each fetch had a window of its own, which began with six chunks. At 19.5 s a second version is released, the first is kept, and a third of a second after its manifest the loader has twelve chunks of 32 KB on a link that carries one in 0.29 s. The manifest of version 3 itself took 2.0, 2.4 and 2.6 s there. A request sent then arrives two seconds later, after the 1.5 s that are kept free for what is on its way; 38 requests of 17.8 to 25.5 s got no answer within 1.2 s.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -31,13 +31,6 @@
 /// Part of the origin's connections that is used; some are still held by loaders that are gone.
 const ORIGIN_USE: f64 = 0.7;
 
-/// Time of one chunk from which on fewer are brought at once: the link is narrower than it should be,
-/// and requests to the engine wait behind the chunks.
-const SLOW: Duration = Duration::from_millis(700);
-
-/// What each chunk that comes sooner adds to how many are brought at once.
-const WIDEN: f64 = 0.25;
-
 /// Time between two looks at what has become available, and between two announcements.
 const TICK: Duration = Duration::from_millis(40);
 
@@ -63,8 +56,6 @@
     pub(crate) swarm: Swarm,
     pub(crate) rule: Rule,
     in_flight: HashSet<usize>,
-    /// How many chunks may be brought at once.
-    at_once: f64,
     from_origin: usize,
     origin_fetches: usize,
     order: Order,
@@ -97,7 +88,6 @@
     let now = clock::now();
     let rule = rule(&cx);
     let origin_fetches = origin_fetches(&cx);
-    let at_once = cx.cfg.fetches as f64;
     let order = Order::new(chunk_time(&cx), &vec![false; set.len()], now);
     let mut fetch = Fetch {
         set,
@@ -106,7 +96,6 @@
         swarm: Swarm::default(),
         rule,
         in_flight: HashSet::default(),
-        at_once,
         from_origin: 0,
         origin_fetches,
         order,
@@ -261,8 +250,7 @@
 
     /// Starts as many chunks as may be brought at once, the most urgent first.
     fn start(&mut self, fetching: &mut JoinSet<Fetched>) {
-        let most = self.at_once as usize;
-        if self.in_flight.len() >= most {
+        if !self.cx.window.has_room(self.in_flight.len()) {
             return;
         }
         let (waited, stalled) = (clock::since(self.begun), clock::since(self.progress));
@@ -279,7 +267,7 @@
         ready.shuffle(&mut rand::rng());
         ready.sort_by_key(|(urgency, ..)| *urgency);
         for (_, i, source) in ready {
-            if self.in_flight.len() >= most {
+            if !self.cx.window.has_room(self.in_flight.len()) {
                 return;
             }
             match source {
@@ -303,9 +291,11 @@
             self.in_flight.insert(i);
             let (cx, set) = (self.cx.clone(), self.set.clone());
             let (origin, client) = (self.origin.clone(), self.client.clone());
+            let in_flight = self.cx.window.begin();
             fetching.spawn(async move {
                 let begun = clock::now();
                 let result = bring(&cx, &set, origin, &client, i, source).await;
+                drop(in_flight);
                 let took = clock::since(begun);
                 Fetched {
                     i,
@@ -335,10 +325,7 @@
             took,
             result,
         } = fetched;
-        self.at_once = match took > SLOW {
-            true => (self.at_once / 2.0).max(1.0),
-            false => (self.at_once + WIDEN).min(self.cx.cfg.fetches as f64),
-        };
+        self.cx.window.took(took);
         self.in_flight.remove(&i);
         match source {
             Source::Origin => self.from_origin -= 1,
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -1,10 +1,10 @@
 //! Brings released weights to the engine beside it, and passes chunks on to other loaders.
 //!
 //! [`rollout`] decides what the engine is to hold and runs the steps: [`fetch`] brings the chunks that
-//! are missing from other loaders and the origin into [`sets`] ([`said`] is what loaders tell each other
-//! meanwhile, [`present`] whom they count on by it), [`stage`] lays them out at the engine and reads them
-//! back, [`turn`] says when the engine may leave service to take them, and
-//! [`tell`] tells gateways what it serves. How to talk to the engine and to the origin belongs to
+//! are missing from other loaders and the origin into [`sets`], as many at once as [`window`] has room for
+//! ([`said`] is what loaders tell each other meanwhile, [`present`] whom they count on by it), [`stage`]
+//! lays them out at the engine and reads them back, [`turn`] says when the engine may leave service to take
+//! them, and [`tell`] tells gateways what it serves. How to talk to the engine and to the origin belongs to
 //! the platform; [`api`] holds the functions for it.
 
 #![deny(clippy::disallowed_methods)]
@@ -22,6 +22,7 @@
 mod stage;
 mod tell;
 pub mod turn;
+pub mod window;
 
 use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
@@ -36,6 +37,7 @@
 use crate::api::Api;
 use crate::peers::Peers;
 use crate::sets::Sets;
+use crate::window::Window;
 
 pub use run::run;
 
@@ -96,6 +98,8 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) beacon: Beacon,
     pub(crate) sets: Sets,
+    /// Chunks that are brought at once.
+    pub(crate) window: Window,
     pub(crate) peers: Mutex<Peers>,
     /// Told when another loader said what it has.
     pub(crate) heard: Notify,
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -13,6 +13,7 @@
 use crate::rollout::keep;
 use crate::sets::Sets;
 use crate::tell::tell;
+use crate::window::Window;
 use crate::{Cx, Wiring};
 
 /// Log prefix of this part.
@@ -32,6 +33,7 @@
         incarnation: base::unix_ms(),
         beacon,
         sets: Sets::default(),
+        window: Window::new(wiring.cfg.fetches as usize),
         peers: std::sync::Mutex::new(Peers::default()),
         heard: Notify::new(),
         look: Notify::new(),
