Read back an engine that comes up after its loader, and draw nothing until then

Ruled out: loaders that step in for each other (few chunks came twice where engines were read back).

Change: reading back goes on until the engine answers, beside what comes from other loaders; nothing is drawn from the origin until then, for 3 s at most.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -44,6 +44,10 @@
 /// [`ORIGIN_PAUSE_LOADERS`] loaders do so; where there are more, it grows with them.
 const ORIGIN_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time for which nothing is drawn from the origin until the engine can be read back: both start with their
+/// VMs, and a whole fleet that doesn't wait draws a version that its engines hold.
+const ENGINE_WAIT: Duration = Duration::from_secs(3);
+
 /// Loaders that may each ask an origin that is away five times a second.
 const ORIGIN_PAUSE_LOADERS: usize = 16;
 
@@ -272,8 +276,7 @@
             }
             match source {
                 Source::Origin => {
-                    let rests = clock::now() < self.origin_rests_until;
-                    if rests
+                    if self.origin_rests()
                         || !self.order.is_due(i, clock::now())
                         || self.from_origin >= self.origin_fetches
                     {
@@ -307,6 +310,12 @@
         }
     }
 
+    /// Whether nothing is drawn from the origin now.
+    fn origin_rests(&self) -> bool {
+        let may_lie_there = !self.set.is_read_back() && clock::since(self.begun) < ENGINE_WAIT;
+        may_lie_there || clock::now() < self.origin_rests_until
+    }
+
     fn origin_pause(&self) -> Duration {
         let loaders = self.swarm.peers().len() + 1;
         let more = (loaders as f64 / ORIGIN_PAUSE_LOADERS as f64).max(1.0);
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -13,7 +13,7 @@
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::{AbortHandle, JoinHandle, JoinSet};
 use web::{Client, Dial};
 
 use crate::Cx;
@@ -60,6 +60,9 @@
 /// Change of an engine's turn that gateways aren't told.
 const PLAN_SLACK: Duration = Duration::from_millis(100);
 
+/// Pause before an engine is asked again for what lies there.
+const READ_BACK_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time given to an order's effect before it is given again.
 const ORDER_TIME: Duration = Duration::from_secs(4);
 
@@ -355,19 +358,40 @@
     let kept = give_up(&cx, &origin.model, older);
     let set = Set::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
-    if origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
+    // Ends with this task.
+    let mut reading = JoinSet::new();
+    match origin.version == FIRST_VERSION || cx.sets.newest_whole(&origin.model).is_none() {
+        true => {
+            reading.spawn(read_back_when_up(cx.clone(), set.clone()));
+        }
+        false => set.set_read_back(),
+    }
+    fetch(cx, set, origin, client).await;
+    kept.iter().for_each(AbortHandle::abort);
+}
+
+/// Reads back what lies at the engine, as soon as it can be reached.
+async fn read_back_when_up(cx: Arc<Cx>, set: Arc<Set>) {
+    let begun = clock::now();
+    let mut failed = None;
+    loop {
         match read_back(&cx, &set).await {
             Ok(found) => {
-                info!(target: PART, "{PART}: event=read_back version={} chunks={found}", set.version);
+                info!(target: PART, "{PART}: event=read_back version={} chunks={found} took={:?}", set.version, clock::since(begun));
+                set.set_read_back();
+                announce(&cx, &set, false, Reach::NearAndSome);
+                return;
             }
             Err(e) => {
-                warn!(target: PART, "{PART}: event=read_back_failed version={} why=\"{e}\"", set.version);
+                let why = e.to_string();
+                if failed.as_ref() != Some(&why) {
+                    warn!(target: PART, "{PART}: event=read_back_failed version={} why=\"{why}\"", set.version);
+                    failed = Some(why);
+                }
+                tokio::time::sleep(READ_BACK_PAUSE).await;
             }
         }
-        announce(&cx, &set, false, Reach::NearAndSome);
     }
-    fetch(cx, set, origin, client).await;
-    kept.iter().for_each(AbortHandle::abort);
 }
 
 /// Stops bringing older versions, but for those that are nearly here; returns what still brings these.
--- a/crates/loader/src/sets.rs
+++ b/crates/loader/src/sets.rs
@@ -1,6 +1,6 @@
 //! Chunks of weights held in memory, by model and version.
 
-use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -28,6 +28,8 @@
     obtainable: AtomicUsize,
     /// When the last chunk came; when it was begun before that.
     progress: Mutex<Instant>,
+    /// Whether what lies at the engine is among the chunks.
+    read_back: AtomicBool,
 }
 
 impl Set {
@@ -41,6 +43,7 @@
             chunks,
             obtainable: AtomicUsize::new(0),
             progress: Mutex::new(clock::now()),
+            read_back: AtomicBool::new(false),
         }
     }
 
@@ -68,6 +71,16 @@
         self.progress.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Notes that what lies at the engine is among the chunks, or that none of it does.
+    pub fn set_read_back(&self) {
+        self.read_back.store(true, Relaxed);
+    }
+
+    /// Whether nothing lies at the engine that isn't among the chunks.
+    pub fn is_read_back(&self) -> bool {
+        self.read_back.load(Relaxed)
+    }
+
     /// Time since the last chunk came.
     pub fn stood_still(&self) -> Duration {
         clock::since(*self.progress())
