Say where the time of each request goes: a span of each stretch of its path

Needed to profile the path: a request's line told its first event and its whole time, not whether it waited in the line, for a connection or at the upstream.

Histograms are summed up each 5 s: until they are, each sample takes memory, and a process whose metrics nobody reads kept all.

--- a/crates/cli/src/commands/process.rs
+++ b/crates/cli/src/commands/process.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::sync::Arc;
+use std::time::Duration;
 
 use log::warn;
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder};
@@ -22,6 +23,10 @@
     0.001, 0.0025, 0.005, 0.01, 0.025, 0.045, 0.1, 0.25, 0.5, 1.0, 1.7, 2.5, 5.0, 10.0, 30.0, 60.0,
 ];
 
+/// Time between two sums of what histograms were given: until then each sample takes memory, also where nobody
+/// reads the metrics.
+const SUM_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Renders the metrics.
 pub type Render = Arc<dyn Fn() -> String + Send + Sync>;
 
@@ -92,6 +97,13 @@
     let stop = runtime
         .block_on(async { stop::follow(settings.to_owned(), handle, target) })
         .map_err(Error::Start)?;
+    let sums = recorder.clone();
+    runtime.spawn(async move {
+        loop {
+            tokio::time::sleep(SUM_INTERVAL).await;
+            sums.run_upkeep();
+        }
+    });
     Ok(Process {
         runtime,
         stop,
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -11,6 +11,8 @@
 use hyper::HeaderMap;
 use hyper::http::{request, response};
 
+use crate::spans::Spans;
+
 /// Id that a caller gave one attempt.
 pub type AttemptId = String;
 
@@ -116,6 +118,8 @@
     pub arrived: Instant,
     /// When it gets its final answer at the latest.
     pub deadline: Instant,
+    /// Where its time goes.
+    pub spans: Arc<Spans>,
     /// Filled in by [`Job::fingerprint`].
     pub fingerprint: OnceLock<Fingerprint>,
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,6 +21,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{self, Stream};
 use crate::send::{Answer, Sent, read_whole, report, send};
+use crate::spans::Span;
 use crate::suspects::permitted;
 use crate::upstream::{Health, Slot, Upstream};
 
@@ -91,8 +92,10 @@
         tenant,
         arrived,
         deadline: arrived + patience,
+        spans: record.spans.clone(),
         fingerprint: OnceLock::new(),
     };
+    record.spans.add(Span::Admit, arrived);
     Ok((job, service))
 }
 
@@ -248,7 +251,9 @@
             true => wait_until(&job),
             false => (clock::now() + AGAIN_WAIT).min(job.deadline),
         };
+        let asked = clock::now();
         let chosen = slot(cx, &job, &service, &tries.upstreams, care, until).await;
+        job.spans.add(Span::Line, asked);
         let mut slot = match chosen {
             Ok(slot) => slot,
             Err(refusal) => return tries.give_up(refusal, record),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,7 +3,8 @@
 //! A request is followed through these modules in order: [`serve`] accepts its connection,
 //! [`handle`] finds its route and workspace and reads its body, [`admission`] waits for a slot that
 //! [`balance`] chooses, [`send`] sends it and sorts what came back, [`relay`] passes a stream on, and
-//! [`record`] says in one log line what became of it. Who is next, where, and who is refused is decided
+//! [`record`] says in one log line what became of it, with the time that it spent in each of these
+//! ([`spans`]). Who is next, where, and who is refused is decided
 //! by the crate `decide`.
 //!
 //! What a request says of itself travels in headers whose names belong to the platform; [`Codec`]
@@ -31,6 +32,7 @@
 pub mod release;
 mod send;
 mod serve;
+pub mod spans;
 mod spread;
 pub mod suspects;
 mod tally;
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -1,9 +1,12 @@
 //! One log line and the metrics of each request, written when it is over.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use log::info;
 
+use crate::spans::Spans;
+
 /// Log prefix of this part.
 const PART: &str = "request";
 
@@ -46,6 +49,8 @@
     pub first_event_ms: Option<u64>,
     /// Milliseconds of the longest pause between events.
     pub longest_gap_ms: u64,
+    /// Where its time went.
+    pub spans: Arc<Spans>,
     /// How it ended.
     pub ending: Ending,
 }
@@ -66,6 +71,7 @@
             tries: String::new(),
             first_event_ms: None,
             longest_gap_ms: 0,
+            spans: Arc::default(),
             ending: Ending::CallerLeft,
         }
     }
@@ -106,10 +112,11 @@
             metrics::histogram!("driftnotch_first_event_seconds", "route" => route)
                 .record(ms as f64 / 1000.0);
         }
+        self.spans.record(&self.route);
         info!(
             target: PART,
-            "{PART}: id={} route={} service={} workspace={} revision={} confirmed_ms={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms}",
-            self.id, self.route, self.service, self.workspace, self.revision, self.confirmed_ms, self.patience_ms, self.waited_ms, self.tries, self.longest_gap_ms,
+            "{PART}: id={} route={} service={} workspace={} revision={} confirmed_ms={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={took_ms} spans_ms={}",
+            self.id, self.route, self.service, self.workspace, self.revision, self.confirmed_ms, self.patience_ms, self.waited_ms, self.tries, self.longest_gap_ms, self.spans,
         );
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::loss::{self, Fate, Loss};
 use crate::record::{Ending, Record};
 use crate::send::{Answer, Sent, patience, report, send};
+use crate::spans::Span;
 use crate::suspects::permitted;
 use crate::upstream::{Health, Slot, Upstream};
 
@@ -130,7 +131,10 @@
     sent: u32,
 ) -> Result<Begun, (Loss, Fate)> {
     let patience = patience(&stream.cx, &stream.job, &stream.source.slot);
-    let first = match stream.source.next(stream.job.deadline, patience).await {
+    let begun = clock::now();
+    let next = stream.source.next(stream.job.deadline, patience).await;
+    stream.job.spans.add(Span::FirstEvent, begun);
+    let first = match next {
         Next::Events(first) => {
             report(stream.source.slot.upstream(), Health::Answered);
             first
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -13,6 +13,7 @@
 use crate::call::{Forward, Job};
 use crate::connection::Connection;
 use crate::loss::Loss;
+use crate::spans::Span;
 use crate::upstream::{Health, Slot, Upstream};
 
 /// Log prefix of this part.
@@ -61,7 +62,10 @@
 pub async fn send(cx: &Cx, job: &Job, slot: &Slot, last_event: Option<&str>) -> Sent {
     let upstream = slot.upstream();
     let connect = cx.cfg.connect_timeout.min(patience(cx, job, slot));
-    let mut connection = match Connection::open(upstream.addr, connect).await {
+    let begun = clock::now();
+    let opened = Connection::open(upstream.addr, connect).await;
+    job.spans.add(Span::Connect, begun);
+    let mut connection = match opened {
         Ok(connection) => connection,
         Err(e) => {
             report(upstream, Health::Unreachable);
@@ -74,7 +78,9 @@
         return Sent::Unreached("the time to begin it is over".to_owned());
     }
     let req = request(cx, job, slot, last_event);
+    let begun = clock::now();
     let sent = tokio::time::timeout(within, connection.send(req)).await;
+    job.spans.add(Span::Head, begun);
     match sent {
         Ok(Ok(res)) => sort(cx, job, upstream, res, connection),
         Ok(Err(e)) => Sent::Lost(Loss::BrokeOff(e.to_string())),
