--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -1,17 +1,18 @@
 //! Brings released weights to the engine beside it, and passes chunks on to other loaders.
 //!
-//! [`rollout`] decides what the engine is to hold and runs the steps: [`fetch`] brings the chunks that
-//! are missing from other loaders and the origin into [`sets`], as many at once as [`window`] has room for
-//! ([`said`] is what loaders tell each other meanwhile, [`present`] whom they count on by it), [`stage`]
-//! lays them out at the engine and reads them back, [`turn`] says when the engine may leave service to take
-//! them, and [`tell`] tells gateways what it serves. How to talk to the engine and to the origin belongs to
-//! the platform; [`api`] holds the functions for it.
+//! [`rollout`] decides what the engine is to hold and runs the steps: [`manifest`] gets the list of a
+//! version's chunks, [`fetch`] brings those that are missing from other loaders and the origin into [`sets`],
+//! as many at once as [`window`] has room for ([`said`] is what loaders tell each other meanwhile, [`present`]
+//! whom they count on by it), [`stage`] lays them out at the engine and reads them back, [`turn`] says when the
+//! engine may leave service to take them, and [`tell`] tells gateways what it serves. How to talk to the engine
+//! and to the origin belongs to the platform; [`api`] holds the functions for it.
 
 #![deny(clippy::disallowed_methods)]
 
 pub mod api;
 mod bring;
 mod fetch;
+mod manifest;
 pub mod order;
 mod peers;
 mod present;
