--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -76,13 +76,18 @@
         of_model.map(|r| r.version)
     }
 
-    /// Whether it has a higher version of any model than another list.
-    pub fn is_ahead_of(&self, other: &[Release]) -> bool {
-        let behind = |r: &Release| {
+    /// Versions that are higher than those of another list.
+    pub fn ahead_of<'a>(&'a self, other: &'a [Release]) -> impl Iterator<Item = &'a Release> {
+        let behind = |r: &&Release| {
             let known = other.iter().find(|o| o.model == r.model);
             known.is_none_or(|o| o.version < r.version)
         };
-        self.releases.iter().any(behind)
+        self.releases.iter().filter(behind)
+    }
+
+    /// Whether it has a higher version of any model than another list.
+    pub fn is_ahead_of(&self, other: &[Release]) -> bool {
+        self.ahead_of(other).next().is_some()
     }
 }
 
