--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -328,7 +328,7 @@
     }
 }
 
-/// Brings a version: what lies at the engine first, then the rest from others. Older versions that are
+/// Brings a version: what lies at the engine, and beside it the rest from others. Older versions that are
 /// on their way are given up once its manifest is here, or, where they are nearly here, once it is whole:
 /// while the origin is away they may still come from other loaders, and this one can't.
 async fn bring(cx: Arc<Cx>, origin: OriginVersion, client: Client, older: Vec<Older>) {
