Send restricted requests only to upstreams in allowed regions

Cause: a route or a workspace may name allowed regions, which no code read, so a gateway chose upstreams in any region; the first requests that broke the rule came to a plain upstream beside the gateway. Ruled out: a body never passes through a second gateway, so only the choice of upstreams is concerned. Change: routes and workspaces carry their allowed places (the type that rows of the table use), decide::residency says where a request may run, and every choice (first attempt, retry, resume) goes by it. Settings of a gateway name the region of each failure domain.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use base::{Map, Model, Revision, Workspace};
+use base::{Map, Model, Place, Revision, Workspace};
 
 use serde::{Deserialize, Serialize};
 
@@ -120,6 +120,8 @@
     pub workspace: Workspace,
     /// Rank of its requests in place of the route's, 0 being the most urgent.
     pub priority: Option<u8>,
+    /// Places where its requests may run; empty for anywhere.
+    pub allowed: Vec<Place>,
 }
 
 /// Who may call.
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use base::Place;
+
 use crate::ServiceName;
 
 /// What may be repeated.
@@ -60,6 +62,8 @@
     pub priority: u8,
     /// Whether callers need no key.
     pub public: bool,
+    /// Places where its requests may run; empty for anywhere.
+    pub allowed: Vec<Place>,
     /// Services; never empty.
     pub shares: Vec<Share>,
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`denial`]: whether a request may be denied by the configuration that is held.
 //! - [`outcomes`]: which upstreams are left alone, since they fail most of what they get.
 //! - [`quarantine`]: which requests are tried with care or held back, since upstreams ended under them.
+//! - [`residency`]: in which failure domains a request may run.
 //! - [`retry`]: the budget of requests sent again.
 
 #![deny(clippy::disallowed_methods)]
@@ -25,6 +26,7 @@
 pub mod outcomes;
 pub mod placement;
 pub mod quarantine;
+pub mod residency;
 pub mod retry;
 
 /// Whether a request can still be served within its objective, counted from its caller's first try.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,7 +1,7 @@
 //! Chooses the upstream of a request, by [`decide::placement`].
 //!
-//! Candidates take new work, hold a version that may begin requests, weren't tried yet, and don't fail
-//! most of what they get.
+//! Candidates are where the request may run, take new work, hold a version that may begin requests,
+//! weren't tried yet, and don't fail most of what they get.
 
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
@@ -67,6 +67,9 @@
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_known(now)) {
         let upstream = &entry.upstream;
+        if !job.may_run_in(&cx.cfg.domains, &upstream.domain) {
+            continue;
+        }
         let view = upstream.view(model, now);
         let runs = model.is_none() || view.serves.is_some_and(|version| version >= oldest);
         if view.leaving || !runs || tried.iter().any(|t| t.instance == upstream.instance) {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-use base::{Fingerprint, Model};
+use base::{Domains, Fingerprint, Model};
 use bytes::Bytes;
 use catalog::{ApiKey, Route, ServiceName, Tenant, WeightsVersion};
 use decide::Standing;
+use decide::residency::is_allowed;
 use hyper::HeaderMap;
 use hyper::http::{request, response};
 
@@ -165,6 +166,12 @@
         })
     }
 
+    /// Returns whether it may run in a failure domain.
+    pub fn may_run_in(&self, domains: &Domains, domain: &str) -> bool {
+        let workspace = self.tenant.as_ref().map_or(&[][..], |t| &t.allowed);
+        is_allowed(domains, domain, &self.route.allowed, workspace)
+    }
+
     /// Whether it may be sent again after it may have run.
     pub fn repeatable(&self) -> bool {
         self.route.kind.repeatable()
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -203,7 +203,7 @@
         (values.get("domain"), values.get("domains"))
     {
         let known: Vec<&str> = domains.iter().map(|(name, _)| name.as_str()).collect();
-        if !known.contains(&domain.as_str()) {
+        if !known.is_empty() && !known.contains(&domain.as_str()) {
             let hint = base::nearest::hint(domain, known.iter().copied());
             let remedy = format!("{domain} is not in domains ({}){hint}", known.join(", "));
             faults.push(Fault::new(line("domain"), "domain", remedy));
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Declarations of the fields of gateways and loaders.
 
 use crate::Field;
-use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Name, Ratio};
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Map, Name, Ratio};
 use crate::field::field;
 
 /// Fields of the roles that run by the configuration in the platform's store.
@@ -37,6 +37,12 @@
 
 /// Fields of a gateway.
 pub const GATEWAY: &[Field] = &[
+    field(
+        "domains",
+        Map(false),
+        "Every failure domain with its region. A request that is restricted to regions runs only in failure \
+         domains that stand here.",
+    ),
     field("listen", Addr, "Callers' requests."),
     field("ready", Addr, "Readiness, asked by the balancer."),
     field(
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -232,6 +232,7 @@
 cfg! {
     /// Settings of a gateway; [`crate::node::GATEWAY`] says what each is for.
     GatewayCfg (node: NodeCfg) {
+        domains: Domains = domains_of,
         listen: SocketAddr = addr,
         ready: SocketAddr = addr,
         copies: SocketAddr = addr,
@@ -384,7 +385,11 @@
 }
 
 fn domains(values: &Values) -> Domains {
-    Domains::new(pairs(values, "domains"))
+    domains_of(values, "domains")
+}
+
+fn domains_of(values: &Values, field: &str) -> Domains {
+    Domains::new(pairs(values, field))
 }
 
 macro_rules! reader {
