Send nothing new to the upstreams of a drained failure domain

Cause: operators drain a failure domain by a row beside the configuration, which no code read. No choice takes an upstream of a drained domain; a request that connects while the drain begins isn't sent. Requests in flight complete, weights are staged on.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,6 +1,6 @@
 //! Chooses the upstream of a request, by [`decide::placement`].
 //!
-//! Candidates are where the request may run, take new work, hold a version that may begin requests,
+//! Candidates are where the request may run, in no drained failure domain, take new work, hold a version that may begin requests,
 //! weren't tried yet, and don't fail most of what they get.
 
 use std::hash::BuildHasher;
@@ -62,12 +62,14 @@
     let oldest = model.map_or(0, |model| cx.releases.oldest(model, now));
     let (near_gateways, all_gateways) = (cx.near_gateways(), cx.gateways());
     let entries = cx.roster.entries(&job.service);
+    let drained = cx.drains.current();
     let sums = cx.loads.sums();
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_known(now)) {
         let upstream = &entry.upstream;
-        if !job.may_run_in(&cx.cfg.domains, &upstream.domain) {
+        let is_allowed = job.may_run_in(&cx.cfg.domains, &upstream.domain);
+        if !is_allowed || drained.contains_key(&upstream.domain) {
             continue;
         }
         let view = upstream.view(model, now);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod call;
 mod confirm;
 mod connection;
+pub mod drain;
 pub mod events;
 mod gauges;
 mod gossip;
@@ -55,6 +56,7 @@
 use crate::ages::Ages;
 use crate::call::Codec;
 use crate::confirm::Confirmations;
+use crate::drain::Drains;
 use crate::loads::LoadBook;
 use crate::membership::Roster;
 use crate::release::Releases;
@@ -72,6 +74,8 @@
     pub catalog: watch::Receiver<Option<Arc<Catalog>>>,
     /// Upstreams.
     pub roster: Roster,
+    /// Failure domains that operators have drained.
+    pub drains: Drains,
     /// Versions of weights that were released.
     pub releases: Releases,
     /// Requests waiting for a slot.
@@ -156,6 +160,7 @@
         Cx {
             budget: RetryBudget::new(cfg.retry_window, cfg.retry_ratio, cfg.retry_slack),
             roster: Roster::new(cfg.node.domain.clone(), cfg.return_time),
+            drains: Drains::default(),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
             ages: Ages::default(),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -77,6 +77,9 @@
     if within.is_zero() {
         return Sent::Unreached("the time to begin it is over".to_owned());
     }
+    if cx.drains.has(&upstream.domain) {
+        return Sent::Unreached("its failure domain was drained meanwhile".to_owned());
+    }
     let req = request(cx, job, slot, last_event);
     let begun = clock::now();
     let sent = tokio::time::timeout(within, connection.send(req)).await;
