Pace requests to cold upstreams over all gateways

Cause: an upstream that has just started, returned or been drained bears a few requests a second for some seconds; no code knew, so a domain that returned got its whole load at once. Change: decide::slow_start. Two gateways of the upstream's failure domain, by rendezvous hash, send to it, each at a pace of its own, such that the bound holds while two different lists of gateways are in use; others send there when it is warm. Cold by its entry, by an answer of its own, after a drain is cancelled and after it stayed unreachable, until an entry of a later revision says otherwise. Ruled out: an equal share for each gateway (at 33 gateways the first second alone would exceed the bound), and to count an upstream as restarted after one failed connection (it kept sound ones from requests for 2 s).

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -111,6 +111,8 @@
     pub engine: Option<Engine>,
     /// Where its weights are drawn from; `None` where it isn't an origin.
     pub origin: Option<Origin>,
+    /// Requests a second that a cold upstream bears; `None` where upstreams are never cold.
+    pub cold_rate: Option<f64>,
 }
 
 /// A caller's workspace.
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`quarantine`]: which requests are tried with care or held back, since upstreams ended under them.
 //! - [`residency`]: in which failure domains a request may run.
 //! - [`retry`]: the budget of requests sent again.
+//! - [`slow_start`]: how fast a cold upstream gets requests.
 
 #![deny(clippy::disallowed_methods)]
 
@@ -28,6 +29,7 @@
 pub mod quarantine;
 pub mod residency;
 pub mod retry;
+pub mod slow_start;
 
 /// Whether a request can still be served within its objective, counted from its caller's first try.
 ///
--- /dev/null
+++ b/crates/decide/src/slow_start.rs
@@ -0,0 +1,69 @@
+//! Slow start: how fast a cold upstream gets requests, over all gateways.
+//!
+//! An upstream is cold after its start, after a drain, or at any moment. It then bears a few requests a second, and
+//! falls over far above that. Gateways can't agree on each request, so few of them send to a cold upstream at all:
+//! the [`SENDERS`] of its failure domain that a rendezvous hash ranks first. Each paces its requests by itself,
+//! without hearing of the others.
+//!
+//! Gateways may differ in which others they know of, since some have just been added or removed, and some were cut
+//! off. The rate is such that the bound holds while two lists without a common gateway are in use.
+//!
+//! The load it is for: a failure domain that returns at once, all of its upstreams cold, with the requests of its
+//! own gateways. Gateways elsewhere have upstreams that are warm.
+
+use std::time::{Duration, Instant};
+
+use base::rendezvous;
+
+/// Gateways that send to one cold upstream.
+pub const SENDERS: usize = 2;
+
+/// Lists of gateways that may be in use at once.
+const LISTS: f64 = 2.0;
+
+/// Time after its start from when on a gateway may send to cold upstreams: by then the others know of it.
+pub const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Requests that a cold upstream may get in any second, of all gateways.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limit {
+    /// Requests a second that it bears.
+    pub rate: f64,
+    /// Factor by which that may be exceeded.
+    pub overage: f64,
+    /// Requests beside those.
+    pub slack: f64,
+}
+
+impl Limit {
+    /// Requests that may come in a second.
+    pub fn per_second(&self) -> f64 {
+        self.rate * self.overage + self.slack
+    }
+
+    /// Time between two requests of one sender; `None` where the limit leaves none for it.
+    pub fn interval(&self) -> Option<Duration> {
+        let senders = SENDERS as f64;
+        // A second may hold one request of a sender more than its rate says.
+        let of_list = self.per_second() / LISTS - senders;
+        let rate = of_list.min(self.rate) / senders;
+        (rate > 0.0).then(|| Duration::from_secs_f64(1.0 / rate))
+    }
+}
+
+/// Returns whether a gateway is a sender of a cold upstream, among the `others` of its failure domain.
+pub fn is_sender<'a>(
+    upstream: &str,
+    own: &str,
+    others: impl IntoIterator<Item = &'a String>,
+) -> bool {
+    let rank = |vm: &str| rendezvous::rank(upstream.as_bytes(), vm);
+    let own = rank(own);
+    let before = others.into_iter().filter(|vm| rank(vm) < own);
+    before.take(SENDERS).count() < SENDERS
+}
+
+/// Returns whether a sender may send now, by when it last did.
+pub fn is_due(last: Option<Instant>, interval: Duration, now: Instant) -> bool {
+    last.is_none_or(|last| now.saturating_duration_since(last) >= interval)
+}
--- /dev/null
+++ b/crates/decide/tests/slow_start.rs
@@ -0,0 +1,166 @@
+//! Cold upstreams and the gateways that send to them.
+
+use std::time::{Duration, Instant};
+
+use decide::slow_start::{Limit, SENDERS, is_due, is_sender};
+use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const LIMIT: Limit = Limit {
+    rate: 14.0,
+    overage: 1.5,
+    slack: 5.0,
+};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn vm(n: usize) -> String {
+    format!("front-{n}")
+}
+
+fn upstream(n: usize) -> String {
+    format!("10.0.0.{n}:8000")
+}
+
+/// A gateway: to which upstreams it may send, and when it last did.
+struct Gateway {
+    sends: Vec<bool>,
+    last: Vec<Option<Instant>>,
+}
+
+impl Gateway {
+    fn new(n: usize, known: impl Iterator<Item = usize>, upstreams: usize) -> Gateway {
+        let others: Vec<_> = known.filter(|other| *other != n).map(vm).collect();
+        let sends = |to: usize| is_sender(&upstream(to), &vm(n), &others);
+        Gateway {
+            sends: (0..upstreams).map(sends).collect(),
+            last: vec![None; upstreams],
+        }
+    }
+
+    /// Sends to an upstream where it may.
+    fn send(&mut self, to: usize, limit: Limit, now: Instant) -> bool {
+        let Some(interval) = limit.interval() else {
+            return false;
+        };
+        let may = self.sends[to] && is_due(self.last[to], interval, now);
+        if may {
+            self.last[to] = Some(now);
+        }
+        may
+    }
+}
+
+/// Most arrivals within any second.
+fn busiest_second(mut arrivals: Vec<Instant>) -> usize {
+    arrivals.sort();
+    let within = |from: &Instant| {
+        let until = *from + SECOND;
+        arrivals
+            .iter()
+            .filter(|at| (*from..until).contains(at))
+            .count()
+    };
+    arrivals.iter().map(within).max().unwrap_or(0)
+}
+
+proptest! {
+    #![proptest_config(cases::cases(64))]
+
+    /// Gateways always have a request waiting, know of the others before or after a change of the list, and their
+    /// requests are on their way for up to 20 ms.
+    #[test]
+    fn no_second_exceeds_the_limit_while_gateways_know_different_lists(
+        gateways in 1_usize..40,
+        added in 0_usize..20,
+        rate in prop_oneof![Just(14.0), 1.0..60.0],
+        seed in any::<u64>(),
+    ) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let limit = Limit { rate, ..LIMIT };
+        let all = gateways + added;
+        let list = |n: usize| {
+            let knows_change = n >= gateways || n.is_multiple_of(2);
+            if knows_change { all } else { gateways }
+        };
+        let mut fleet: Vec<_> = (0..all).map(|n| Gateway::new(n, 0..list(n), 1)).collect();
+        let start = Instant::now();
+        let mut arrivals = Vec::new();
+
+        for ms in 0..3000 {
+            let now = start + Duration::from_millis(ms);
+            for gateway in &mut fleet {
+                if gateway.send(0, limit, now) {
+                    arrivals.push(now + Duration::from_millis(rng.random_range(0..20)));
+                }
+            }
+        }
+
+        let most = busiest_second(arrivals);
+        prop_assert!(most as f64 <= limit.per_second(), "{most} of {}", limit.per_second());
+    }
+}
+
+#[test]
+fn each_upstream_has_as_many_senders_as_there_may_be() {
+    for gateways in [1, 2, 11, 121] {
+        for to in 0..20 {
+            let is_one = |n: &usize| {
+                let others: Vec<_> = (0..gateways).filter(|o| o != n).map(vm).collect();
+                is_sender(&upstream(to), &vm(*n), &others)
+            };
+            let senders = (0..gateways).filter(is_one).count();
+            assert_eq!(senders, gateways.min(SENDERS));
+        }
+    }
+}
+
+#[test]
+fn a_limit_that_leaves_nothing_for_a_sender_has_no_interval() {
+    let limit = Limit {
+        rate: 1.0,
+        overage: 1.0,
+        slack: 0.0,
+    };
+
+    assert_eq!(limit.interval(), None);
+}
+
+/// The load that it is for: 15 upstreams of a failure domain return cold, and its 11 gateways get 145 requests a
+/// second, of which each waits for at most 125 ms.
+#[test]
+fn a_failure_domain_that_returns_cold_serves_most_of_its_own_callers() {
+    let (gateways, upstreams) = (11, 15);
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut fleet: Vec<_> = (0..gateways)
+        .map(|n| Gateway::new(n, 0..gateways, upstreams))
+        .collect();
+    let start = Instant::now();
+    let (mut asked, mut served) = (0, 0);
+    let mut waiting: Vec<(usize, Instant)> = Vec::new();
+    let mut arrivals = vec![Vec::new(); upstreams];
+
+    for ms in 0..3000 {
+        let now = start + Duration::from_millis(ms);
+        if rng.random_bool(0.145) {
+            waiting.push((
+                rng.random_range(0..gateways),
+                now + Duration::from_millis(125),
+            ));
+            asked += 1;
+        }
+        waiting.retain(|(gateway, until)| {
+            let sent = (0..upstreams).find(|to| fleet[*gateway].send(*to, LIMIT, now));
+            if let Some(to) = sent {
+                arrivals[to].push(now);
+                served += 1;
+            }
+            sent.is_none() && now < *until
+        });
+    }
+
+    let most = arrivals.into_iter().map(busiest_second).max().unwrap_or(0);
+    assert!(served * 10 >= asked * 7, "{served} of {asked}");
+    assert!(most as f64 <= LIMIT.per_second(), "{most}");
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -12,12 +12,13 @@
 use decide::contention::{is_tried, moment};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
+use decide::slow_start::is_due;
 use rand::RngExt;
 
-use crate::Cx;
 use crate::call::Job;
 use crate::loads::Others;
 use crate::upstream::{Upstream, View};
+use crate::{ColdShare, Cx};
 
 /// What became of a choice.
 #[derive(Debug)]
@@ -79,19 +80,28 @@
         }
         let others = sums.of(&upstream.addr);
         let sound = !view.paused && !is_failing(upstream, &view, others, now);
+        let is_far = upstream.domain != cx.roster.domain;
+        let is_due = match service.cold_rate.filter(|_| view.is_cold) {
+            None => true,
+            Some(_) if is_far => continue,
+            Some(rate) => match cx.cold_share(upstream, rate, now) {
+                ColdShare::None => continue,
+                ColdShare::Paced(interval) => is_due(view.chosen, interval, now),
+            },
+        };
         search.fits = true;
-        if apart.contains(&upstream.addr) {
+        if !is_due || apart.contains(&upstream.addr) {
             continue;
         }
         search.sound |= sound;
-        let is_far = upstream.domain != cx.roster.domain;
         let candidate = candidate(&view, others, is_far);
         let gateways = match is_far {
             true => all_gateways,
             false => near_gateways,
         };
         let draw = draw(cx, upstream, is_far, now);
-        if !is_tried(ask.room(&candidate), gateways, is_far, waits, draw) {
+        let is_shared = !view.is_cold || service.cold_rate.is_none();
+        if is_shared && !is_tried(ask.room(&candidate), gateways, is_far, waits, draw) {
             continue;
         }
         if let Some(weight) = ask.weight(&candidate) {
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -73,6 +73,8 @@
     pub not_run: bool,
     /// Incarnation that answered.
     pub instance: Option<String>,
+    /// Time for which the upstream stays cold, where it says so.
+    pub cold_for: Option<Duration>,
 }
 
 /// Why a head can't be read.
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -153,6 +153,16 @@
         usable.map(|e| e.upstream.clone()).collect()
     }
 
+    /// Notes that the upstreams of a failure domain may have turned cold, by what was known at a revision.
+    pub fn may_be_cold(&self, domain: &str, revision: Revision) {
+        let state = self.state();
+        let of_domain = state
+            .entries
+            .values()
+            .filter(|e| e.upstream.domain == domain);
+        of_domain.for_each(|e| e.upstream.may_be_cold(revision));
+    }
+
     /// Lives of all upstreams.
     pub fn lives(&self) -> Set<LifeId> {
         let state = self.state();
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -136,6 +136,9 @@
     let (head, body) = res.into_parts();
     let reply = (cx.codec.reply)(&head);
     let status = head.status.as_u16();
+    if let Some(cold_for) = reply.cold_for {
+        upstream.observe_cold(cold_for);
+    }
     let replaced = |id: &String| *id != upstream.instance;
     if status == MISDIRECTED && reply.instance.as_ref().is_some_and(replaced) {
         report(upstream, Health::Replaced);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -44,6 +44,8 @@
     pub slots: u32,
     /// Whether it takes no new work.
     pub leaving: bool,
+    /// Time for which it stays cold.
+    pub cold_for: Duration,
     /// Weights it holds whole.
     pub holdings: Vec<Holding>,
     /// Revision of its entry; grows with each of its heartbeats.
@@ -53,12 +55,12 @@
 }
 
 impl Listed {
-    /// Whether something other than a heartbeat's revision differs.
+    /// Whether something other than what each heartbeat changes differs.
     pub fn differs(&self, other: &Listed) -> bool {
-        let revision = self.revision;
         *self
             != Listed {
-                revision,
+                revision: self.revision,
+                cold_for: self.cold_for,
                 ..other.clone()
             }
     }
@@ -97,9 +99,29 @@
     pauses: u32,
     paused_until: Option<Instant>,
     outcomes: Outcomes,
+    /// Until when it is cold, by what it last said of itself.
+    cold_until: Option<Instant>,
+    /// Set where it may have turned cold meanwhile: an entry counts only from a later revision on.
+    cold_unless_after: Option<Revision>,
+    /// When this gateway last chose it.
+    chosen: Option<Instant>,
 }
 
 impl State {
+    fn is_cold(&self, now: Instant) -> bool {
+        self.cold_unless_after.is_some() || self.cold_until.is_some_and(|until| now < until)
+    }
+
+    /// Takes what a newer entry says of how long it stays cold.
+    fn relist_cold(&mut self, listed: &Listed, now: Instant) {
+        if listed.revision <= self.listed.revision {
+            return;
+        }
+        self.cold_until = (!listed.cold_for.is_zero()).then(|| now + listed.cold_for);
+        let after = self.cold_unless_after;
+        self.cold_unless_after = after.filter(|after| listed.revision <= *after);
+    }
+
     fn serves(&self, model: &Model, now: Instant) -> Option<WeightsVersion> {
         let holdings = match self.fresh_note(now) {
             Some((note, _)) if note.switching => return None,
@@ -142,6 +164,10 @@
     pub failed_at_most: f64,
     /// Time until it is to leave service for new weights, as its loader has told.
     pub leaves_in: Option<Duration>,
+    /// Whether it is cold, or may be.
+    pub is_cold: bool,
+    /// When this gateway last chose it.
+    pub chosen: Option<Instant>,
 }
 
 /// An upstream.
@@ -165,6 +191,8 @@
 impl Upstream {
     /// An upstream that was just listed.
     pub fn new(listed: Listed) -> Upstream {
+        let now = clock::now();
+        let cold_until = (!listed.cold_for.is_zero()).then(|| now + listed.cold_for);
         Upstream {
             instance: listed.instance.clone(),
             service: listed.service.clone(),
@@ -180,7 +208,10 @@
                 failures: 0,
                 pauses: 0,
                 paused_until: None,
-                outcomes: Outcomes::new(clock::now()),
+                outcomes: Outcomes::new(now),
+                cold_until,
+                cold_unless_after: None,
+                chosen: None,
             }),
         }
     }
@@ -193,6 +224,7 @@
     pub fn relist(&self, listed: Listed) -> bool {
         let mut state = self.state();
         let differs = state.listed.differs(&listed);
+        state.relist_cold(&listed, clock::now());
         state.listed = listed;
         differs
     }
@@ -255,6 +287,8 @@
             unread: state.unread,
             failed_at_most: state.outcomes.failed_at_most(),
             leaves_in: state.leaves_in(now),
+            is_cold: state.is_cold(now),
+            chosen: state.chosen,
         }
     }
 
@@ -263,6 +297,19 @@
         self.state().outcomes.counts(now)
     }
 
+    /// Takes what it answered of how long it stays cold.
+    pub fn observe_cold(&self, cold_for: Duration) {
+        let mut state = self.state();
+        state.cold_until = (!cold_for.is_zero()).then(|| clock::now() + cold_for);
+    }
+
+    /// Notes that it may have turned cold: it counts as cold until an entry of a later revision says otherwise.
+    pub fn may_be_cold(&self, revision: Revision) {
+        let mut state = self.state();
+        let since = revision.max(state.listed.revision);
+        state.cold_unless_after = Some(since);
+    }
+
     /// This gateway's part of its load.
     pub fn load(&self) -> Load {
         let state = self.state();
@@ -296,7 +343,13 @@
                 return false;
             }
             Health::Failed => state.failures += 1,
-            Health::Unreachable => state.failures = FAILURES_IN_A_ROW,
+            Health::Unreachable => {
+                state.failures = FAILURES_IN_A_ROW;
+                // Down for longer than a pause: it starts again, which an entry of before doesn't tell.
+                if state.pauses > 0 {
+                    state.cold_unless_after = Some(state.listed.revision);
+                }
+            }
             Health::Replaced => {
                 // Its entry lapses by itself within this time.
                 state.paused_until = Some(clock::now() + LONGEST_PAUSE);
@@ -346,6 +399,7 @@
         let mut state = upstream.state();
         state.requests += 1;
         state.unread += unread;
+        state.chosen = Some(clock::now());
         drop(state);
         told.changed.notify_one();
         Slot {
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -29,6 +29,7 @@
         domain: "recife".to_owned(),
         slots: 16,
         leaving: false,
+        cold_for: Duration::ZERO,
         holdings: vec![holding(Some(1))],
         revision: 1,
         born: None,
@@ -334,3 +335,63 @@
     let upstream = roster.of("llm", now).remove(0);
     assert_eq!(upstream.addr.port(), 9999);
 }
+
+fn is_cold(roster: &Roster, now: Instant) -> bool {
+    roster.all()[0].view(None, now).is_cold
+}
+
+fn at_revision(revision: u64, cold_for: Duration) -> Listed {
+    Listed {
+        revision,
+        cold_for,
+        ..listed(1)
+    }
+}
+
+#[test]
+fn an_upstream_is_cold_for_as_long_as_its_newest_entry_says() {
+    let (roster, now) = (roster(), Instant::now());
+    let cold_for = Duration::from_secs(3);
+    list(&roster, vec![at_revision(5, cold_for)], now);
+
+    let at_first = is_cold(&roster, now);
+    list(&roster, vec![at_revision(5, Duration::ZERO)], now);
+    let by_the_same = is_cold(&roster, now);
+    let later = is_cold(&roster, now + 2 * cold_for);
+    list(&roster, vec![at_revision(6, Duration::ZERO)], now);
+
+    assert!(at_first && by_the_same && !later);
+    assert!(!is_cold(&roster, now));
+}
+
+#[test]
+fn after_a_drain_upstreams_count_as_cold_until_a_later_entry_says_otherwise() {
+    let (roster, now) = (roster(), Instant::now());
+    list(&roster, vec![at_revision(5, Duration::ZERO)], now);
+
+    roster.may_be_cold("fortaleza", 8);
+    let of_another_domain = is_cold(&roster, now);
+    roster.may_be_cold("recife", 8);
+    list(&roster, vec![at_revision(7, Duration::ZERO)], now);
+    let by_an_earlier_entry = is_cold(&roster, now);
+    list(&roster, vec![at_revision(9, Duration::ZERO)], now);
+
+    assert!(!of_another_domain && by_an_earlier_entry);
+    assert!(!is_cold(&roster, now));
+}
+
+#[test]
+fn an_upstream_that_stays_unreachable_counts_as_cold_until_its_next_entry() {
+    let (roster, now) = (roster(), Instant::now());
+    list(&roster, vec![at_revision(5, Duration::ZERO)], now);
+    let upstream = roster.all()[0].clone();
+
+    upstream.report(Health::Unreachable);
+    let once = is_cold(&roster, now);
+    upstream.report(Health::Unreachable);
+    let twice = is_cold(&roster, now);
+    list(&roster, vec![at_revision(6, Duration::ZERO)], now);
+
+    assert!(!once && twice);
+    assert!(!is_cold(&roster, now));
+}
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -101,6 +101,17 @@
         "Requests of a window that all gateways together may send again beside `retry_ratio`; need not be \
          whole.",
     ),
+    field(
+        "cold_overage",
+        Ratio(1.0, 1.0, 100.0),
+        "Factor by which requests to a cold upstream may exceed the rate that it bears, in any second and of all \
+         gateways together.",
+    ),
+    field(
+        "cold_slack",
+        Ratio(0.0, 0.0, 1e6),
+        "Requests to a cold upstream in any second that are allowed beside `cold_overage`.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -245,6 +245,8 @@
         retry_window: Duration = duration,
         retry_ratio: f64 = ratio,
         retry_slack: f64 = ratio,
+        cold_overage: f64 = ratio,
+        cold_slack: f64 = ratio,
         hold_time: Duration = duration,
         stop_notice: Duration = duration,
         drain_timeout: Duration = duration,
