Bound the log lines of one list of upstreams

Cause: each gateway logs a line for each upstream that a list adds: 461 x 546 lines as the whole fleet starts. Change: 20 lines a list, and one that counts the others (membership: event=listed_more). Not measured by itself.

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -23,6 +23,9 @@
 /// heartbeats without a write, and lists come every second, from the store or another gateway.
 const STORE_AWAY: Duration = Duration::from_millis(2500);
 
+/// Upstreams of one list that are logged each by itself.
+const MOST_LOGGED: usize = 20;
+
 /// An upstream, and until when it is kept although it is missing from the list.
 #[derive(Debug, Clone)]
 pub struct Entry {
@@ -89,6 +92,7 @@
         }
         let mut before = std::mem::take(&mut state.entries);
         let mut changed = false;
+        let mut added = 0;
         for listed in all {
             let id = listed.instance.clone();
             let upstream = match before.remove(&id) {
@@ -108,7 +112,10 @@
                     upstream
                 }
                 None => {
-                    info!(target: PART, "{PART}: event=listed upstream={id} service={} addr={} domain={}", listed.service, listed.addr, listed.domain);
+                    added += 1;
+                    if added <= MOST_LOGGED {
+                        info!(target: PART, "{PART}: event=listed upstream={id} service={} addr={} domain={}", listed.service, listed.addr, listed.domain);
+                    }
                     changed = true;
                     Arc::new(Upstream::new(listed))
                 }
@@ -119,6 +126,9 @@
             };
             state.entries.insert(id, entry);
         }
+        if added > MOST_LOGGED {
+            info!(target: PART, "{PART}: event=listed_more upstreams={}", added - MOST_LOGGED);
+        }
         let keep = state.keep_missing.filter(|until| now < *until);
         for (id, mut missing) in before {
             missing.kept_until = missing.kept_until.or(keep);
