Let gateways read the store at a pace that doesn't grow with their failure domain

Cause: from the third in rank on, all gateways of a failure domain read the list of upstreams at the same age. Change: decide::readers.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`denial`]: whether a request may be denied by the configuration that is held.
 //! - [`outcomes`]: which upstreams are left alone, since they fail most of what they get.
 //! - [`quarantine`]: which requests are tried with care or held back, since upstreams ended under them.
+//! - [`readers`]: which gateways of a failure domain read the store, and when.
 //! - [`residency`]: in which failure domains a request may run.
 //! - [`retry`]: the budget of requests sent again.
 //! - [`slow_start`]: how fast a cold upstream gets requests.
@@ -27,6 +28,7 @@
 pub mod outcomes;
 pub mod placement;
 pub mod quarantine;
+pub mod readers;
 pub mod residency;
 pub mod retry;
 pub mod slow_start;
