Send whole notes at an interval that grows with the gateways of a failure domain

Cause: each gateway tells all others of its domain the whole of its loads each 1.3 s: 121 x 120 / 1.3 = 11,000 datagrams a second in one failure domain, with the square of its gateways. Ruled out: to leave them out, since a lost change that no other follows would stay unknown. Change: 26 ms more for each other gateway, from 50 on; a gateway sends and receives 38 whole notes a second, however many there are. Who is up is told with the changes that are passed on each 0.4 s, as before. Test: notes of a gateway at 51, 121 and 484 gateways (92 a second at 121 before).

--- a/crates/decide/src/audience.rs
+++ b/crates/decide/src/audience.rs
@@ -29,10 +29,14 @@
 /// is up. One that isn't heard for 1 s counts as gone.
 pub const REPEAT: Duration = Duration::from_millis(400);
 
-/// Longest time between two whole notes to all where changes are passed on: what they mend is a change that
-/// was lost on its way, and the next change of the same upstream mends that too.
+/// Least of the longest time between two whole notes to all where changes are passed on: what they mend is a
+/// change that was lost on its way, and the next change of the same upstream mends that too.
 const REPEAT_MANY: Duration = Duration::from_millis(1300);
 
+/// The same for each other gateway, so that a gateway sends and receives no more whole notes a second in a larger
+/// failure domain.
+const REPEAT_EACH: Duration = Duration::from_millis(26);
+
 /// Time between two looks of a gateway whether it falls to it to pass changes on, by how soon it may.
 const LOOK_NEXT: Duration = Duration::from_millis(100);
 const LOOK_LATER: Duration = Duration::from_millis(500);
@@ -79,8 +83,9 @@
 
 /// Longest time between two whole notes to all.
 pub fn repeat(others: usize) -> Duration {
-    match others > DIRECT_MOST {
-        true => REPEAT_MANY,
-        false => REPEAT,
+    match u32::try_from(others) {
+        _ if others <= DIRECT_MOST => REPEAT,
+        Ok(others) => REPEAT_MANY.max(REPEAT_EACH * others),
+        Err(_) => REPEAT_MANY,
     }
 }
--- a/crates/decide/tests/audience.rs
+++ b/crates/decide/tests/audience.rs
@@ -51,3 +51,22 @@
 
     assert!(passed_on < all_told / 5.0, "{passed_on} of {all_told}");
 }
+
+/// With a fixed interval each gateway sent 92 whole notes a second at 121 gateways, and 38 at 50.
+#[test]
+fn a_gateway_sends_no_more_whole_notes_in_a_larger_failure_domain() {
+    let notes = |gateways: usize| (gateways - 1) as f64 / repeat(gateways - 1).as_secs_f64();
+
+    assert!(
+        notes(121) <= notes(51) * 1.01,
+        "{} and {}",
+        notes(121),
+        notes(51)
+    );
+    assert!(
+        notes(484) <= notes(121) * 1.01,
+        "{} and {}",
+        notes(484),
+        notes(121)
+    );
+}
