Wait 50 ms for a first gateway to tell of at an introduction

A process that starts after a loss of power waits for the answer before anything else; the gateways of a failure domain start within 0.3 s of each other.

--- a/crates/gateway/src/introduction.rs
+++ b/crates/gateway/src/introduction.rs
@@ -31,7 +31,7 @@
 const GATEWAYS_TOLD: usize = 8;
 
 /// Longest wait for a first gateway of the asker's failure domain.
-const FIRST_WAIT: Duration = Duration::from_millis(120);
+const FIRST_WAIT: Duration = Duration::from_millis(50);
 
 /// A process that introduced itself.
 #[derive(Debug)]
