--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -1,7 +1,8 @@
 //! Chooses the upstream of a request, by [`decide::placement`].
 //!
-//! Candidates are where the request may run, in no drained failure domain, take new work, hold a version that may begin requests,
-//! weren't tried yet, and don't fail most of what they get.
+//! Candidates are where the request may run, in no drained failure domain, take new work, hold a version that
+//! may begin requests, weren't tried yet, and don't fail most of what they get. Cold ones get requests by
+//! [`decide::slow_start`].
 
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
@@ -12,13 +13,13 @@
 use decide::contention::{is_tried, moment};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
-use decide::slow_start::is_due;
+use decide::slow_start::{Limit, SETTLE_TIME, is_due, is_sender};
 use rand::RngExt;
 
+use crate::Cx;
 use crate::call::Job;
 use crate::loads::Others;
 use crate::upstream::{Upstream, View};
-use crate::{ColdShare, Cx};
 
 /// What became of a choice.
 #[derive(Debug)]
@@ -81,16 +82,15 @@
         let others = sums.of(&upstream.addr);
         let sound = !view.paused && !is_failing(upstream, &view, others, now);
         let is_far = upstream.domain != cx.roster.domain;
-        let is_due = match service.cold_rate.filter(|_| view.is_cold) {
-            None => true,
-            Some(_) if is_far => continue,
-            Some(rate) => match cx.cold_share(upstream, rate, now) {
-                ColdShare::None => continue,
-                ColdShare::Paced(interval) => is_due(view.chosen, interval, now),
-            },
+        let warmth = match service.cold_rate.filter(|_| view.is_cold) {
+            None => Warmth::Warm,
+            Some(rate) => cold(cx, upstream, &view, rate, now),
         };
+        if warmth == Warmth::OthersSend {
+            continue;
+        }
         search.fits = true;
-        if !is_due || apart.contains(&upstream.addr) {
+        if warmth == Warmth::NotDue || apart.contains(&upstream.addr) {
             continue;
         }
         search.sound |= sound;
@@ -100,8 +100,9 @@
             false => near_gateways,
         };
         let draw = draw(cx, upstream, is_far, now);
-        let is_shared = !view.is_cold || service.cold_rate.is_none();
-        if is_shared && !is_tried(ask.room(&candidate), gateways, is_far, waits, draw) {
+        // Few gateways send to a cold one at all, and at a pace.
+        let is_contended = warmth == Warmth::Warm;
+        if is_contended && !is_tried(ask.room(&candidate), gateways, is_far, waits, draw) {
             continue;
         }
         if let Some(weight) = ask.weight(&candidate) {
@@ -144,6 +145,42 @@
     }
 }
 
+/// What slow start says of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Warmth {
+    /// It isn't cold.
+    Warm,
+    /// It is cold, and this gateway may send a request now.
+    Due,
+    /// It is cold, and this gateway may send a request later.
+    NotDue,
+    /// It is cold, and only other gateways send requests.
+    OthersSend,
+}
+
+/// Returns whether this gateway may send a request to a cold upstream that bears so many a second.
+fn cold(cx: &Cx, upstream: &Upstream, view: &View, rate: f64, now: Instant) -> Warmth {
+    let is_near = upstream.domain == cx.roster.domain;
+    let is_settled = now.saturating_duration_since(cx.started) >= SETTLE_TIME;
+    let knows_others = cx.mirror.revision(cx.members.name) > 0;
+    let limit = Limit {
+        rate,
+        overage: cx.cfg.cold_overage,
+        slack: cx.cfg.cold_slack,
+    };
+    let Some(interval) = limit.interval() else {
+        return Warmth::OthersSend;
+    };
+    let peers = cx.peers.borrow();
+    let others = peers.near_gateways.keys();
+    let is_sender = || is_sender(&upstream.addr.to_string(), &cx.cfg.node.vm, others);
+    match is_near && is_settled && knows_others && is_sender() {
+        false => Warmth::OthersSend,
+        true if is_due(view.chosen, interval, now) => Warmth::Due,
+        true => Warmth::NotDue,
+    }
+}
+
 /// Whether an upstream fails most of what all gateways send there.
 fn is_failing(upstream: &Upstream, view: &View, others: Others, now: Instant) -> bool {
     // Few fail at all; only of these it matters what has faded.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -44,12 +44,11 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use base::{Incarnation, Map, RandomHasher, Revision, VmId};
 use catalog::Catalog;
 use decide::retry::RetryBudget;
-use decide::slow_start::{Limit, SETTLE_TIME, is_sender};
 use mirror::{DocName, Mirror};
 use settings::GatewayCfg;
 use tokio::sync::{Notify, watch};
@@ -64,7 +63,6 @@
 use crate::membership::Roster;
 use crate::release::Releases;
 use crate::suspects::Suspects;
-use crate::upstream::Upstream;
 
 pub use serve::run;
 
@@ -205,30 +203,6 @@
         self.peers.borrow().near_gateways.len() + 1
     }
 
-    /// Returns how this gateway may send to a cold upstream of its failure domain.
-    fn cold_share(&self, upstream: &Upstream, rate: f64, now: Instant) -> ColdShare {
-        let limit = Limit {
-            rate,
-            overage: self.cfg.cold_overage,
-            slack: self.cfg.cold_slack,
-        };
-        let knows_others = self.mirror.revision(self.members.name) > 0;
-        let is_settled = now.saturating_duration_since(self.started) >= SETTLE_TIME;
-        let peers = self.peers.borrow();
-        let others = peers.near_gateways.keys();
-        let upstream = upstream.addr.to_string();
-        match limit.interval() {
-            Some(interval)
-                if knows_others
-                    && is_settled
-                    && is_sender(&upstream, &self.cfg.node.vm, others) =>
-            {
-                ColdShare::Paced(interval)
-            }
-            _ => ColdShare::None,
-        }
-    }
-
     /// Whether callers' requests can be served.
     pub fn is_ready(&self) -> bool {
         let stopping = *self.stop.borrow();
@@ -236,15 +210,6 @@
     }
 }
 
-/// What a gateway may send to a cold upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum ColdShare {
-    /// Nothing.
-    None,
-    /// One request in each interval.
-    Paced(Duration),
-}
-
 /// What a gateway is made of.
 pub struct Wiring {
     /// Settings.
