Let a gateway that can't copy the list of upstreams read it before its turn

Change: a gateway whose last copy failed reads by rank 2 at most. Test: ages by rank with and without a failed copy. Not measured by itself.

--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -18,6 +18,10 @@
 /// The same for each one after it, more than the one before.
 const EACH_PART: f64 = 0.3;
 
+/// Largest rank of a gateway whose last try to copy the list failed: it isn't served by those before it, and would
+/// go on by an old list.
+const FALLBACK_RANK: usize = 2;
+
 /// What a gateway that starts waits longer for a copy than the one before it, among the first [`PATIENT`]: a
 /// configuration of 0.7 MB takes 0.2 s on a link of 27 Mbit/s.
 const PATIENCE: Duration = Duration::from_millis(250);
@@ -37,6 +41,14 @@
 /// Longest pause of the others.
 const LONGEST: Duration = Duration::from_secs(4);
 
+/// Rank by which a gateway reads, where it may not get the copies of those before it.
+pub fn reading_rank(rank: usize, copy_failed: bool) -> usize {
+    match copy_failed {
+        true => rank.min(FALLBACK_RANK),
+        false => rank,
+    }
+}
+
 /// Age of the list at which the gateway of a rank reads it, where the first reads it at the interval.
 pub fn list_due(interval: Duration, rank: usize) -> Duration {
     let part = match rank {
--- a/crates/decide/tests/readers.rs
+++ b/crates/decide/tests/readers.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::readers::{first_copy_wait, list_due, retry_pause};
+use decide::readers::{first_copy_wait, list_due, reading_rank, retry_pause};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
@@ -67,3 +67,12 @@
     assert!(retry_pause(5, 9, 0.0) >= Duration::from_secs(4));
     assert_eq!(retry_pause(0, 1, 0.0), retry_pause(5, 1, 0.0));
 }
+
+#[test]
+fn a_gateway_that_cannot_copy_the_list_reads_it_before_its_turn() {
+    let due = |rank, copy_failed| list_due(INTERVAL, reading_rank(rank, copy_failed));
+
+    assert!(due(80, false) > Duration::from_secs(20));
+    assert_eq!(due(80, true), due(2, false));
+    assert_eq!(due(0, true), due(0, false));
+}
