Send to cold upstreams as soon as the gateway is listed

Cause: a gateway waited for 3 s after its start before it sent anything to a cold upstream. Change: it sends once the list of processes that it holds shows itself, since the others count with it from then on. That a sender doesn't know what it sent before its start is covered by the margin for two lists. Test: the bound holds while all senders start again.

--- a/crates/decide/src/slow_start.rs
+++ b/crates/decide/src/slow_start.rs
@@ -6,10 +6,11 @@
 //! without hearing of the others.
 //!
 //! Gateways may differ in which others they know of, since some have just been added or removed, and some were cut
-//! off. The rate is such that the bound holds while two lists without a common gateway are in use.
+//! off. The rate is such that the bound holds while two lists without a common gateway are in use, or while each
+//! sender has just started again and doesn't know what it sent before. A gateway that isn't listed sends nothing.
 //!
-//! The load it is for: a failure domain that returns at once, all of its upstreams cold, with the requests of its
-//! own gateways. Gateways elsewhere have upstreams that are warm.
+//! The load it is for: a failure domain that returns at once, or a loss of power of all, after which all upstreams
+//! are cold, with the requests of the domain's own gateways.
 
 use std::time::{Duration, Instant};
 
@@ -21,9 +22,6 @@
 /// Lists of gateways that may be in use at once.
 const LISTS: f64 = 2.0;
 
-/// Time after its start from when on a gateway may send to cold upstreams: by then the others know of it.
-pub const SETTLE_TIME: Duration = Duration::from_secs(3);
-
 /// Requests that a cold upstream may get in any second, of all gateways.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
--- a/crates/decide/tests/slow_start.rs
+++ b/crates/decide/tests/slow_start.rs
@@ -164,3 +164,30 @@
     assert!(served * 10 >= asked * 7, "{served} of {asked}");
     assert!(most as f64 <= LIMIT.per_second(), "{most}");
 }
+
+/// All gateways lose power and start again while they send: none knows what it sent before.
+#[test]
+fn the_limit_holds_while_all_senders_start_again() {
+    let gateways = 11;
+    let start = Instant::now();
+    let mut arrivals = Vec::new();
+    let mut fleet: Vec<_> = (0..gateways)
+        .map(|n| Gateway::new(n, 0..gateways, 1))
+        .collect();
+
+    for ms in 0..3000 {
+        let now = start + Duration::from_millis(ms);
+        if ms == 1500 {
+            fleet = (0..gateways)
+                .map(|n| Gateway::new(n, 0..gateways, 1))
+                .collect();
+        }
+        let sent = fleet
+            .iter_mut()
+            .filter_map(|g| g.send(0, LIMIT, now).then_some(now));
+        arrivals.extend(sent);
+    }
+
+    let most = busiest_second(arrivals);
+    assert!(most as f64 <= LIMIT.per_second(), "{most}");
+}
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -13,7 +13,7 @@
 use decide::contention::{is_tried, moment};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
-use decide::slow_start::{Limit, SETTLE_TIME, is_due, is_sender};
+use decide::slow_start::{Limit, is_due, is_sender};
 use rand::RngExt;
 
 use crate::Cx;
@@ -161,8 +161,6 @@
 /// Returns whether this gateway may send a request to a cold upstream that bears so many a second.
 fn cold(cx: &Cx, upstream: &Upstream, view: &View, rate: f64, now: Instant) -> Warmth {
     let is_near = upstream.domain == cx.roster.domain;
-    let is_settled = now.saturating_duration_since(cx.started) >= SETTLE_TIME;
-    let knows_others = cx.mirror.revision(cx.members.name) > 0;
     let limit = Limit {
         rate,
         overage: cx.cfg.cold_overage,
@@ -174,7 +172,8 @@
     let peers = cx.peers.borrow();
     let others = peers.near_gateways.keys();
     let is_sender = || is_sender(&upstream.addr.to_string(), &cx.cfg.node.vm, others);
-    match is_near && is_settled && knows_others && is_sender() {
+    // Others count with a gateway only where it is listed.
+    match is_near && peers.lists_own && is_sender() {
         false => Warmth::OthersSend,
         true if is_due(view.chosen, interval, now) => Warmth::Due,
         true => Warmth::NotDue,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -149,6 +149,8 @@
 /// Addresses of other processes.
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
+    /// Whether this gateway is listed itself, so that others know of it.
+    pub lists_own: bool,
     /// Where loaders of the own failure domain take datagrams.
     pub near_loaders: Vec<std::net::SocketAddr>,
     /// Where other gateways of the own failure domain take datagrams.
