--- a/crates/decide/src/readers.rs
+++ b/crates/decide/src/readers.rs
@@ -68,10 +68,18 @@
 
 /// Pause after so many failed reads in a row, for a draw in 0..1.
 pub fn retry_pause(rank: usize, failures: u32, draw: f64) -> Duration {
-    let longest = match rank {
-        0 | 1 => FIRST_LONGEST,
-        _ => LONGEST,
-    };
+    match rank {
+        0 | 1 => doubled(FIRST_LONGEST, failures, draw),
+        _ => unhurried_pause(failures, draw),
+    }
+}
+
+/// The same for a call that is in no hurry.
+pub fn unhurried_pause(failures: u32, draw: f64) -> Duration {
+    doubled(LONGEST, failures, draw)
+}
+
+fn doubled(longest: Duration, failures: u32, draw: f64) -> Duration {
     let doubled = FIRST_PAUSE.saturating_mul(2_u32.saturating_pow(failures.saturating_sub(1)));
     doubled.min(longest).mul_f64(1.0 + draw)
 }
--- a/crates/gateway/src/introduction.rs
+++ b/crates/gateway/src/introduction.rs
@@ -87,8 +87,8 @@
     /// Processes that are to be registered: those that introduced themselves and aren't listed.
     pub fn unregistered(&self, listed: &[Member]) -> Vec<Member> {
         let mut introduced = self.introduced();
-        for known in introduced.values_mut() {
-            known.is_registered |= listed.contains(&known.member);
+        for known in introduced.values_mut().filter(|k| !k.is_registered) {
+            known.is_registered = listed.contains(&known.member);
         }
         let missing = introduced.values().filter(|known| !known.is_registered);
         missing.map(|known| known.member.clone()).collect()
