Log and count the rate limits that upstreams name

Nothing told whether an upstream had named a limit, to which gateway, and what that gateway sent afterwards. Each answer's head is decoded for it now; changes are logged, values that are no number are logged and ignored. What is sent doesn't depend on it yet.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -62,6 +62,18 @@
     pub last_event: Option<&'a str>,
 }
 
+/// Value of a header that an upstream may add to an answer.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Advertised<T> {
+    /// The header isn't there.
+    #[default]
+    Absent,
+    /// Its value.
+    Value(T),
+    /// Its text, which is no value.
+    Invalid(String),
+}
+
 /// What the head of an answer says.
 #[derive(Debug, Clone, Default)]
 pub struct Reply {
@@ -75,6 +87,8 @@
     pub instance: Option<String>,
     /// Time for which the upstream stays cold, where it says so.
     pub cold_for: Option<Duration>,
+    /// Requests a second that the upstream takes of all gateways together.
+    pub rate_limit: Advertised<f64>,
 }
 
 /// Why a head can't be read.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod connection;
 pub mod drain;
 pub mod events;
+pub mod feedback;
 mod gauges;
 mod gossip;
 mod handle;
@@ -58,6 +59,7 @@
 use crate::call::Codec;
 use crate::confirm::Confirmations;
 use crate::drain::Drains;
+use crate::feedback::Feedback;
 use crate::introduction::Introductions;
 use crate::loads::LoadBook;
 use crate::membership::Roster;
@@ -78,6 +80,8 @@
     pub roster: Roster,
     /// Failure domains that operators have drained.
     pub drains: Drains,
+    /// What upstreams say of themselves.
+    pub feedback: Feedback,
     /// Versions of weights that were released.
     pub releases: Releases,
     /// Requests waiting for a slot.
@@ -167,6 +171,7 @@
             budget: RetryBudget::new(cfg.retry_window, cfg.retry_ratio, cfg.retry_slack),
             roster: Roster::new(cfg.node.domain.clone(), cfg.return_time),
             drains: Drains::default(),
+            feedback: Feedback::default(),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
             ages: Ages::default(),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -10,7 +10,7 @@
 use log::info;
 
 use crate::Cx;
-use crate::call::{Forward, Job};
+use crate::call::{Forward, Job, Reply};
 use crate::connection::Connection;
 use crate::loss::Loss;
 use crate::spans::Span;
@@ -136,6 +136,9 @@
     let (head, body) = res.into_parts();
     let reply = (cx.codec.reply)(&head);
     let status = head.status.as_u16();
+    if is_own(&reply, upstream, job) {
+        cx.feedback.observe(upstream, &reply);
+    }
     if let Some(cold_for) = reply.cold_for {
         upstream.observe_cold(cold_for);
     }
@@ -162,6 +165,14 @@
     }))
 }
 
+/// Returns whether an answer is the upstream's own to this request: another incarnation may have its address, and
+/// a surplus answer may come in its place.
+fn is_own(reply: &Reply, upstream: &Upstream, job: &Job) -> bool {
+    let id = reply.id.as_ref();
+    let instance = reply.instance.as_ref();
+    id == Some(&job.call.id) && instance.is_none_or(|i| *i == upstream.instance)
+}
+
 /// Notes how sending to an upstream went, with a log line where that leaves it alone.
 pub fn report(upstream: &Arc<Upstream>, health: Health) {
     if upstream.report(health) {
