Keep to the rate limit that an upstream names, over all gateways

What callers and upstreams saw: an upstream that had named 1 request a second got 16 and 21 in 4 s from gateways that it had told, 11 allowed; callers saw nothing yet.

Cause: the header was passed on and never read; nothing that chooses an upstream knew of it. Class: back-pressure that is ignored. Ruled out: a limit kept by each gateway alone (one of them sent five in a second), and a path besides the choice (all were first tries).

Change: the limit is kept by incarnation, a few gateways of the upstream's failure domain divide it at a pace that holds over all of them, the others send nothing, and all are told when it is named or lifted. What only limited upstreams could run is rejected at once, with the time until the next may be sent.

--- a/crates/beacon/src/lib.rs
+++ b/crates/beacon/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub use member::{Member, Role};
 pub use msg::{
-    ChunkMap, EngineNote, Holding, Load, LoadChange, LoadNote, Msg, SuspectNote, TrialNote,
+    ChunkMap, EngineNote, Holding, Load, LoadChange, LoadNote, Msg, RateLimitNote, SuspectNote,
+    TrialNote,
 };
 pub use socket::{Beacon, MAX_DATAGRAM, encode, packed};
--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -121,6 +121,17 @@
     pub ago: Duration,
 }
 
+/// What an upstream last said of its rate limit in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RateLimitNote {
+    /// The upstream.
+    pub life: LifeId,
+    /// Requests in 1,000 s that it takes of all gateways together; `None` once it names no limit any more.
+    pub per_1000_s: Option<u64>,
+    /// Time since that answer.
+    pub ago: Duration,
+}
+
 /// Chunks of a version that a loader has.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChunkMap {
@@ -166,6 +177,8 @@
             Msg::Releases(_) => "releases",
             Msg::Suspects(_) => "suspects",
             Msg::FarSuspects(_) => "far_suspects",
+            Msg::RateLimits(_) => "rate_limits",
+            Msg::FarRateLimits(_) => "far_rate_limits",
         }
     }
 }
@@ -192,4 +205,8 @@
     Suspects(Vec<SuspectNote>),
     /// The same to a gateway of another failure domain, which passes on what is news to it.
     FarSuspects(Vec<SuspectNote>),
+    /// From a gateway to those of its failure domain: rate limits that upstreams name.
+    RateLimits(Vec<RateLimitNote>),
+    /// The same to a gateway of another failure domain, which passes on what is news to it.
+    FarRateLimits(Vec<RateLimitNote>),
 }
--- a/crates/decide/src/come_back.rs
+++ b/crates/decide/src/come_back.rs
@@ -9,6 +9,9 @@
 /// Mean time to come back where there is no upstream at all, which lasts until one has its weights.
 const NOBODY: Duration = Duration::from_millis(2500);
 
+/// Longest time to come back where upstreams take nothing before a moment: what else is known by then may differ.
+const LONGEST: Duration = Duration::from_secs(10);
+
 /// Part of the mean by which single times differ from it, so that those refused in one moment don't come
 /// back in one moment.
 const SPREAD: f64 = 0.3;
@@ -31,6 +34,12 @@
     mean.mul_f64(1.0 - SPREAD + 2.0 * SPREAD * draw)
 }
 
+/// Time to come back after where upstreams take nothing for `left`, for a draw in 0..1. Those refused in one moment
+/// come back later, not in one moment.
+pub fn not_before(left: Duration, draw: f64) -> Duration {
+    left.mul_f64(1.0 + 2.0 * SPREAD * draw).min(LONGEST)
+}
+
 /// Time for which a caller that found all upstreams busy stays away at least.
 pub fn soonest() -> Duration {
     after(Reason::Busy, 0.0)
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,9 +12,11 @@
 //! - [`denial`]: whether a request may be denied by the configuration that is held.
 //! - [`outcomes`]: which upstreams are left alone, since they fail most of what they get.
 //! - [`quarantine`]: which requests are tried with care or held back, since upstreams ended under them.
+//! - [`rate_limit`]: how fast an upstream that names a rate limit gets requests.
 //! - [`readers`]: which gateways of a failure domain read the store, and when.
 //! - [`residency`]: in which failure domains a request may run.
 //! - [`retry`]: the budget of requests sent again.
+//! - [`senders`]: which gateways send to an upstream that may get only a few requests a second.
 //! - [`slow_start`]: how fast a cold upstream gets requests.
 
 #![deny(clippy::disallowed_methods)]
@@ -28,9 +30,11 @@
 pub mod outcomes;
 pub mod placement;
 pub mod quarantine;
+pub mod rate_limit;
 pub mod readers;
 pub mod residency;
 pub mod retry;
+pub mod senders;
 pub mod slow_start;
 
 /// Whether a request can still be served within its objective, counted from its caller's first try.
--- a/crates/decide/src/slow_start.rs
+++ b/crates/decide/src/slow_start.rs
@@ -1,9 +1,8 @@
 //! Slow start: how fast a cold upstream gets requests, over all gateways.
 //!
 //! An upstream is cold after its start, after a drain, or at any moment. It then bears a few requests a second, and
-//! falls over far above that. Gateways can't agree on each request, so few of them send to a cold upstream at all:
-//! the [`SENDERS`] of its failure domain that a rendezvous hash ranks first. Each paces its requests by itself,
-//! without hearing of the others.
+//! falls over far above that. So only the first [`SENDERS`] gateways of its failure domain send there
+//! ([`crate::senders`]).
 //!
 //! Gateways may differ in which others they know of, since some have just been added or removed, and some were cut
 //! off. The rate is such that the bound holds while two lists without a common gateway are in use, or while each
@@ -14,7 +13,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::rendezvous;
+use crate::senders;
 
 /// Gateways that send to one cold upstream.
 pub const SENDERS: usize = 2;
@@ -55,10 +54,7 @@
     own: &str,
     others: impl IntoIterator<Item = &'a String>,
 ) -> bool {
-    let rank = |vm: &str| rendezvous::rank(upstream.as_bytes(), vm);
-    let own = rank(own);
-    let before = others.into_iter().filter(|vm| rank(vm) < own);
-    before.take(SENDERS).count() < SENDERS
+    senders::rank(upstream, own, others) < SENDERS
 }
 
 /// Returns whether a sender may send now, by when it last did.
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,14 +2,14 @@
 //!
 //! A request waits until an upstream has room, in the order of [`decide::line`]. One that can't be served
 //! within its objective is refused early, so that its caller can come back while that still helps; where
-//! there is no upstream at all, at once.
+//! there is no upstream at all, or all take nothing before that, at once.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::Map;
 use catalog::{Service, ServiceName};
-use decide::come_back::{Reason, after};
+use decide::come_back::{Reason, after, not_before};
 use decide::line::{Line, Place, longest_wait};
 use decide::quarantine::Care;
 use rand::RngExt;
@@ -118,6 +118,12 @@
                     return Ok(Slot::take(upstream, version, unread, cx.admission.told()));
                 }
                 Pick::Full => waits = true,
+                Pick::NotBefore(at) if at < until => waits = true,
+                Pick::NotBefore(at) => {
+                    let left = at.saturating_duration_since(clock::now());
+                    let draw = rand::rng().random_range(0.0..1.0);
+                    return Err(Refusal::NotBefore(not_before(left, draw)));
+                }
                 Pick::Nobody => return Err(Refusal::NoUpstream(come_back(Reason::Nobody))),
             }
         }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -2,7 +2,7 @@
 //!
 //! Candidates are where the request may run, in no drained failure domain, take new work, hold a version that
 //! may begin requests, weren't tried yet, and don't fail most of what they get. Cold ones get requests by
-//! [`decide::slow_start`].
+//! [`decide::slow_start`], those that name a rate limit by [`decide::rate_limit`].
 
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
@@ -13,6 +13,8 @@
 use decide::contention::{is_tried, moment};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
+use decide::rate_limit::RateLimit;
+use decide::senders;
 use decide::slow_start::{Limit, is_due, is_sender};
 use rand::RngExt;
 
@@ -28,6 +30,8 @@
     Chosen(Arc<Upstream>, Option<WeightsVersion>),
     /// There are upstreams, but none has room.
     Full,
+    /// There are upstreams, but none takes a request of this gateway before a moment.
+    NotBefore(Instant),
     /// There is no upstream.
     Nobody,
 }
@@ -40,7 +44,9 @@
 struct Search {
     /// Whether any may run the request.
     fits: bool,
-    /// Whether any of these doesn't fail most of what it gets.
+    /// When the first of those may be sent to that may not be now.
+    next: Option<Instant>,
+    /// Whether any that may run the request doesn't fail most of what it gets.
     sound: bool,
     /// Lightest with room among the sound ones.
     lightest_sound: Option<Found>,
@@ -66,6 +72,7 @@
     let entries = cx.roster.entries(&job.service);
     let drained = cx.drains.current();
     let sums = cx.loads.sums();
+    let limits = cx.feedback.limits();
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_known(now)) {
@@ -89,6 +96,12 @@
         if warmth == Warmth::OthersSend {
             continue;
         }
+        let limit = limits.of(upstream.life);
+        let next = limit.and_then(|limit| next(cx, upstream, &view, &limit));
+        if let Some(next) = next.filter(|next| *next > now) {
+            search.not_before(next);
+            continue;
+        }
         search.fits = true;
         if warmth == Warmth::NotDue || apart.contains(&upstream.addr) {
             continue;
@@ -100,8 +113,8 @@
             false => near_gateways,
         };
         let draw = draw(cx, upstream, is_far, now);
-        // Few gateways send to a cold one at all, and at a pace.
-        let is_contended = warmth == Warmth::Warm;
+        // Few gateways send to a cold or limited one at all, and at a pace.
+        let is_contended = warmth == Warmth::Warm && limit.is_none();
         if is_contended && !is_tried(ask.room(&candidate), gateways, is_far, waits, draw) {
             continue;
         }
@@ -114,6 +127,11 @@
 }
 
 impl Search {
+    /// Notes an upstream that may be sent to from a moment on.
+    fn not_before(&mut self, at: Instant) {
+        self.next = Some(self.next.map_or(at, |next| next.min(at)));
+    }
+
     fn offer(
         &mut self,
         weight: f64,
@@ -137,10 +155,11 @@
             true => self.lightest_sound,
             false => self.lightest,
         };
-        match found {
-            Some((_, upstream, version)) => Pick::Chosen(upstream, version),
-            None if self.fits => Pick::Full,
-            None => Pick::Nobody,
+        match (found, self.next) {
+            (Some((_, upstream, version)), _) => Pick::Chosen(upstream, version),
+            (None, _) if self.fits => Pick::Full,
+            (None, Some(next)) => Pick::NotBefore(next),
+            (None, None) => Pick::Nobody,
         }
     }
 }
@@ -180,6 +199,20 @@
     }
 }
 
+/// When this gateway may next send to an upstream with a rate limit; `None` for at once.
+fn next(cx: &Cx, upstream: &Upstream, view: &View, limit: &RateLimit) -> Option<Instant> {
+    let peers = cx.peers.borrow();
+    let rank = match upstream.domain == cx.roster.domain && peers.lists_own {
+        true => {
+            let others = peers.near_gateways.keys();
+            senders::rank(&upstream.addr.to_string(), &cx.cfg.node.vm, others)
+        }
+        // Gateways of other failure domains, and those that others don't count with, come last.
+        false => cx.gateways().max(limit.senders()),
+    };
+    limit.next(rank, view.chosen)
+}
+
 /// Whether an upstream fails most of what all gateways send there.
 fn is_failing(upstream: &Upstream, view: &View, others: Others, now: Instant) -> bool {
     // Few fail at all; only of these it matters what has faded.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use base::Revision;
-use beacon::{Beacon, EngineNote, Holding, LoadNote, Msg, SuspectNote};
+use beacon::{Beacon, EngineNote, Holding, LoadNote, Msg, RateLimitNote, SuspectNote};
 use log::{debug, warn};
 use mirror::DocName;
 use web::{Client, Dial};
 
+use crate::announce;
 use crate::news::Reach;
 use crate::send::report;
 use crate::spread::greet;
@@ -51,6 +52,8 @@
             Msg::Engine(note) => hear_loader(&cx, &beacon, note, from),
             Msg::Suspects(notes) => hear_suspects(&cx, notes, None),
             Msg::FarSuspects(notes) => hear_suspects(&cx, notes, Some(Reach::Near)),
+            Msg::RateLimits(notes) => hear_rate_limits(&cx, notes, None),
+            Msg::FarRateLimits(notes) => hear_rate_limits(&cx, notes, Some(Reach::Near)),
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
@@ -69,6 +72,13 @@
     }
 }
 
+/// Takes what another gateway tells of rate limits.
+fn hear_rate_limits(cx: &Cx, notes: Vec<RateLimitNote>, pass_on: Option<Reach>) {
+    if cx.feedback.hear(notes, pass_on, clock::now()) {
+        cx.admission.freed().notify_one();
+    }
+}
+
 /// Takes what a loader tells of its engine, and tells it of releases that it has missed.
 fn hear_loader(cx: &Cx, beacon: &Beacon, note: EngineNote, from: SocketAddr) {
     let now = clock::now();
@@ -100,6 +110,7 @@
     if cx.loads.take(note, clock::now()) {
         beacon.send(&greeting(cx), [sender]);
         greet(cx, beacon, sender);
+        announce::greet(cx, beacon, sender);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 
 pub mod admission;
 mod ages;
+mod announce;
 mod balance;
 pub mod call;
 mod confirm;
@@ -28,7 +29,7 @@
 pub mod loads;
 mod loss;
 pub mod membership;
-mod news;
+pub mod news;
 mod record;
 pub mod refusal;
 mod relay;
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -10,7 +10,7 @@
 
 /// Times after which news is told again, in case that a datagram was lost: of 10 in 100 lost, four leave out
 /// one receiver in 10,000.
-const ROUNDS: [Duration; 3] = [
+pub(crate) const ROUNDS: [Duration; 3] = [
     Duration::from_millis(60),
     Duration::from_millis(250),
     Duration::from_millis(1000),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -34,6 +34,8 @@
     Busy(Duration),
     /// no upstream can run the request now; come back later
     NoUpstream(Duration),
+    /// upstreams limit what they take, and none takes a request now; come back later
+    NotBefore(Duration),
     /// no upstream took the request; come back later
     NotTaken(Duration),
     /// an upstream ended under the request, which is being tried at another; come back later
@@ -64,6 +66,7 @@
             | Refusal::Unconfirmed(_)
             | Refusal::Busy(_)
             | Refusal::NoUpstream(_)
+            | Refusal::NotBefore(_)
             | Refusal::NotTaken(_)
             | Refusal::Suspect(_)
             | Refusal::NoTime(_) => 503,
@@ -79,6 +82,7 @@
             | Refusal::Unconfirmed(after)
             | Refusal::Busy(after)
             | Refusal::NoUpstream(after)
+            | Refusal::NotBefore(after)
             | Refusal::NotTaken(after)
             | Refusal::Suspect(after)
             | Refusal::NoTime(after) => Some(*after),
@@ -99,6 +103,7 @@
             Refusal::Unconfirmed(_) => "unconfirmed",
             Refusal::Busy(_) => "busy",
             Refusal::NoUpstream(_) => "no_upstream",
+            Refusal::NotBefore(_) => "not_before",
             Refusal::NotTaken(_) => "not_taken",
             Refusal::Suspect(_) => "suspect",
             Refusal::Held => "held",
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream, and sorts what came back by what may be said of it.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -85,7 +85,7 @@
     let sent = tokio::time::timeout(within, connection.send(req)).await;
     job.spans.add(Span::Head, begun);
     match sent {
-        Ok(Ok(res)) => sort(cx, job, upstream, res, connection),
+        Ok(Ok(res)) => sort(cx, job, upstream, res, connection, begun),
         Ok(Err(e)) => Sent::Lost(Loss::BrokeOff(e.to_string())),
         Err(_) => Sent::Lost(Loss::Silent),
     }
@@ -132,12 +132,13 @@
     upstream: &Arc<Upstream>,
     res: hyper::Response<Incoming>,
     connection: Connection,
+    sent: Instant,
 ) -> Sent {
     let (head, body) = res.into_parts();
     let reply = (cx.codec.reply)(&head);
     let status = head.status.as_u16();
     if is_own(&reply, upstream, job) {
-        cx.feedback.observe(upstream, &reply);
+        cx.feedback.observe(upstream, &reply, sent, clock::now());
     }
     if let Some(cold_for) = reply.cold_for {
         upstream.observe_cold(cold_for);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,7 @@
 use web::{Bounds, Request, Response, text};
 
 use crate::Cx;
+use crate::announce::announce;
 use crate::confirm::before_passing_on;
 use crate::gauges::gauges;
 use crate::gossip::listen;
@@ -77,6 +78,7 @@
     tokio::spawn(tell_domain(cx.clone(), beacon.clone()));
     tokio::spawn(release(cx.clone(), beacon.clone()));
     tokio::spawn(spread(cx.clone(), beacon.clone()));
+    tokio::spawn(announce(cx.clone(), beacon.clone()));
     tokio::spawn(listen(cx.clone(), beacon));
     serve_callers(&cx, front).await;
     own_stop.send_replace(true);
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -77,6 +77,14 @@
     for msg in packed(near, Msg::Suspects) {
         beacon.send(&msg, to.iter().copied());
     }
+    let to = far_receivers(cx, number);
+    for msg in packed(far, Msg::FarSuspects) {
+        beacon.send(&msg, to.iter().copied());
+    }
+}
+
+/// Gateways of other failure domains that are told, others with each `number`.
+pub(crate) fn far_receivers(cx: &Cx, number: u64) -> Vec<SocketAddr> {
     let domains = cx.peers.borrow().far_gateways.clone();
     let first = number * FAR_RECEIVERS;
     let mut to: Vec<SocketAddr> = (first..first + FAR_RECEIVERS)
@@ -84,9 +92,7 @@
         .collect();
     to.sort_unstable();
     to.dedup();
-    for msg in packed(far, Msg::FarSuspects) {
-        beacon.send(&msg, to.iter().copied());
-    }
+    to
 }
 
 /// Tells a gateway that has just started what is known.
--- /dev/null
+++ b/crates/gateway/tests/feedback.rs
@@ -0,0 +1,143 @@
+//! What upstreams say in their answers, and what gateways tell each other of it.
+
+use std::time::{Duration, Instant};
+
+use beacon::RateLimitNote;
+use gateway::call::{Advertised, Reply};
+use gateway::feedback::Feedback;
+use gateway::news::Reach;
+use gateway::upstream::{Listed, Upstream};
+
+fn upstream() -> Upstream {
+    Upstream::new(Listed {
+        instance: "i-0".to_owned(),
+        service: "llm".to_owned(),
+        addr: ([127, 0, 0, 1], 9000).into(),
+        domain: "recife".to_owned(),
+        slots: 16,
+        leaving: false,
+        cold_for: Duration::ZERO,
+        holdings: Vec::new(),
+        revision: 1,
+        born: None,
+    })
+}
+
+fn naming(rate_limit: Advertised<f64>) -> Reply {
+    Reply {
+        rate_limit,
+        ..Reply::default()
+    }
+}
+
+fn note(upstream: &Upstream, per_1000_s: Option<u64>, ago: Duration) -> RateLimitNote {
+    RateLimitNote {
+        life: upstream.life,
+        per_1000_s,
+        ago,
+    }
+}
+
+fn rate(feedback: &Feedback, upstream: &Upstream) -> Option<f64> {
+    let limit = feedback.limits().of(upstream.life);
+    limit.map(|l| l.rate)
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test]
+fn an_answer_to_a_request_sent_before_the_limit_was_named_does_not_lift_it() {
+    let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
+    feedback.observe(
+        &upstream,
+        &naming(Advertised::Value(2.0)),
+        start,
+        start + SECOND,
+    );
+
+    feedback.observe(
+        &upstream,
+        &naming(Advertised::Absent),
+        start,
+        start + 2 * SECOND,
+    );
+    assert_eq!(rate(&feedback, &upstream), Some(2.0));
+
+    let later = start + 2 * SECOND;
+    feedback.observe(
+        &upstream,
+        &naming(Advertised::Absent),
+        later,
+        later + SECOND,
+    );
+    assert_eq!(rate(&feedback, &upstream), None);
+}
+
+#[test]
+fn a_value_that_is_invalid_leaves_the_limit_as_it_is() {
+    let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
+    feedback.observe(&upstream, &naming(Advertised::Value(2.0)), start, start);
+
+    let invalid = Advertised::Invalid("many".to_owned());
+    feedback.observe(&upstream, &naming(invalid), start + SECOND, start + SECOND);
+
+    assert_eq!(rate(&feedback, &upstream), Some(2.0));
+}
+
+#[test]
+fn of_two_messages_the_one_about_the_later_answer_holds() {
+    let (feedback, upstream, now) = (Feedback::default(), upstream(), Instant::now());
+    let now = now + 10 * SECOND;
+
+    feedback.hear(vec![note(&upstream, None, SECOND)], None, now);
+    feedback.hear(vec![note(&upstream, Some(3000), 2 * SECOND)], None, now);
+    assert_eq!(rate(&feedback, &upstream), None);
+
+    feedback.hear(vec![note(&upstream, Some(3000), Duration::ZERO)], None, now);
+    assert_eq!(rate(&feedback, &upstream), Some(3.0));
+}
+
+#[test]
+fn a_new_limit_is_told_everywhere_four_times() {
+    let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
+    feedback.observe(&upstream, &naming(Advertised::Value(2.0)), start, start);
+
+    let mut told = Vec::new();
+    let mut next = Some(start);
+    while let Some(at) = next {
+        let due = feedback.due(at);
+        assert_eq!(due.near, due.far);
+        told.extend(due.near);
+        next = due.next;
+    }
+
+    let rates: Vec<_> = told.iter().map(|n| n.per_1000_s).collect();
+    assert_eq!(rates, [Some(2000); 4]);
+}
+
+#[test]
+fn a_message_from_another_domain_is_passed_on_within_the_own_one_only() {
+    let (feedback, upstream, now) = (Feedback::default(), upstream(), Instant::now());
+    let message = vec![note(&upstream, Some(2000), Duration::ZERO)];
+
+    feedback.hear(message.clone(), Some(Reach::Near), now);
+    let first = feedback.due(now);
+    feedback.hear(message, Some(Reach::Near), now);
+    let second = feedback.due(now);
+
+    assert_eq!((first.near.len(), first.far.len()), (1, 0));
+    assert!(second.near.is_empty());
+}
+
+#[test]
+fn the_limit_of_a_listed_upstream_is_never_forgotten() {
+    let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
+    feedback.observe(&upstream, &naming(Advertised::Value(2.0)), start, start);
+    let later = start + 3600 * SECOND;
+
+    feedback.forget(&[upstream.life].into_iter().collect(), later);
+    assert_eq!(rate(&feedback, &upstream), Some(2.0));
+
+    feedback.forget(&base::Set::default(), later);
+    assert_eq!(rate(&feedback, &upstream), None);
+}
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -89,7 +89,9 @@
                 | Msg::RelayedLoad(_)
                 | Msg::LoadChanges(_)
                 | Msg::Suspects(_)
-                | Msg::FarSuspects(_),
+                | Msg::FarSuspects(_)
+                | Msg::RateLimits(_)
+                | Msg::FarRateLimits(_),
                 _,
             ) => {}
         }
