--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -72,7 +72,7 @@
     let entries = cx.roster.entries(&job.service);
     let drained = cx.drains.current();
     let sums = cx.loads.sums();
-    let limits = cx.feedback.limits();
+    let said = cx.feedback.current();
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_known(now)) {
@@ -96,7 +96,7 @@
         if warmth == Warmth::OthersSend {
             continue;
         }
-        let limit = limits.of(upstream.life);
+        let limit = said.rate_limit(upstream.life);
         let next = limit.and_then(|limit| next(cx, upstream, &view, &limit));
         if let Some(next) = next.filter(|next| *next > now) {
             search.not_before(next);
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -29,7 +29,8 @@
     metrics::gauge!("driftnotch_configuration_revision", "of" => "newest_heard").set(heard as f64);
     metrics::gauge!("driftnotch_configuration_age_seconds").set(age.as_secs_f64());
     metrics::gauge!("driftnotch_store_reached").set(f64::from(reaches_store));
-    metrics::gauge!("driftnotch_rate_limited_upstreams").set(cx.feedback.rate_limited() as f64);
+    metrics::gauge!("driftnotch_rate_limited_upstreams")
+        .set(cx.feedback.current().rate_limited() as f64);
     let (known, held) = cx.suspects.counts();
     metrics::gauge!("driftnotch_suspects", "of" => "known").set(known as f64);
     metrics::gauge!("driftnotch_suspects", "of" => "held").set(held as f64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod loss;
 pub mod membership;
 pub mod news;
+pub mod rate_limits;
 mod record;
 pub mod refusal;
 mod relay;
--- a/crates/gateway/tests/feedback.rs
+++ b/crates/gateway/tests/feedback.rs
@@ -39,7 +39,7 @@
 }
 
 fn rate(feedback: &Feedback, upstream: &Upstream) -> Option<f64> {
-    let limit = feedback.limits().of(upstream.life);
+    let limit = feedback.current().rate_limit(upstream.life);
     limit.map(|l| l.rate)
 }
 
