Log and count upstreams whose answers say that they leave

Nothing told when a gateway had been told. Each answer's head is decoded for it now, the first one of an incarnation is logged with what the list says; values that are neither 1 nor 0 are logged and ignored. What is sent doesn't depend on it yet.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -89,6 +89,8 @@
     pub cold_for: Option<Duration>,
     /// Requests a second that the upstream takes of all gateways together.
     pub rate_limit: Advertised<f64>,
+    /// Whether the upstream says that it leaves.
+    pub leaving: Advertised<bool>,
 }
 
 /// Why a head can't be read.
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -11,7 +11,7 @@
 use base::{LifeId, Map, Set};
 use beacon::RateLimitNote;
 use decide::rate_limit::RateLimit;
-use log::warn;
+use log::{info, warn};
 use tokio::sync::Notify;
 
 use crate::call::{Advertised, Reply};
@@ -38,6 +38,8 @@
 #[derive(Debug, Default)]
 struct State {
     rate_limits: RateLimits,
+    /// Upstreams that leave, and when they first said so.
+    leaving: Map<LifeId, Instant>,
     /// Headers whose value was ignored, and when it first was.
     ignored: Map<(LifeId, HeaderName), Instant>,
 }
@@ -51,6 +53,8 @@
     pub fn observe(&self, upstream: &Upstream, reply: &Reply, sent: Instant, now: Instant) {
         let mut state = self.state();
         state.ignore(upstream, "rate_limit", &reply.rate_limit, now);
+        state.ignore(upstream, "leaving", &reply.leaving, now);
+        state.observe_leaving(upstream, &reply.leaving, now);
         let State { rate_limits, .. } = &mut *state;
         rate_limits.observe(upstream, &reply.rate_limit, sent, now);
         drop(state);
@@ -94,10 +98,12 @@
     pub fn forget(&self, listed: &Set<LifeId>, now: Instant) {
         let State {
             rate_limits,
+            leaving,
             ignored,
         } = &mut *self.state();
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNLISTED_TIME;
         rate_limits.forget(listed, UNLISTED_TIME, now);
+        leaving.retain(|life, at| listed.contains(life) || is_recent(at));
         ignored.retain(|_, at| is_recent(at));
     }
 }
@@ -118,6 +124,14 @@
             warn!(target: PART, "{PART}: event=ignored upstream={} addr={} header={header} value={value}", upstream.instance, upstream.addr);
         }
     }
+
+    fn observe_leaving(&mut self, upstream: &Upstream, leaving: &Advertised<bool>, now: Instant) {
+        if *leaving != Advertised::Value(true) || self.leaving.contains_key(&upstream.life) {
+            return;
+        }
+        self.leaving.insert(upstream.life, now);
+        info!(target: PART, "{PART}: event=leaving upstream={} addr={} listed_leaving={}", upstream.instance, upstream.addr, upstream.is_leaving());
+    }
 }
 
 /// What upstreams have said.
@@ -134,4 +148,9 @@
     pub(crate) fn rate_limited(&self) -> usize {
         self.0.rate_limits.count()
     }
+
+    /// How many upstreams have said that they leave.
+    pub(crate) fn leaving(&self) -> usize {
+        self.0.leaving.len()
+    }
 }
