Send nothing new to an upstream whose answers say that it leaves

What was seen: requests reached an upstream 2.7 and 3.2 s after its answers had told the gateway that sent them that it leaves (2.0 s allowed). Callers were served, since it ended later; had it ended sooner, theirs would have broken off.

Cause: gateways knew of it by the platform's list alone, and the store took no change for 12 s. Class: a fact taken from one source only, where a nearer one tells it sooner. Ruled out: a list that overwrites what was read (nothing was read), and requests on their way (0.1 ms in the queue).

Change: the header of each answer is decoded, kept by incarnation apart from the list's entry, and goes with what the list says: whichever says it first. It is asked at each choice and again once connected.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`age`]: how long ago a caller first asked, and so whether it can still be served in its objective.
 //! - [`audience`]: which gateways of a failure domain are told of a change of load at once.
 //! - [`contention`]: whether an engine is tried now that other gateways know the same of.
+//! - [`draining`]: whether an upstream that leaves gets new requests.
 //! - [`line`]: requests that wait, for how long, and which of them is next.
 //! - [`placement`]: the upstream of a request.
 //! - [`come_back`]: when a caller that is refused is told to come back.
@@ -26,6 +27,7 @@
 pub mod come_back;
 pub mod contention;
 pub mod denial;
+pub mod draining;
 pub mod line;
 pub mod outcomes;
 pub mod placement;
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -11,6 +11,7 @@
 
 use catalog::{Service, WeightsVersion};
 use decide::contention::{is_tried, moment};
+use decide::draining::{Leaving, takes_new};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
 use decide::rate_limit::RateLimit;
@@ -83,7 +84,11 @@
         }
         let view = upstream.view(model, now);
         let runs = model.is_none() || view.serves.is_some_and(|version| version >= oldest);
-        if view.leaving || !runs || tried.iter().any(|t| t.instance == upstream.instance) {
+        let leaving = Leaving {
+            listed: view.leaving,
+            said: said.leaves(upstream.life),
+        };
+        if !takes_new(leaving) || !runs || tried.iter().any(|t| t.instance == upstream.instance) {
             continue;
         }
         let others = sums.of(&upstream.addr);
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -1,8 +1,8 @@
 //! What upstreams say of themselves in their answers.
 //!
 //! It is kept by incarnation, apart from the upstream itself, since it holds on while an entry is missing from
-//! the platform's list and comes back. What follows from it is decided by [`decide::rate_limit`]; other gateways
-//! are told by [`crate::announce`].
+//! the platform's list and comes back. What follows from it is decided by [`decide::rate_limit`] and
+//! [`decide::draining`]; other gateways are told of rate limits by [`crate::announce`].
 
 use std::fmt::Debug;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -149,6 +149,11 @@
         self.0.rate_limits.count()
     }
 
+    /// Whether an upstream has said that it leaves.
+    pub fn leaves(&self, life: LifeId) -> bool {
+        self.0.leaving.contains_key(&life)
+    }
+
     /// How many upstreams have said that they leave.
     pub(crate) fn leaving(&self) -> usize {
         self.0.leaving.len()
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -80,6 +80,9 @@
     if cx.drains.has(&upstream.domain) {
         return Sent::Unreached("its failure domain was drained meanwhile".to_owned());
     }
+    if cx.feedback.current().leaves(upstream.life) {
+        return Sent::Unreached("it has said meanwhile that it leaves".to_owned());
+    }
     let req = request(cx, job, slot, last_event);
     let begun = clock::now();
     let sent = tokio::time::timeout(within, connection.send(req)).await;
