Log and count the back-offs that upstreams ask for

A refusal told nothing of the time for which the upstream wants no more. The head of each 503 is decoded for it now; the first while none runs is logged and counted, values that are no time are logged and ignored. What is sent doesn't depend on it yet.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -91,6 +91,8 @@
     pub rate_limit: Advertised<f64>,
     /// Whether the upstream says that it leaves.
     pub leaving: Advertised<bool>,
+    /// Time for which an upstream that turns the request away wants no others of this gateway.
+    pub back_off: Advertised<Duration>,
 }
 
 /// Why a head can't be read.
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -40,6 +40,8 @@
     rate_limits: RateLimits,
     /// Upstreams that leave, and when they first said so.
     leaving: Map<LifeId, Instant>,
+    /// Upstreams that want no requests of this gateway, and until when.
+    back_offs: Map<LifeId, Instant>,
     /// Headers whose value was ignored, and when it first was.
     ignored: Map<(LifeId, HeaderName), Instant>,
 }
@@ -54,7 +56,9 @@
         let mut state = self.state();
         state.ignore(upstream, "rate_limit", &reply.rate_limit, now);
         state.ignore(upstream, "leaving", &reply.leaving, now);
+        state.ignore(upstream, "back_off", &reply.back_off, now);
         state.observe_leaving(upstream, &reply.leaving, now);
+        state.observe_back_off(upstream, &reply.back_off, now);
         let State { rate_limits, .. } = &mut *state;
         rate_limits.observe(upstream, &reply.rate_limit, sent, now);
         drop(state);
@@ -99,11 +103,13 @@
         let State {
             rate_limits,
             leaving,
+            back_offs,
             ignored,
         } = &mut *self.state();
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNLISTED_TIME;
         rate_limits.forget(listed, UNLISTED_TIME, now);
         leaving.retain(|life, at| listed.contains(life) || is_recent(at));
+        back_offs.retain(|_, until| *until > now);
         ignored.retain(|_, at| is_recent(at));
     }
 }
@@ -132,6 +138,24 @@
         self.leaving.insert(upstream.life, now);
         info!(target: PART, "{PART}: event=leaving upstream={} addr={} listed_leaving={}", upstream.instance, upstream.addr, upstream.is_leaving());
     }
+
+    fn observe_back_off(
+        &mut self,
+        upstream: &Upstream,
+        back_off: &Advertised<Duration>,
+        now: Instant,
+    ) {
+        let Advertised::Value(time) = back_off else {
+            return;
+        };
+        let until = self.back_offs.entry(upstream.life).or_insert(now);
+        let is_new = *until <= now;
+        *until = (*until).max(now + *time);
+        if is_new {
+            info!(target: PART, "{PART}: event=back_off upstream={} addr={} for={time:?}", upstream.instance, upstream.addr);
+            metrics::counter!("driftnotch_back_offs_total").increment(1);
+        }
+    }
 }
 
 /// What upstreams have said.
