Count refusals of an upstream against it when choosing

Who refuses at once has nothing in flight, so the choice by load prefers it; refusals counted neither as failures nor as answers. Class: a black hole, who fails fastest looks idlest.

It is a last resort then, as any that fails; the request itself goes on as before.

--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::response;
 use log::info;
@@ -161,6 +162,9 @@
     if status == MISDIRECTED && reply.instance.as_ref().is_some_and(replaced) {
         report(upstream, Health::Replaced);
     }
+    if reply.not_run && head.status == StatusCode::SERVICE_UNAVAILABLE {
+        report(upstream, Health::Refused);
+    }
     if reply.not_run || status == MISDIRECTED {
         return Sent::NotRun(format!("status {status}"));
     }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -83,6 +83,8 @@
     Answered,
     /// It answered with a failure of its own, or not whole.
     Failed,
+    /// It turned the request away.
+    Refused,
     /// No connection came about.
     Unreachable,
     /// Another incarnation or another service has its address.
@@ -342,7 +344,7 @@
                 state.paused_until = None;
                 return false;
             }
-            Health::Failed => state.failures += 1,
+            Health::Failed | Health::Refused => state.failures += 1,
             Health::Unreachable => {
                 state.failures = FAILURES_IN_A_ROW;
                 // Down for longer than a pause: it starts again, which an entry of before doesn't tell.
