--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,13 +20,13 @@
 /// three seconds later.
 const NOTE_TIME: Duration = Duration::from_secs(3);
 
-/// First pause after a failed connection or a row of failed answers.
+/// First pause after a failed connection, or a row of failed or refused requests.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
-/// Failed answers in a row after which an upstream is left alone for a while.
+/// Failed or refused requests in a row after which an upstream is left alone for a while.
 const FAILURES_IN_A_ROW: u32 = 3;
 
 /// An upstream as the platform lists it.
@@ -363,7 +363,10 @@
             return false;
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(state.pauses);
-        state.pauses += 1;
+        // One that refuses lives, and may have room any moment.
+        if health != Health::Refused {
+            state.pauses += 1;
+        }
         state.paused_until = Some(clock::now() + pause.min(LONGEST_PAUSE));
         true
     }
