Divide a rate limit over as many gateways as there are

An upstream that names a high limit in a failure domain of few gateways got a part of it: at 40 requests a second twelve senders are wanted, and three gateways each kept to a twelfth's pace. Found by reading the fix again, not seen.

--- a/crates/decide/src/rate_limit.rs
+++ b/crates/decide/src/rate_limit.rs
@@ -49,15 +49,16 @@
 }
 
 impl RateLimit {
-    /// Gateways that divide the rate.
-    pub fn senders(&self) -> usize {
+    /// Gateways that divide the rate, of so many in the upstream's failure domain.
+    pub fn senders(&self, gateways: usize) -> usize {
         // Casts of floats saturate.
-        LEAST_SENDERS.saturating_add((self.rate / RATE_PER_SENDER) as usize)
+        let wanted = LEAST_SENDERS.saturating_add((self.rate / RATE_PER_SENDER) as usize);
+        wanted.min(gateways.max(1))
     }
 
-    /// Time between two requests of one sender.
-    pub fn interval(&self) -> Duration {
-        let senders = self.senders() as f64;
+    /// Time between two requests of one of so many senders.
+    pub fn interval(&self, senders: usize) -> Duration {
+        let senders = senders as f64;
         let window = WINDOW.as_secs_f64();
         let allowed = (OVERAGE * self.rate * window + SLACK) / LISTS;
         // A window may hold one request of a sender more than its pace says.
@@ -68,13 +69,15 @@
             .min(LONGEST_INTERVAL)
     }
 
-    /// When a gateway of a rank may send next, by when it last did.
-    pub fn next(&self, rank: usize, last: Option<Instant>) -> Option<Instant> {
-        let turn = u32::try_from(rank / self.senders()).unwrap_or(u32::MAX);
+    /// When a gateway of a rank among so many may send next, by when it last did.
+    pub fn next(&self, rank: usize, gateways: usize, last: Option<Instant>) -> Option<Instant> {
+        let senders = self.senders(gateways);
+        let interval = self.interval(senders);
+        let turn = u32::try_from(rank / senders).unwrap_or(u32::MAX);
         if turn == 0 {
-            return last.map(|last| last + self.interval());
+            return last.map(|last| last + interval);
         }
-        let silence = LEAST_SILENCE.max(2 * self.interval());
+        let silence = LEAST_SILENCE.max(2 * interval);
         let since = last.map_or(self.named, |last| last.max(self.named));
         Some(since + silence.saturating_mul(turn))
     }
--- a/crates/decide/tests/rate_limit.rs
+++ b/crates/decide/tests/rate_limit.rs
@@ -25,6 +25,8 @@
 /// A gateway that always has a request waiting.
 struct Gateway {
     rank: usize,
+    /// Gateways that it knows, itself among them.
+    known: usize,
     last: Option<Instant>,
 }
 
@@ -33,13 +35,14 @@
         let others: Vec<_> = known.filter(|other| *other != n).map(vm).collect();
         Gateway {
             rank: senders::rank(UPSTREAM, &vm(n), &others),
+            known: others.len() + 1,
             last: None,
         }
     }
 
     /// Sends where it may.
     fn send(&mut self, limit: &RateLimit, now: Instant) -> bool {
-        let next = limit.next(self.rank, self.last);
+        let next = limit.next(self.rank, self.known, self.last);
         let may = next.is_none_or(|next| next <= now);
         if may {
             self.last = Some(now);
@@ -137,7 +140,7 @@
 #[test]
 fn an_upstream_gets_most_of_what_its_limit_allows() {
     let mut rng = StdRng::seed_from_u64(3);
-    for (rate, gateways) in [(1.0, 3), (1.0, 120), (8.0, 40), (40.0, 120)] {
+    for (rate, gateways) in [(1.0, 3), (1.0, 120), (8.0, 40), (40.0, 3), (40.0, 120)] {
         let heard = |start: Instant, answered: Option<Instant>| answered.unwrap_or(start);
         let time = 10 * WINDOW;
 
@@ -152,13 +155,14 @@
 fn a_gateway_takes_a_turn_where_nothing_was_heard_of_the_senders() {
     let named = Instant::now();
     let limit = RateLimit { rate: 1.0, named };
-    let first = limit.senders();
+    let gateways = 20;
+    let first = limit.senders(gateways);
 
-    let next = |rank| limit.next(rank, None).expect("a turn");
+    let next = |rank| limit.next(rank, gateways, None).expect("a turn");
 
     assert!(next(first) > named + WINDOW);
     assert!(next(2 * first) > next(first));
-    assert_eq!(limit.next(0, None), None);
+    assert_eq!(limit.next(0, gateways, None), None);
 }
 
 #[test]
@@ -168,5 +172,5 @@
         named: Instant::now(),
     };
 
-    assert_eq!(limit.interval(), Duration::from_secs(30));
+    assert_eq!(limit.interval(2), Duration::from_secs(30));
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -210,15 +210,14 @@
 /// When this gateway may next send to an upstream with a rate limit; `None` for at once.
 fn next(cx: &Cx, upstream: &Upstream, view: &View, limit: &RateLimit) -> Option<Instant> {
     let peers = cx.peers.borrow();
-    let rank = match upstream.domain == cx.roster.domain && peers.lists_own {
-        true => {
-            let others = peers.near_gateways.keys();
-            senders::rank(&upstream.addr.to_string(), &cx.cfg.node.vm, others)
-        }
+    if upstream.domain != cx.roster.domain || !peers.lists_own {
         // Gateways of other failure domains, and those that others don't count with, come last.
-        false => cx.gateways().max(limit.senders()),
-    };
-    limit.next(rank, view.chosen)
+        let all = cx.gateways();
+        return limit.next(all.max(limit.senders(all)), all, view.chosen);
+    }
+    let others = &peers.near_gateways;
+    let rank = senders::rank(&upstream.addr.to_string(), &cx.cfg.node.vm, others.keys());
+    limit.next(rank, others.len() + 1, view.chosen)
 }
 
 /// Whether an upstream fails most of what all gateways send there.
