Compare rate limits in the unit that they travel in, and wake only for news

Found by reading: a limit with more than three decimals, heard from another gateway, looked like a new one each time the upstream named it, and was told everywhere four times again; and each answer woke the task that tells, with nothing to tell. a_limit_that_another_gateway_tells_in_thousandths_is_no_news_when_the_upstream_names_it_again. Names that stood for two things are told apart.

--- a/crates/decide/src/back_off.rs
+++ b/crates/decide/src/back_off.rs
@@ -15,8 +15,8 @@
     known.map_or(until, |known| known.max(until))
 }
 
-/// Returns when an upstream may be sent a request next, which is past where it may be now. Whatever else bounds it
-/// holds too.
-pub fn not_before(back_off: Option<Instant>, paced: Option<Instant>) -> Option<Instant> {
-    back_off.into_iter().chain(paced).max()
+/// Returns when an upstream may be sent a request next, by its back-off and by its rate limit; a moment that is past
+/// and `None` stand for at once.
+pub fn next_send(back_off: Option<Instant>, rate_limit: Option<Instant>) -> Option<Instant> {
+    back_off.into_iter().chain(rate_limit).max()
 }
--- a/crates/decide/src/come_back.rs
+++ b/crates/decide/src/come_back.rs
@@ -9,7 +9,7 @@
 /// Mean time to come back where there is no upstream at all, which lasts until one has its weights.
 const NOBODY: Duration = Duration::from_millis(2500);
 
-/// Longest time to come back where upstreams take nothing before a moment: what else is known by then may differ.
+/// Longest time to come back where upstreams take nothing before a moment: others may have room sooner.
 const LONGEST: Duration = Duration::from_secs(10);
 
 /// Part of the mean by which single times differ from it, so that those refused in one moment don't come
--- a/crates/decide/tests/back_off.rs
+++ b/crates/decide/tests/back_off.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use decide::back_off::{not_before, until};
+use decide::back_off::{next_send, until};
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -24,10 +24,10 @@
     let now = Instant::now();
     let (sooner, later) = (Some(now), Some(now + SECOND));
 
-    assert_eq!(not_before(sooner, later), later);
-    assert_eq!(not_before(later, sooner), later);
-    assert_eq!(not_before(later, None), later);
-    assert_eq!(not_before(None, None), None);
+    assert_eq!(next_send(sooner, later), later);
+    assert_eq!(next_send(later, sooner), later);
+    assert_eq!(next_send(later, None), later);
+    assert_eq!(next_send(None, None), None);
 }
 
 /// Upstreams, of which the first few turn everything away at once.
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -11,7 +11,7 @@
 use std::time::Instant;
 
 use catalog::{Service, WeightsVersion};
-use decide::back_off::not_before;
+use decide::back_off::next_send;
 use decide::contention::{is_tried, moment};
 use decide::draining::{Leaving, takes_new};
 use decide::outcomes::Counts;
@@ -104,8 +104,8 @@
             continue;
         }
         let limit = said.rate_limit(upstream.life);
-        let paced = limit.and_then(|limit| next(cx, upstream, &view, &limit));
-        let next = not_before(said.backs_off_until(upstream.life), paced);
+        let by_rate = limit.and_then(|limit| next_by_rate(cx, upstream, &view, &limit));
+        let next = next_send(said.backs_off_until(upstream.life), by_rate);
         if let Some(next) = next.filter(|next| *next > now) {
             search.not_before(next);
             continue;
@@ -208,11 +208,11 @@
 }
 
 /// When this gateway may next send to an upstream with a rate limit; `None` for at once.
-fn next(cx: &Cx, upstream: &Upstream, view: &View, limit: &RateLimit) -> Option<Instant> {
+fn next_by_rate(cx: &Cx, upstream: &Upstream, view: &View, limit: &RateLimit) -> Option<Instant> {
+    let all = cx.gateways();
     let peers = cx.peers.borrow();
     if upstream.domain != cx.roster.domain || !peers.lists_own {
         // Gateways of other failure domains, and those that others don't count with, come last.
-        let all = cx.gateways();
         return limit.next(all.max(limit.senders(all)), all, view.chosen);
     }
     let others = &peers.near_gateways;
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -61,9 +61,11 @@
         state.observe_leaving(upstream, &reply.leaving, now);
         state.observe_back_off(upstream, &reply.back_off, now);
         let State { rate_limits, .. } = &mut *state;
-        rate_limits.observe(upstream, &reply.rate_limit, sent, now);
+        let has_news = rate_limits.observe(upstream, &reply.rate_limit, sent, now);
         drop(state);
-        self.changed.notify_one();
+        if has_news {
+            self.changed.notify_one();
+        }
     }
 
     /// Takes what another gateway tells of rate limits; what is news is passed on where `pass_on` says so. Returns
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -23,8 +23,8 @@
 /// What one upstream has said.
 #[derive(Debug, Clone, Copy)]
 struct Said {
-    /// Requests a second; `None` where it names no limit any more.
-    rate: Option<f64>,
+    /// Requests in 1,000 s, as they travel; `None` where it names no limit any more.
+    per_1000_s: Option<u64>,
     /// When the answer came that said so.
     at: Instant,
     /// When gateways were last told, by this one or another.
@@ -63,31 +63,40 @@
     /// The limit of an upstream.
     pub(crate) fn of(&self, life: LifeId) -> Option<RateLimit> {
         let said = self.said.get(&life)?;
-        let named = said.at;
-        said.rate.map(|rate| RateLimit { rate, named })
+        let per_1000_s = said.per_1000_s?;
+        Some(RateLimit {
+            rate: per_1000_s as f64 / 1000.0,
+            named: said.at,
+        })
     }
 
     /// How many upstreams limit their rate.
     pub(crate) fn count(&self) -> usize {
-        self.said.values().filter(|s| s.rate.is_some()).count()
+        self.said
+            .values()
+            .filter(|s| s.per_1000_s.is_some())
+            .count()
     }
 
-    /// Takes what an answer says to a request that was sent at a moment.
+    /// Takes what an answer says to a request that was sent at a moment. Returns whether there is something to tell
+    /// other gateways.
     pub(crate) fn observe(
         &mut self,
         upstream: &Upstream,
         named: &Advertised<f64>,
         sent: Instant,
         now: Instant,
-    ) {
+    ) -> bool {
         let known = self.said.get(&upstream.life).copied();
-        let rate = match named {
-            Advertised::Value(rate) => Some(*rate),
+        let is_later = |k: Said| k.per_1000_s.is_some() && sent > k.at;
+        let per_1000_s = match named {
+            // Casts of floats saturate.
+            Advertised::Value(rate) => Some((rate * 1000.0) as u64),
             // An answer that was on its way when the limit was named doesn't lift it.
-            Advertised::Absent if known.is_some_and(|k| k.rate.is_some() && sent > k.at) => None,
-            Advertised::Absent | Advertised::Invalid(_) => return,
+            Advertised::Absent if known.is_some_and(is_later) => None,
+            Advertised::Absent | Advertised::Invalid(_) => return false,
         };
-        let is_news = known.is_none_or(|k| k.rate != rate);
+        let is_news = known.is_none_or(|k| k.per_1000_s != per_1000_s);
         let is_due =
             known.is_none_or(|k| now.saturating_duration_since(k.told) >= REFRESH_INTERVAL);
         let untold = match known.and_then(|k| k.untold) {
@@ -96,15 +105,16 @@
             untold => untold,
         };
         let said = Said {
-            rate,
+            per_1000_s,
             at: now,
             told: known.map_or(now, |k| k.told),
             untold,
         };
         self.said.insert(upstream.life, said);
         if is_news {
-            log_change(upstream, rate);
+            log_change(upstream, named);
         }
+        untold.is_some()
     }
 
     /// Takes what another gateway tells; what is news is passed on where `pass_on` says so. Returns whether the
@@ -121,15 +131,14 @@
         if known.is_some_and(|k| k.at >= at) {
             return false;
         }
-        let rate = note.per_1000_s.map(|n| n as f64 / 1000.0);
         let said = Said {
-            rate,
+            per_1000_s: note.per_1000_s,
             at,
             told: now,
             untold: pass_on.map(|reach| Untold::new(now, ROUNDS.len(), reach)),
         };
         self.said.insert(note.life, said);
-        rate.is_none() && known.is_some_and(|k| k.rate.is_some())
+        note.per_1000_s.is_none() && known.is_some_and(|k| k.per_1000_s.is_some())
     }
 
     /// Takes the messages that are due.
@@ -156,7 +165,10 @@
 
     /// All limits that hold, for a gateway that has just started.
     pub(crate) fn notes(&self, now: Instant) -> Vec<RateLimitNote> {
-        let limits = self.said.iter().filter(|(_, said)| said.rate.is_some());
+        let limits = self
+            .said
+            .iter()
+            .filter(|(_, said)| said.per_1000_s.is_some());
         limits.map(|(life, said)| said.note(*life, now)).collect()
     }
 
@@ -165,7 +177,7 @@
     pub(crate) fn forget(&mut self, listed: &Set<LifeId>, unlisted_time: Duration, now: Instant) {
         self.said.retain(|life, said| {
             let age = now.saturating_duration_since(said.at);
-            match said.rate {
+            match said.per_1000_s {
                 None => age < LIFTED_TIME,
                 Some(_) => listed.contains(life) || age < unlisted_time,
             }
@@ -189,20 +201,19 @@
     fn note(&self, life: LifeId, now: Instant) -> RateLimitNote {
         RateLimitNote {
             life,
-            // Casts of floats saturate.
-            per_1000_s: self.rate.map(|rate| (rate * 1000.0) as u64),
+            per_1000_s: self.per_1000_s,
             ago: now.saturating_duration_since(self.at),
         }
     }
 }
 
-fn log_change(upstream: &Upstream, rate: Option<f64>) {
+fn log_change(upstream: &Upstream, named: &Advertised<f64>) {
     let (instance, addr) = (&upstream.instance, upstream.addr);
-    match rate {
-        Some(rate) => {
+    match named {
+        Advertised::Value(rate) => {
             info!(target: PART, "{PART}: event=rate_limited upstream={instance} addr={addr} rate={rate}");
         }
-        None => {
+        Advertised::Absent | Advertised::Invalid(_) => {
             info!(target: PART, "{PART}: event=rate_limit_lifted upstream={instance} addr={addr}");
         }
     }
--- a/crates/gateway/tests/feedback.rs
+++ b/crates/gateway/tests/feedback.rs
@@ -115,6 +115,21 @@
     assert_eq!(rates, [Some(2000); 4]);
 }
 
+#[test]
+fn a_limit_that_another_gateway_tells_in_thousandths_is_no_news_when_the_upstream_names_it_again() {
+    let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
+    feedback.hear(
+        vec![note(&upstream, Some(1333), Duration::ZERO)],
+        None,
+        start,
+    );
+
+    let named = naming(Advertised::Value(4.0 / 3.0));
+    feedback.observe(&upstream, &named, start, start + SECOND);
+
+    assert!(feedback.due(start + SECOND).near.is_empty());
+}
+
 #[test]
 fn a_message_from_another_domain_is_passed_on_within_the_own_one_only() {
     let (feedback, upstream, now) = (Feedback::default(), upstream(), Instant::now());
