--- a/crates/beacon/src/lib.rs
+++ b/crates/beacon/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use member::{Member, Role};
 pub use msg::{
-    ChunkMap, EngineNote, Holding, Load, LoadChange, LoadNote, Msg, RateLimitNote, SuspectNote,
+    ChunkMap, EngineNote, Holding, Load, LoadChange, LoadNote, Msg, RateLimitUpdate, SuspectNote,
     TrialNote,
 };
 pub use socket::{Beacon, MAX_DATAGRAM, encode, packed};
--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -121,12 +121,12 @@
     pub ago: Duration,
 }
 
-/// What an upstream last said of its rate limit in an answer.
+/// Rate limit of an upstream, by its latest answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RateLimitNote {
+pub struct RateLimitUpdate {
     /// The upstream.
     pub life: LifeId,
-    /// Requests in 1,000 s that it takes of all gateways together; `None` once it names no limit any more.
+    /// Requests in 1,000 s that it takes of all gateways together; `None` once the limit is lifted.
     pub per_1000_s: Option<u64>,
     /// Time since that answer.
     pub ago: Duration,
@@ -205,8 +205,8 @@
     Suspects(Vec<SuspectNote>),
     /// The same to a gateway of another failure domain, which passes on what is news to it.
     FarSuspects(Vec<SuspectNote>),
-    /// From a gateway to those of its failure domain: rate limits that upstreams name.
-    RateLimits(Vec<RateLimitNote>),
-    /// The same to a gateway of another failure domain, which passes on what is news to it.
-    FarRateLimits(Vec<RateLimitNote>),
+    /// From a gateway to those of its failure domain: rate limits that upstreams advertise.
+    RateLimits(Vec<RateLimitUpdate>),
+    /// The same to a gateway of another failure domain, which relays what it didn't know.
+    FarRateLimits(Vec<RateLimitUpdate>),
 }
--- a/crates/decide/src/back_off.rs
+++ b/crates/decide/src/back_off.rs
@@ -1,22 +1,22 @@
-//! How long an upstream that turned a request away is left alone, as it asks.
+//! Back-off that an upstream asks of one gateway.
 //!
-//! An upstream that refuses a request may name a time for which it wants no others of this gateway. It has nothing in
-//! flight then, so a choice by load would prefer it to all that work. Each gateway keeps to what it was told itself;
-//! others may be welcome.
+//! An upstream that rejects a request may state a time for which it wants no others from this gateway. Having nothing
+//! in flight, it would be the first choice by load. Each gateway keeps to its own back-off only; the upstream may
+//! accept requests of others.
 //!
-//! The load it is for: some upstreams of a service turn everything away for seconds, while the others have room.
+//! The load it is for: some upstreams of a service reject everything for seconds, while the others have room.
 
 use std::time::{Duration, Instant};
 
-/// Returns until when an upstream is left alone that asks for a back-off now: of two that overlap the later end
-/// holds, since answers overtake each other.
+/// Returns the end of the back-off after another answer asked for one. Answers overtake each other, so it is never
+/// shortened.
 pub fn until(known: Option<Instant>, asked: Duration, now: Instant) -> Instant {
     let until = now + asked;
     known.map_or(until, |known| known.max(until))
 }
 
-/// Returns when an upstream may be sent a request next, by its back-off and by its rate limit; a moment that is past
-/// and `None` stand for at once.
+/// Returns when an upstream may be sent a request next, by its back-off and its rate limit. `None` and times in the
+/// past stand for at once.
 pub fn next_send(back_off: Option<Instant>, rate_limit: Option<Instant>) -> Option<Instant> {
     back_off.into_iter().chain(rate_limit).max()
 }
--- a/crates/decide/src/come_back.rs
+++ b/crates/decide/src/come_back.rs
@@ -9,7 +9,7 @@
 /// Mean time to come back where there is no upstream at all, which lasts until one has its weights.
 const NOBODY: Duration = Duration::from_millis(2500);
 
-/// Longest time to come back where upstreams take nothing before a moment: others may have room sooner.
+/// Longest time to come back where all upstreams are limited or in a back-off: others may have room sooner.
 const LONGEST: Duration = Duration::from_secs(10);
 
 /// Part of the mean by which single times differ from it, so that those refused in one moment don't come
@@ -34,8 +34,8 @@
     mean.mul_f64(1.0 - SPREAD + 2.0 * SPREAD * draw)
 }
 
-/// Time to come back after where upstreams take nothing for `left`, for a draw in 0..1. Those refused in one moment
-/// come back later, not in one moment.
+/// Time to come back after where no upstream may be sent a request for `left`, for a draw in 0..1. It is spread, so
+/// that callers rejected at once don't come back at once.
 pub fn not_before(left: Duration, draw: f64) -> Duration {
     left.mul_f64(1.0 + 2.0 * SPREAD * draw).min(LONGEST)
 }
--- a/crates/decide/src/draining.rs
+++ b/crates/decide/src/draining.rs
@@ -1,22 +1,22 @@
-//! Whether an upstream that leaves gets new requests.
+//! Whether an upstream that is draining gets new requests.
 //!
-//! An upstream says that it leaves in its entry in the platform's list and in all of its answers. The list may be
-//! seconds behind, and knows nothing new at all while the store takes no change; so whichever says it first goes,
-//! and a list that says nothing of it takes nothing back. An incarnation that leaves doesn't change its mind.
+//! An upstream announces its drain in its entry in the platform's list and in all of its answers. The list may be
+//! seconds behind, and doesn't change at all while the store accepts no writes, so the first announcement counts, and
+//! an entry that is still `ready` doesn't revoke it. A drain is final for an incarnation.
 //!
 //! The load it is for: an upstream that is stopped as planned while the platform's store is away, with callers whose
 //! requests would break off with it.
 
-/// What is known of an incarnation's leaving.
+/// What is known of an incarnation's drain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Leaving {
-    /// Whether its entry in the list says so now.
+pub struct DrainState {
+    /// Whether its entry in the list announces it now.
     pub listed: bool,
-    /// Whether an answer of it has ever said so.
-    pub said: bool,
+    /// Whether any of its answers announced it.
+    pub advertised: bool,
 }
 
-/// Returns whether it may be sent a new request, by whichever path: first try, retry or resumed stream.
-pub fn takes_new(leaving: Leaving) -> bool {
-    !leaving.listed && !leaving.said
+/// Returns whether it may be sent a new request, be it a first try, a retry or a resumed stream.
+pub fn accepts_requests(state: DrainState) -> bool {
+    !state.listed && !state.advertised
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -5,16 +5,16 @@
 //!
 //! - [`age`]: how long ago a caller first asked, and so whether it can still be served in its objective.
 //! - [`audience`]: which gateways of a failure domain are told of a change of load at once.
-//! - [`back_off`]: how long an upstream that turned a request away is left alone, as it asks.
+//! - [`back_off`]: how long an upstream that rejected a request gets no others.
 //! - [`contention`]: whether an engine is tried now that other gateways know the same of.
-//! - [`draining`]: whether an upstream that leaves gets new requests.
+//! - [`draining`]: whether an upstream that is draining gets new requests.
 //! - [`line`]: requests that wait, for how long, and which of them is next.
 //! - [`placement`]: the upstream of a request.
 //! - [`come_back`]: when a caller that is refused is told to come back.
 //! - [`denial`]: whether a request may be denied by the configuration that is held.
 //! - [`outcomes`]: which upstreams are left alone, since they fail most of what they get.
 //! - [`quarantine`]: which requests are tried with care or held back, since upstreams ended under them.
-//! - [`rate_limit`]: how fast an upstream that names a rate limit gets requests.
+//! - [`rate_limit`]: how fast an upstream that advertises a rate limit gets requests.
 //! - [`readers`]: which gateways of a failure domain read the store, and when.
 //! - [`residency`]: in which failure domains a request may run.
 //! - [`retry`]: the budget of requests sent again.
--- a/crates/decide/src/outcomes.rs
+++ b/crates/decide/src/outcomes.rs
@@ -1,6 +1,6 @@
 //! How requests lately ended at an upstream.
 //!
-//! An upstream that fails or refuses at once has little in flight, so by load alone it would draw all requests.
+//! An upstream that fails or rejects requests at once has little in flight, so by load alone it would draw all requests.
 //! One gateway sees few of them; counts of all gateways show it after a handful of failures.
 
 use std::time::{Duration, Instant};
@@ -18,7 +18,7 @@
 /// Counts of requests that ended, older ones counting less.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Counts {
-    /// Failed, or refused.
+    /// Failed or rejected.
     pub failed: f64,
     /// Answered.
     pub answered: f64,
@@ -68,7 +68,7 @@
         self.counts.failed
     }
 
-    /// Notes a request that failed or was refused.
+    /// Notes a request that failed or was rejected.
     pub fn failed(&mut self, now: Instant) {
         self.counts = self.counts(now);
         self.counts.failed += 1.0;
--- a/crates/decide/src/senders.rs
+++ b/crates/decide/src/senders.rs
@@ -1,7 +1,7 @@
 //! Which gateways send to an upstream that may get only a few requests a second.
 //!
 //! Gateways can't agree on each request, so few of them send to such an upstream at all: those of its failure
-//! domain that a rendezvous hash ranks first. Each paces its requests by itself, without hearing of the others.
+//! domain that a rendezvous hash ranks first. Each paces its requests by itself, without knowing those of the others.
 
 use base::rendezvous;
 
--- a/crates/decide/tests/back_off.rs
+++ b/crates/decide/tests/back_off.rs
@@ -7,7 +7,7 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 #[test]
-fn of_two_back_offs_that_overlap_the_later_end_holds() {
+fn an_overlapping_back_off_extends_the_first_and_never_shortens_it() {
     let now = Instant::now();
 
     let first = until(None, 5 * SECOND, now);
@@ -20,7 +20,7 @@
 }
 
 #[test]
-fn a_back_off_and_a_pace_both_hold() {
+fn both_the_back_off_and_the_rate_limit_hold() {
     let now = Instant::now();
     let (sooner, later) = (Some(now), Some(now + SECOND));
 
@@ -30,11 +30,11 @@
     assert_eq!(next_send(None, None), None);
 }
 
-/// Upstreams, of which the first few turn everything away at once.
+/// Upstreams, of which the first few reject everything at once.
 const UPSTREAMS: usize = 12;
 const REFUSING: usize = 4;
 
-/// Callers whose request was turned away at two upstreams, of 1,700 that come over 10 s; each request that runs takes
+/// Callers whose request was rejected by two upstreams, of 1,700 that come over 10 s; each request that runs takes
 /// a second, and goes to the upstream with the least in flight.
 fn refused_callers(keeps_to_back_off: bool) -> usize {
     let start = Instant::now();
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn callers_are_served_by_others_while_some_upstreams_turn_everything_away() {
+fn callers_are_served_by_others_while_some_upstreams_reject_everything() {
     let (without, with) = (refused_callers(false), refused_callers(true));
 
     assert!(without > 1_600, "{without}");
--- a/crates/decide/tests/draining.rs
+++ b/crates/decide/tests/draining.rs
@@ -1,13 +1,13 @@
-//! Upstreams that leave.
+//! Upstreams that are draining.
 
-use decide::draining::{Leaving, takes_new};
+use decide::draining::{DrainState, accepts_requests};
 
 #[test]
-fn whichever_says_first_that_an_upstream_leaves_ends_new_requests() {
-    let takes = |listed, said| takes_new(Leaving { listed, said });
+fn the_first_announcement_of_a_drain_ends_new_requests() {
+    let accepts = |listed, advertised| accepts_requests(DrainState { listed, advertised });
 
-    assert!(takes(false, false));
-    assert!(!takes(true, false));
-    assert!(!takes(false, true));
-    assert!(!takes(true, true));
+    assert!(accepts(false, false));
+    assert!(!accepts(true, false));
+    assert!(!accepts(false, true));
+    assert!(!accepts(true, true));
 }
--- a/crates/decide/tests/rate_limit.rs
+++ b/crates/decide/tests/rate_limit.rs
@@ -1,4 +1,4 @@
-//! Upstreams that name a rate limit and the gateways that send to them.
+//! Upstreams that advertise a rate limit, and the gateways that send to them.
 
 use std::time::{Duration, Instant};
 
@@ -66,7 +66,7 @@
     arrivals.iter().map(within).max().unwrap_or(0)
 }
 
-/// Arrivals over some seconds, where what is heard of the limit is as old as `heard` says at a moment.
+/// Arrivals over some seconds, where `heard` gives the time of the latest update.
 fn arrivals(
     fleet: &mut [Gateway],
     rate: f64,
@@ -81,7 +81,7 @@
         let now = start + Duration::from_millis(ms);
         let limit = RateLimit {
             rate,
-            named: heard(start, answered),
+            advertised: heard(start, answered),
         };
         for gateway in fleet.iter_mut() {
             if gateway.send(&limit, now) {
@@ -119,9 +119,8 @@
         prop_assert!(most as f64 <= allowed(rate), "{most} of {}", allowed(rate));
     }
 
-    /// No gateway hears of the others' answers.
     #[test]
-    fn no_window_exceeds_the_limit_while_gateways_hear_nothing_of_each_other(
+    fn no_window_exceeds_the_limit_while_all_updates_are_lost(
         gateways in 1_usize..120,
         rate in prop_oneof![Just(0.0), Just(1.0), 0.0..20.0],
         seed in any::<u64>(),
@@ -152,24 +151,27 @@
 }
 
 #[test]
-fn a_gateway_takes_a_turn_where_nothing_was_heard_of_the_senders() {
-    let named = Instant::now();
-    let limit = RateLimit { rate: 1.0, named };
+fn a_gateway_sends_once_it_has_had_no_update_of_the_senders_for_long() {
+    let advertised = Instant::now();
+    let limit = RateLimit {
+        rate: 1.0,
+        advertised,
+    };
     let gateways = 20;
     let first = limit.senders(gateways);
 
-    let next = |rank| limit.next(rank, gateways, None).expect("a turn");
+    let next = |rank| limit.next(rank, gateways, None).expect("a time");
 
-    assert!(next(first) > named + WINDOW);
+    assert!(next(first) > advertised + WINDOW);
     assert!(next(2 * first) > next(first));
     assert_eq!(limit.next(0, gateways, None), None);
 }
 
 #[test]
-fn senders_of_a_limit_of_nothing_still_find_out_that_it_was_lifted() {
+fn a_limit_of_zero_is_probed_for_its_end() {
     let limit = RateLimit {
         rate: 0.0,
-        named: Instant::now(),
+        advertised: Instant::now(),
     };
 
     assert_eq!(limit.interval(2), Duration::from_secs(30));
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -2,7 +2,7 @@
 //!
 //! A request waits until an upstream has room, in the order of [`decide::line`]. One that can't be served
 //! within its objective is refused early, so that its caller can come back while that still helps; where
-//! there is no upstream at all, or all take nothing before that, at once.
+//! there is no upstream at all, or none may be sent a request before then, at once.
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -1,31 +1,30 @@
-//! Tells other gateways of the rate limits that upstreams name.
+//! Sends updates of rate limits to other gateways.
 //!
-//! A limit that was named, changed or lifted goes at once to all gateways of the failure domain and to two of each
-//! other one, which pass it on; it's told four times within 1.3 s, since datagrams get lost. While it holds, the
-//! gateways that still send to the upstream say so again every few seconds. While no upstream names a limit
-//! nothing is sent.
+//! A limit that was advertised, changed or lifted goes at once to all gateways of the failure domain and to two of
+//! each other one, which relay it; it is sent four times within 1.3 s, since datagrams get lost. While it holds, the
+//! gateways that still send requests to the upstream repeat it every few seconds. Without limits nothing is sent.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use beacon::{Beacon, Msg, RateLimitNote, packed};
+use beacon::{Beacon, Msg, RateLimitUpdate, packed};
 
 use crate::Cx;
 use crate::spread::far_receivers;
 use crate::tell::near_gateways;
 
-/// Time in which changes are gathered.
+/// Time in which changes are batched.
 const GATHER_TIME: Duration = Duration::from_millis(3);
 
-/// Time between two looks for what can be forgotten.
-const FORGET_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two purges of expired feedback.
+const PURGE_INTERVAL: Duration = Duration::from_secs(60);
 
-/// Tells what upstreams say of their limits.
+/// Sends pending updates.
 pub(crate) async fn announce(cx: Arc<Cx>, beacon: Beacon) {
     let mut number = 0;
     let mut next = None;
-    let mut forgot = clock::now();
+    let mut purged = clock::now();
     loop {
         wait(&cx, next).await;
         let now = clock::now();
@@ -33,15 +32,15 @@
         next = due.next;
         number += 1;
         send(&cx, &beacon, due.near, due.far, number);
-        if now.saturating_duration_since(forgot) >= FORGET_INTERVAL {
-            forgot = now;
+        if now.saturating_duration_since(purged) >= PURGE_INTERVAL {
+            purged = now;
             cx.feedback.forget(&cx.roster.lives(), now);
         }
     }
 }
 
 async fn wait(cx: &Cx, next: Option<Instant>) {
-    let until = clock::now() + FORGET_INTERVAL;
+    let until = clock::now() + PURGE_INTERVAL;
     let until = next.map_or(until, |next| next.min(until));
     tokio::select! {
         () = cx.feedback.changed() => tokio::time::sleep(GATHER_TIME).await,
@@ -49,7 +48,13 @@
     }
 }
 
-fn send(cx: &Cx, beacon: &Beacon, near: Vec<RateLimitNote>, far: Vec<RateLimitNote>, number: u64) {
+fn send(
+    cx: &Cx,
+    beacon: &Beacon,
+    near: Vec<RateLimitUpdate>,
+    far: Vec<RateLimitUpdate>,
+    number: u64,
+) {
     if near.is_empty() {
         return;
     }
@@ -63,9 +68,9 @@
     }
 }
 
-/// Tells a gateway that has just started which limits hold.
-pub(crate) fn greet(cx: &Cx, beacon: &Beacon, starter: SocketAddr) {
-    for msg in packed(cx.feedback.notes(clock::now()), Msg::RateLimits) {
+/// Sends all limits that hold to a gateway that has just started.
+pub(crate) fn sync(cx: &Cx, beacon: &Beacon, starter: SocketAddr) {
+    for msg in packed(cx.feedback.updates(clock::now()), Msg::RateLimits) {
         beacon.send(&msg, [starter]);
     }
 }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -2,8 +2,8 @@
 //!
 //! Candidates are where the request may run, in no drained failure domain, take new work, hold a version that
 //! may begin requests, weren't tried yet, and don't fail most of what they get. Cold ones get requests by
-//! [`decide::slow_start`], those that name a rate limit by [`decide::rate_limit`], those that ask for a
-//! back-off by [`decide::back_off`].
+//! [`decide::slow_start`], those that advertise a rate limit by [`decide::rate_limit`], those that ask
+//! for a back-off by [`decide::back_off`].
 
 use std::hash::BuildHasher;
 use std::net::SocketAddr;
@@ -13,7 +13,7 @@
 use catalog::{Service, WeightsVersion};
 use decide::back_off::next_send;
 use decide::contention::{is_tried, moment};
-use decide::draining::{Leaving, takes_new};
+use decide::draining::{DrainState, accepts_requests};
 use decide::outcomes::Counts;
 use decide::placement::{Ask, Candidate, JITTER};
 use decide::rate_limit::RateLimit;
@@ -33,7 +33,7 @@
     Chosen(Arc<Upstream>, Option<WeightsVersion>),
     /// There are upstreams, but none has room.
     Full,
-    /// There are upstreams, but none takes a request of this gateway before a moment.
+    /// There are upstreams, but none may be sent a request before a moment.
     NotBefore(Instant),
     /// There is no upstream.
     Nobody,
@@ -47,7 +47,7 @@
 struct Search {
     /// Whether any may run the request.
     fits: bool,
-    /// When the first of those may be sent to that may not be now.
+    /// Earliest time at which one may be sent to that may not be now.
     next: Option<Instant>,
     /// Whether any that may run the request doesn't fail most of what it gets.
     sound: bool,
@@ -75,7 +75,7 @@
     let entries = cx.roster.entries(&job.service);
     let drained = cx.drains.current();
     let sums = cx.loads.sums();
-    let said = cx.feedback.current();
+    let feedback = cx.feedback.current();
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_known(now)) {
@@ -86,11 +86,14 @@
         }
         let view = upstream.view(model, now);
         let runs = model.is_none() || view.serves.is_some_and(|version| version >= oldest);
-        let leaving = Leaving {
+        let drain = DrainState {
             listed: view.leaving,
-            said: said.leaves(upstream.life),
+            advertised: feedback.is_draining(upstream.life),
         };
-        if !takes_new(leaving) || !runs || tried.iter().any(|t| t.instance == upstream.instance) {
+        if !accepts_requests(drain)
+            || !runs
+            || tried.iter().any(|t| t.instance == upstream.instance)
+        {
             continue;
         }
         let others = sums.of(&upstream.addr);
@@ -103,9 +106,9 @@
         if warmth == Warmth::OthersSend {
             continue;
         }
-        let limit = said.rate_limit(upstream.life);
+        let limit = feedback.rate_limit(upstream.life);
         let by_rate = limit.and_then(|limit| next_by_rate(cx, upstream, &view, &limit));
-        let next = next_send(said.backs_off_until(upstream.life), by_rate);
+        let next = next_send(feedback.back_off_until(upstream.life), by_rate);
         if let Some(next) = next.filter(|next| *next > now) {
             search.not_before(next);
             continue;
@@ -135,7 +138,7 @@
 }
 
 impl Search {
-    /// Notes an upstream that may be sent to from a moment on.
+    /// Notes an upstream that may be sent to from `at` on.
     fn not_before(&mut self, at: Instant) {
         self.next = Some(self.next.map_or(at, |next| next.min(at)));
     }
@@ -212,7 +215,7 @@
     let all = cx.gateways();
     let peers = cx.peers.borrow();
     if upstream.domain != cx.roster.domain || !peers.lists_own {
-        // Gateways of other failure domains, and those that others don't count with, come last.
+        // Gateways of other failure domains, and those that aren't listed, rank last.
         return limit.next(all.max(limit.senders(all)), all, view.chosen);
     }
     let others = &peers.near_gateways;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -70,7 +70,7 @@
     Absent,
     /// Its value.
     Value(T),
-    /// Its text, which is no value.
+    /// Its text, which can't be parsed.
     Invalid(String),
 }
 
@@ -89,9 +89,9 @@
     pub cold_for: Option<Duration>,
     /// Requests a second that the upstream takes of all gateways together.
     pub rate_limit: Advertised<f64>,
-    /// Whether the upstream says that it leaves.
-    pub leaving: Advertised<bool>,
-    /// Time for which an upstream that turns the request away wants no others of this gateway.
+    /// Whether the upstream is draining.
+    pub draining: Advertised<bool>,
+    /// Time for which an upstream that rejects the request wants no others of this gateway.
     pub back_off: Advertised<Duration>,
 }
 
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -1,15 +1,15 @@
-//! What upstreams say of themselves in their answers.
+//! Feedback of upstreams in the headers of their answers: rate limits, drains and back-offs.
 //!
-//! It is kept by incarnation, apart from the upstream itself, since it holds on while an entry is missing from
-//! the platform's list and comes back. What follows from it is decided by [`decide::rate_limit`],
-//! [`decide::draining`] and [`decide::back_off`]; other gateways are told of rate limits by [`crate::announce`].
+//! It is kept by incarnation and apart from [`Upstream`], since it outlasts an entry that is missing from the
+//! platform's list for a while. What follows from it is decided by [`decide::rate_limit`], [`decide::draining`] and
+//! [`decide::back_off`]; [`crate::announce`] sends rate limits to other gateways.
 
 use std::fmt::Debug;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::{LifeId, Map, Set};
-use beacon::RateLimitNote;
+use beacon::RateLimitUpdate;
 use decide::back_off;
 use decide::rate_limit::RateLimit;
 use log::{info, warn};
@@ -23,13 +23,13 @@
 /// Log prefix of this part.
 const PART: &str = "feedback";
 
-/// Time for which is remembered what an upstream that isn't listed has said.
+/// Time for which the feedback of an upstream that isn't listed is kept.
 const UNLISTED_TIME: Duration = Duration::from_secs(600);
 
 /// Name of a header in logs.
 type HeaderName = &'static str;
 
-/// What upstreams have said, by incarnation; those left out have said nothing.
+/// Feedback of all upstreams.
 #[derive(Debug, Default)]
 pub struct Feedback {
     state: Mutex<State>,
@@ -39,11 +39,11 @@
 #[derive(Debug, Default)]
 struct State {
     rate_limits: RateLimits,
-    /// Upstreams that leave, and when they first said so.
-    leaving: Map<LifeId, Instant>,
-    /// Upstreams that want no requests of this gateway, and until when.
+    /// Upstreams that are draining, and when they first said so.
+    draining: Map<LifeId, Instant>,
+    /// Ends of back-offs that upstreams asked of this gateway.
     back_offs: Map<LifeId, Instant>,
-    /// Headers whose value was ignored, and when it first was.
+    /// Headers with an invalid value, and when they were last ignored.
     ignored: Map<(LifeId, HeaderName), Instant>,
 }
 
@@ -52,73 +52,78 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes what the head of an upstream's answer says to a request that was sent at a moment.
+    /// Records the head of an upstream's answer to a request that was sent at `sent`.
     pub fn observe(&self, upstream: &Upstream, reply: &Reply, sent: Instant, now: Instant) {
         let mut state = self.state();
         state.ignore(upstream, "rate_limit", &reply.rate_limit, now);
-        state.ignore(upstream, "leaving", &reply.leaving, now);
+        state.ignore(upstream, "draining", &reply.draining, now);
         state.ignore(upstream, "back_off", &reply.back_off, now);
-        state.observe_leaving(upstream, &reply.leaving, now);
+        state.observe_draining(upstream, &reply.draining, now);
         state.observe_back_off(upstream, &reply.back_off, now);
         let State { rate_limits, .. } = &mut *state;
-        let has_news = rate_limits.observe(upstream, &reply.rate_limit, sent, now);
+        let is_pending = rate_limits.observe(upstream, &reply.rate_limit, sent, now);
         drop(state);
-        if has_news {
+        if is_pending {
             self.changed.notify_one();
         }
     }
 
-    /// Takes what another gateway tells of rate limits; what is news is passed on where `pass_on` says so. Returns
+    /// Takes updates of another gateway, and relays those to `relay_to` that are newer than what is known. Returns
     /// whether a limit was lifted.
-    pub fn hear(&self, notes: Vec<RateLimitNote>, pass_on: Option<Reach>, now: Instant) -> bool {
+    pub fn receive(
+        &self,
+        updates: Vec<RateLimitUpdate>,
+        relay_to: Option<Reach>,
+        now: Instant,
+    ) -> bool {
         let mut state = self.state();
         let mut is_lifted = false;
-        for note in notes {
-            is_lifted |= state.rate_limits.hear(note, pass_on, now);
+        for update in updates {
+            is_lifted |= state.rate_limits.receive(update, relay_to, now);
         }
         drop(state);
         self.changed.notify_one();
         is_lifted
     }
 
-    /// What upstreams have said, which stays as it is while this is held.
+    /// The feedback as it is now, locked while this is held.
     pub fn current(&self) -> Current<'_> {
         Current(self.state())
     }
 
-    /// Waits until there may be something to tell.
+    /// Waits until updates may be pending.
     pub(crate) async fn changed(&self) {
         self.changed.notified().await;
     }
 
-    /// Takes the messages to other gateways that are due.
+    /// Takes the updates to other gateways that are due.
     pub fn due(&self, now: Instant) -> Due {
         self.state().rate_limits.due(now)
     }
 
     /// All rate limits that hold, for a gateway that has just started.
-    pub(crate) fn notes(&self, now: Instant) -> Vec<RateLimitNote> {
-        self.state().rate_limits.notes(now)
+    pub(crate) fn updates(&self, now: Instant) -> Vec<RateLimitUpdate> {
+        self.state().rate_limits.updates(now)
     }
 
-    /// Forgets what can't matter any more, by which upstreams are listed.
+    /// Drops the feedback of upstreams that ended, and what has expired.
     pub fn forget(&self, listed: &Set<LifeId>, now: Instant) {
         let State {
             rate_limits,
-            leaving,
+            draining,
             back_offs,
             ignored,
         } = &mut *self.state();
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNLISTED_TIME;
         rate_limits.forget(listed, UNLISTED_TIME, now);
-        leaving.retain(|life, at| listed.contains(life) || is_recent(at));
+        draining.retain(|life, at| listed.contains(life) || is_recent(at));
         back_offs.retain(|_, until| *until > now);
         ignored.retain(|_, at| is_recent(at));
     }
 }
 
 impl State {
-    /// Logs a value that isn't one, once for a while.
+    /// Logs an invalid value, once per header and upstream for a while.
     fn ignore<T: Debug>(
         &mut self,
         upstream: &Upstream,
@@ -134,21 +139,21 @@
         }
     }
 
-    fn observe_leaving(&mut self, upstream: &Upstream, leaving: &Advertised<bool>, now: Instant) {
-        if *leaving != Advertised::Value(true) || self.leaving.contains_key(&upstream.life) {
+    fn observe_draining(&mut self, upstream: &Upstream, header: &Advertised<bool>, now: Instant) {
+        if *header != Advertised::Value(true) || self.draining.contains_key(&upstream.life) {
             return;
         }
-        self.leaving.insert(upstream.life, now);
-        info!(target: PART, "{PART}: event=leaving upstream={} addr={} listed_leaving={}", upstream.instance, upstream.addr, upstream.is_leaving());
+        self.draining.insert(upstream.life, now);
+        info!(target: PART, "{PART}: event=draining upstream={} addr={} listed={}", upstream.instance, upstream.addr, upstream.is_leaving());
     }
 
     fn observe_back_off(
         &mut self,
         upstream: &Upstream,
-        back_off: &Advertised<Duration>,
+        header: &Advertised<Duration>,
         now: Instant,
     ) {
-        let Advertised::Value(time) = back_off else {
+        let Advertised::Value(time) = header else {
             return;
         };
         let known = self.back_offs.get(&upstream.life).copied();
@@ -161,7 +166,7 @@
     }
 }
 
-/// What upstreams have said.
+/// The feedback at a moment.
 #[derive(Debug)]
 pub struct Current<'a>(MutexGuard<'a, State>);
 
@@ -176,18 +181,18 @@
         self.0.rate_limits.count()
     }
 
-    /// Until when an upstream wants no requests of this gateway; past where it may be sent one.
-    pub fn backs_off_until(&self, life: LifeId) -> Option<Instant> {
+    /// End of the back-off that an upstream asked of this gateway; it may be over.
+    pub fn back_off_until(&self, life: LifeId) -> Option<Instant> {
         self.0.back_offs.get(&life).copied()
     }
 
-    /// Whether an upstream has said that it leaves.
-    pub fn leaves(&self, life: LifeId) -> bool {
-        self.0.leaving.contains_key(&life)
+    /// Whether an answer of an upstream said that it is draining.
+    pub fn is_draining(&self, life: LifeId) -> bool {
+        self.0.draining.contains_key(&life)
     }
 
-    /// How many upstreams have said that they leave.
-    pub(crate) fn leaving(&self) -> usize {
-        self.0.leaving.len()
+    /// How many upstreams said that they are draining.
+    pub(crate) fn draining(&self) -> usize {
+        self.0.draining.len()
     }
 }
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -1,5 +1,5 @@
 //! Metrics of what a gateway knows: which configuration, since when, and how far others are ahead; upstreams
-//! that limit their rate or leave; and requests under which upstreams ended.
+//! that limit their rate or are draining; and requests under which upstreams ended.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -29,10 +29,10 @@
     metrics::gauge!("driftnotch_configuration_revision", "of" => "newest_heard").set(heard as f64);
     metrics::gauge!("driftnotch_configuration_age_seconds").set(age.as_secs_f64());
     metrics::gauge!("driftnotch_store_reached").set(f64::from(reaches_store));
-    let said = cx.feedback.current();
-    metrics::gauge!("driftnotch_rate_limited_upstreams").set(said.rate_limited() as f64);
-    metrics::gauge!("driftnotch_leaving_upstreams").set(said.leaving() as f64);
-    drop(said);
+    let feedback = cx.feedback.current();
+    metrics::gauge!("driftnotch_rate_limited_upstreams").set(feedback.rate_limited() as f64);
+    metrics::gauge!("driftnotch_draining_upstreams").set(feedback.draining() as f64);
+    drop(feedback);
     let (known, held) = cx.suspects.counts();
     metrics::gauge!("driftnotch_suspects", "of" => "known").set(known as f64);
     metrics::gauge!("driftnotch_suspects", "of" => "held").set(held as f64);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use base::Revision;
-use beacon::{Beacon, EngineNote, Holding, LoadNote, Msg, RateLimitNote, SuspectNote};
+use beacon::{Beacon, EngineNote, Holding, LoadNote, Msg, RateLimitUpdate, SuspectNote};
 use log::{debug, warn};
 use mirror::DocName;
 use web::{Client, Dial};
@@ -52,8 +52,8 @@
             Msg::Engine(note) => hear_loader(&cx, &beacon, note, from),
             Msg::Suspects(notes) => hear_suspects(&cx, notes, None),
             Msg::FarSuspects(notes) => hear_suspects(&cx, notes, Some(Reach::Near)),
-            Msg::RateLimits(notes) => hear_rate_limits(&cx, notes, None),
-            Msg::FarRateLimits(notes) => hear_rate_limits(&cx, notes, Some(Reach::Near)),
+            Msg::RateLimits(updates) => receive_rate_limits(&cx, updates, None),
+            Msg::FarRateLimits(updates) => receive_rate_limits(&cx, updates, Some(Reach::Near)),
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
@@ -72,9 +72,9 @@
     }
 }
 
-/// Takes what another gateway tells of rate limits.
-fn hear_rate_limits(cx: &Cx, notes: Vec<RateLimitNote>, pass_on: Option<Reach>) {
-    if cx.feedback.hear(notes, pass_on, clock::now()) {
+/// Takes updates of rate limits; a limit that was lifted may make room for a queued request.
+fn receive_rate_limits(cx: &Cx, updates: Vec<RateLimitUpdate>, relay_to: Option<Reach>) {
+    if cx.feedback.receive(updates, relay_to, clock::now()) {
         cx.admission.freed().notify_one();
     }
 }
@@ -110,7 +110,7 @@
     if cx.loads.take(note, clock::now()) {
         beacon.send(&greeting(cx), [sender]);
         greet(cx, beacon, sender);
-        announce::greet(cx, beacon, sender);
+        announce::sync(cx, beacon, sender);
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -82,7 +82,7 @@
     pub roster: Roster,
     /// Failure domains that operators have drained.
     pub drains: Drains,
-    /// What upstreams say of themselves.
+    /// Feedback of upstreams in their answers.
     pub feedback: Feedback,
     /// Versions of weights that were released.
     pub releases: Releases,
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -1,9 +1,9 @@
-//! Rate limits that upstreams name, and what other gateways are still to be told of them.
+//! Rate limits that upstreams advertise, and the updates that are still to be sent to other gateways.
 
 use std::time::{Duration, Instant};
 
 use base::{LifeId, Map, Set};
-use beacon::RateLimitNote;
+use beacon::RateLimitUpdate;
 use decide::rate_limit::RateLimit;
 use log::info;
 
@@ -14,170 +14,171 @@
 /// Log prefix of this part.
 const PART: &str = "feedback";
 
-/// Time after which other gateways are told again that a limit still holds.
+/// Time after which other gateways are sent an update although the limit is unchanged.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(3);
 
-/// Time for which a lifted limit is remembered, so that an older message doesn't bring it back.
+/// Time for which a lifted limit is remembered, so that an older update doesn't restore it.
 const LIFTED_TIME: Duration = Duration::from_secs(60);
 
-/// What one upstream has said.
+/// Limit of one upstream, as far as is known.
 #[derive(Debug, Clone, Copy)]
-struct Said {
-    /// Requests in 1,000 s, as they travel; `None` where it names no limit any more.
+struct Known {
+    /// Requests in 1,000 s, as they travel; `None` once it is lifted.
     per_1000_s: Option<u64>,
-    /// When the answer came that said so.
+    /// When the latest answer came that advertised or lifted it.
     at: Instant,
-    /// When gateways were last told, by this one or another.
-    told: Instant,
-    /// What this gateway is still to tell.
-    untold: Option<Untold>,
+    /// When other gateways last got an update, of this gateway or another.
+    announced: Instant,
+    /// Update that this gateway is to send.
+    pending: Option<Announcement>,
 }
 
-/// A message that is due.
+/// An update that is to be sent, several times.
 #[derive(Debug, Clone, Copy)]
-struct Untold {
+struct Announcement {
     due: Instant,
-    /// Times that it was sent.
+    /// How often it was sent.
     rounds: usize,
     reach: Reach,
 }
 
-/// Messages that are due now.
+/// Updates that are due now.
 #[derive(Debug, Default)]
 pub struct Due {
     /// To gateways of the failure domain.
-    pub near: Vec<RateLimitNote>,
+    pub near: Vec<RateLimitUpdate>,
     /// To other failure domains.
-    pub far: Vec<RateLimitNote>,
-    /// When more are.
+    pub far: Vec<RateLimitUpdate>,
+    /// When the next one is.
     pub next: Option<Instant>,
 }
 
-/// Limits by incarnation; those left out have named none.
+/// Limits by incarnation; upstreams that are left out have none.
 #[derive(Debug, Default)]
 pub(crate) struct RateLimits {
-    said: Map<LifeId, Said>,
+    known: Map<LifeId, Known>,
 }
 
 impl RateLimits {
     /// The limit of an upstream.
     pub(crate) fn of(&self, life: LifeId) -> Option<RateLimit> {
-        let said = self.said.get(&life)?;
-        let per_1000_s = said.per_1000_s?;
+        let known = self.known.get(&life)?;
+        let per_1000_s = known.per_1000_s?;
         Some(RateLimit {
             rate: per_1000_s as f64 / 1000.0,
-            named: said.at,
+            advertised: known.at,
         })
     }
 
     /// How many upstreams limit their rate.
     pub(crate) fn count(&self) -> usize {
-        self.said
+        self.known
             .values()
-            .filter(|s| s.per_1000_s.is_some())
+            .filter(|k| k.per_1000_s.is_some())
             .count()
     }
 
-    /// Takes what an answer says to a request that was sent at a moment. Returns whether there is something to tell
-    /// other gateways.
+    /// Records the header of an answer to a request that was sent at `sent`. Returns whether an update is pending.
     pub(crate) fn observe(
         &mut self,
         upstream: &Upstream,
-        named: &Advertised<f64>,
+        header: &Advertised<f64>,
         sent: Instant,
         now: Instant,
     ) -> bool {
-        let known = self.said.get(&upstream.life).copied();
-        let is_later = |k: Said| k.per_1000_s.is_some() && sent > k.at;
-        let per_1000_s = match named {
+        let known = self.known.get(&upstream.life).copied();
+        let is_later = |k: Known| k.per_1000_s.is_some() && sent > k.at;
+        let per_1000_s = match header {
             // Casts of floats saturate.
             Advertised::Value(rate) => Some((rate * 1000.0) as u64),
-            // An answer that was on its way when the limit was named doesn't lift it.
+            // An answer that was in flight when the limit was advertised doesn't lift it.
             Advertised::Absent if known.is_some_and(is_later) => None,
             Advertised::Absent | Advertised::Invalid(_) => return false,
         };
-        let is_news = known.is_none_or(|k| k.per_1000_s != per_1000_s);
+        let is_changed = known.is_none_or(|k| k.per_1000_s != per_1000_s);
         let is_due =
-            known.is_none_or(|k| now.saturating_duration_since(k.told) >= REFRESH_INTERVAL);
-        let untold = match known.and_then(|k| k.untold) {
-            _ if is_news => Some(Untold::new(now, 0, Reach::Everywhere)),
-            None if is_due => Some(Untold::new(now, ROUNDS.len(), Reach::Everywhere)),
-            untold => untold,
+            known.is_none_or(|k| now.saturating_duration_since(k.announced) >= REFRESH_INTERVAL);
+        let pending = match known.and_then(|k| k.pending) {
+            _ if is_changed => Some(Announcement::new(now, 0, Reach::Everywhere)),
+            None if is_due => Some(Announcement::new(now, ROUNDS.len(), Reach::Everywhere)),
+            pending => pending,
         };
-        let said = Said {
+        let known = Known {
             per_1000_s,
             at: now,
-            told: known.map_or(now, |k| k.told),
-            untold,
+            announced: known.map_or(now, |k| k.announced),
+            pending,
         };
-        self.said.insert(upstream.life, said);
-        if is_news {
-            log_change(upstream, named);
+        self.known.insert(upstream.life, known);
+        if is_changed {
+            log_change(upstream, header);
         }
-        untold.is_some()
+        pending.is_some()
     }
 
-    /// Takes what another gateway tells; what is news is passed on where `pass_on` says so. Returns whether the
-    /// limit was lifted.
-    pub(crate) fn hear(
+    /// Takes an update of another gateway, and relays it to `relay_to` where it is newer than what is known. Returns
+    /// whether the limit was lifted.
+    pub(crate) fn receive(
         &mut self,
-        note: RateLimitNote,
-        pass_on: Option<Reach>,
+        update: RateLimitUpdate,
+        relay_to: Option<Reach>,
         now: Instant,
     ) -> bool {
-        let known = self.said.get(&note.life).copied();
-        // What is older than this clock tells was as long ago as it can tell.
-        let at = now.checked_sub(note.ago).unwrap_or(now);
+        let known = self.known.get(&update.life).copied();
+        // The clock may not reach that far back.
+        let at = now.checked_sub(update.ago).unwrap_or(now);
         if known.is_some_and(|k| k.at >= at) {
             return false;
         }
-        let said = Said {
-            per_1000_s: note.per_1000_s,
+        let was_limited = known.is_some_and(|k| k.per_1000_s.is_some());
+        let known = Known {
+            per_1000_s: update.per_1000_s,
             at,
-            told: now,
-            untold: pass_on.map(|reach| Untold::new(now, ROUNDS.len(), reach)),
+            announced: now,
+            pending: relay_to.map(|reach| Announcement::new(now, ROUNDS.len(), reach)),
         };
-        self.said.insert(note.life, said);
-        note.per_1000_s.is_none() && known.is_some_and(|k| k.per_1000_s.is_some())
+        self.known.insert(update.life, known);
+        was_limited && update.per_1000_s.is_none()
     }
 
-    /// Takes the messages that are due.
+    /// Takes the updates that are due.
     pub(crate) fn due(&mut self, now: Instant) -> Due {
         let mut due = Due::default();
-        for (life, said) in &mut self.said {
-            let Some(untold) = said.untold else {
+        for (life, known) in &mut self.known {
+            let Some(pending) = known.pending else {
                 continue;
             };
-            if untold.due <= now {
-                let note = said.note(*life, now);
-                due.near.push(note);
-                if untold.reach == Reach::Everywhere {
-                    due.far.push(note);
+            if pending.due <= now {
+                let update = known.update(*life, now);
+                due.near.push(update);
+                if pending.reach == Reach::Everywhere {
+                    due.far.push(update);
                 }
-                said.told = now;
-                said.untold = untold.next(now);
+                known.announced = now;
+                known.pending = pending.next(now);
             }
-            let next = said.untold.map(|u| u.due);
+            let next = known.pending.map(|p| p.due);
             due.next = due.next.into_iter().chain(next).min();
         }
         due
     }
 
     /// All limits that hold, for a gateway that has just started.
-    pub(crate) fn notes(&self, now: Instant) -> Vec<RateLimitNote> {
+    pub(crate) fn updates(&self, now: Instant) -> Vec<RateLimitUpdate> {
         let limits = self
-            .said
+            .known
             .iter()
-            .filter(|(_, said)| said.per_1000_s.is_some());
-        limits.map(|(life, said)| said.note(*life, now)).collect()
+            .filter(|(_, known)| known.per_1000_s.is_some());
+        limits
+            .map(|(life, known)| known.update(*life, now))
+            .collect()
     }
 
-    /// Forgets what can't matter any more: limits that were lifted, and after `unlisted_time` those of upstreams
-    /// that aren't listed.
+    /// Drops limits that were lifted a while ago, and after `unlisted_time` those of upstreams that aren't listed.
     pub(crate) fn forget(&mut self, listed: &Set<LifeId>, unlisted_time: Duration, now: Instant) {
-        self.said.retain(|life, said| {
-            let age = now.saturating_duration_since(said.at);
-            match said.per_1000_s {
+        self.known.retain(|life, known| {
+            let age = now.saturating_duration_since(known.at);
+            match known.per_1000_s {
                 None => age < LIFTED_TIME,
                 Some(_) => listed.contains(life) || age < unlisted_time,
             }
@@ -185,21 +186,21 @@
     }
 }
 
-impl Untold {
-    fn new(due: Instant, rounds: usize, reach: Reach) -> Untold {
-        Untold { due, rounds, reach }
+impl Announcement {
+    fn new(due: Instant, rounds: usize, reach: Reach) -> Announcement {
+        Announcement { due, rounds, reach }
     }
 
-    /// The next time that the same is sent, in case that a datagram was lost.
-    fn next(self, now: Instant) -> Option<Untold> {
+    /// The next time that it is sent, in case the datagram is lost.
+    fn next(self, now: Instant) -> Option<Announcement> {
         let pause = ROUNDS.get(self.rounds)?;
-        Some(Untold::new(now + *pause, self.rounds + 1, self.reach))
+        Some(Announcement::new(now + *pause, self.rounds + 1, self.reach))
     }
 }
 
-impl Said {
-    fn note(&self, life: LifeId, now: Instant) -> RateLimitNote {
-        RateLimitNote {
+impl Known {
+    fn update(&self, life: LifeId, now: Instant) -> RateLimitUpdate {
+        RateLimitUpdate {
             life,
             per_1000_s: self.per_1000_s,
             ago: now.saturating_duration_since(self.at),
@@ -207,9 +208,9 @@
     }
 }
 
-fn log_change(upstream: &Upstream, named: &Advertised<f64>) {
+fn log_change(upstream: &Upstream, header: &Advertised<f64>) {
     let (instance, addr) = (&upstream.instance, upstream.addr);
-    match named {
+    match header {
         Advertised::Value(rate) => {
             info!(target: PART, "{PART}: event=rate_limited upstream={instance} addr={addr} rate={rate}");
         }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -34,7 +34,7 @@
     Busy(Duration),
     /// no upstream can run the request now; come back later
     NoUpstream(Duration),
-    /// upstreams limit what they take, and none takes a request now; come back later
+    /// all upstreams are rate limited or in a back-off; come back later
     NotBefore(Duration),
     /// no upstream took the request; come back later
     NotTaken(Duration),
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -81,7 +81,7 @@
     if cx.drains.has(&upstream.domain) {
         return Sent::Unreached("its failure domain was drained meanwhile".to_owned());
     }
-    if let Some(why) = barred(cx, upstream) {
+    if let Some(why) = declines(cx, upstream) {
         return Sent::Unreached(why.to_owned());
     }
     let req = request(cx, job, slot, last_event);
@@ -95,12 +95,12 @@
     }
 }
 
-/// Why an upstream gets nothing by what it has said since it was chosen.
-fn barred(cx: &Cx, upstream: &Upstream) -> Option<&'static str> {
-    let said = cx.feedback.current();
-    let until = said.backs_off_until(upstream.life);
+/// Why an upstream accepts no request any more since it was chosen.
+fn declines(cx: &Cx, upstream: &Upstream) -> Option<&'static str> {
+    let feedback = cx.feedback.current();
+    let until = feedback.back_off_until(upstream.life);
     match until.is_some_and(|until| until > clock::now()) {
-        _ if said.leaves(upstream.life) => Some("it has said meanwhile that it leaves"),
+        _ if feedback.is_draining(upstream.life) => Some("it is draining meanwhile"),
         true => Some("it has asked for a back-off meanwhile"),
         false => None,
     }
@@ -184,8 +184,8 @@
     }))
 }
 
-/// Returns whether an answer is the upstream's own to this request: another incarnation may have its address, and
-/// a surplus answer may come in its place.
+/// Returns whether an answer is this incarnation's own to this request: another one may have its address, and a
+/// surplus answer may come first.
 fn is_own(reply: &Reply, upstream: &Upstream, job: &Job) -> bool {
     let id = reply.id.as_ref();
     let instance = reply.instance.as_ref();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,13 +20,13 @@
 /// three seconds later.
 const NOTE_TIME: Duration = Duration::from_secs(3);
 
-/// First pause after a failed connection, or a row of failed or refused requests.
+/// First pause after a failed connection, or a row of failed or rejected requests.
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 
 /// Longest pause.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
-/// Failed or refused requests in a row after which an upstream is left alone for a while.
+/// Failed or rejected requests in a row after which an upstream is left alone for a while.
 const FAILURES_IN_A_ROW: u32 = 3;
 
 /// An upstream as the platform lists it.
@@ -83,7 +83,7 @@
     Answered,
     /// It answered with a failure of its own, or not whole.
     Failed,
-    /// It turned the request away.
+    /// It rejected the request.
     Refused,
     /// No connection came about.
     Unreachable,
@@ -363,7 +363,7 @@
             return false;
         }
         let pause = FIRST_PAUSE * 2_u32.saturating_pow(state.pauses);
-        // One that refuses lives, and may have room any moment.
+        // It is alive, and may have room at any moment.
         if health != Health::Refused {
             state.pauses += 1;
         }
--- a/crates/gateway/tests/feedback.rs
+++ b/crates/gateway/tests/feedback.rs
@@ -1,8 +1,8 @@
-//! What upstreams say in their answers, and what gateways tell each other of it.
+//! Feedback of upstreams in their answers, and updates between gateways.
 
 use std::time::{Duration, Instant};
 
-use beacon::RateLimitNote;
+use beacon::RateLimitUpdate;
 use gateway::call::{Advertised, Reply};
 use gateway::feedback::Feedback;
 use gateway::news::Reach;
@@ -23,15 +23,15 @@
     })
 }
 
-fn naming(rate_limit: Advertised<f64>) -> Reply {
+fn advertising(rate_limit: Advertised<f64>) -> Reply {
     Reply {
         rate_limit,
         ..Reply::default()
     }
 }
 
-fn note(upstream: &Upstream, per_1000_s: Option<u64>, ago: Duration) -> RateLimitNote {
-    RateLimitNote {
+fn update(upstream: &Upstream, per_1000_s: Option<u64>, ago: Duration) -> RateLimitUpdate {
+    RateLimitUpdate {
         life: upstream.life,
         per_1000_s,
         ago,
@@ -46,18 +46,18 @@
 const SECOND: Duration = Duration::from_secs(1);
 
 #[test]
-fn an_answer_to_a_request_sent_before_the_limit_was_named_does_not_lift_it() {
+fn an_answer_to_a_request_sent_before_the_limit_was_advertised_does_not_lift_it() {
     let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
     feedback.observe(
         &upstream,
-        &naming(Advertised::Value(2.0)),
+        &advertising(Advertised::Value(2.0)),
         start,
         start + SECOND,
     );
 
     feedback.observe(
         &upstream,
-        &naming(Advertised::Absent),
+        &advertising(Advertised::Absent),
         start,
         start + 2 * SECOND,
     );
@@ -66,7 +66,7 @@
     let later = start + 2 * SECOND;
     feedback.observe(
         &upstream,
-        &naming(Advertised::Absent),
+        &advertising(Advertised::Absent),
         later,
         later + SECOND,
     );
@@ -76,68 +76,87 @@
 #[test]
 fn a_value_that_is_invalid_leaves_the_limit_as_it_is() {
     let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
-    feedback.observe(&upstream, &naming(Advertised::Value(2.0)), start, start);
+    feedback.observe(
+        &upstream,
+        &advertising(Advertised::Value(2.0)),
+        start,
+        start,
+    );
 
     let invalid = Advertised::Invalid("many".to_owned());
-    feedback.observe(&upstream, &naming(invalid), start + SECOND, start + SECOND);
+    feedback.observe(
+        &upstream,
+        &advertising(invalid),
+        start + SECOND,
+        start + SECOND,
+    );
 
     assert_eq!(rate(&feedback, &upstream), Some(2.0));
 }
 
 #[test]
-fn of_two_messages_the_one_about_the_later_answer_holds() {
+fn the_update_about_the_later_answer_wins() {
     let (feedback, upstream, now) = (Feedback::default(), upstream(), Instant::now());
     let now = now + 10 * SECOND;
 
-    feedback.hear(vec![note(&upstream, None, SECOND)], None, now);
-    feedback.hear(vec![note(&upstream, Some(3000), 2 * SECOND)], None, now);
+    feedback.receive(vec![update(&upstream, None, SECOND)], None, now);
+    feedback.receive(vec![update(&upstream, Some(3000), 2 * SECOND)], None, now);
     assert_eq!(rate(&feedback, &upstream), None);
 
-    feedback.hear(vec![note(&upstream, Some(3000), Duration::ZERO)], None, now);
+    feedback.receive(
+        vec![update(&upstream, Some(3000), Duration::ZERO)],
+        None,
+        now,
+    );
     assert_eq!(rate(&feedback, &upstream), Some(3.0));
 }
 
 #[test]
-fn a_new_limit_is_told_everywhere_four_times() {
+fn a_new_limit_is_sent_everywhere_four_times() {
     let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
-    feedback.observe(&upstream, &naming(Advertised::Value(2.0)), start, start);
+    feedback.observe(
+        &upstream,
+        &advertising(Advertised::Value(2.0)),
+        start,
+        start,
+    );
 
-    let mut told = Vec::new();
+    let mut sent = Vec::new();
     let mut next = Some(start);
     while let Some(at) = next {
         let due = feedback.due(at);
         assert_eq!(due.near, due.far);
-        told.extend(due.near);
+        sent.extend(due.near);
         next = due.next;
     }
 
-    let rates: Vec<_> = told.iter().map(|n| n.per_1000_s).collect();
+    let rates: Vec<_> = sent.iter().map(|n| n.per_1000_s).collect();
     assert_eq!(rates, [Some(2000); 4]);
 }
 
 #[test]
-fn a_limit_that_another_gateway_tells_in_thousandths_is_no_news_when_the_upstream_names_it_again() {
+fn a_limit_received_in_thousandths_is_unchanged_when_the_upstream_advertises_it_again() {
     let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
-    feedback.hear(
-        vec![note(&upstream, Some(1333), Duration::ZERO)],
+    feedback.receive(
+        vec![update(&upstream, Some(1333), Duration::ZERO)],
         None,
         start,
     );
 
-    let named = naming(Advertised::Value(4.0 / 3.0));
-    feedback.observe(&upstream, &named, start, start + SECOND);
+    let reply = advertising(Advertised::Value(4.0 / 3.0));
+    feedback.observe(&upstream, &reply, start, start + SECOND);
 
     assert!(feedback.due(start + SECOND).near.is_empty());
 }
 
 #[test]
-fn a_message_from_another_domain_is_passed_on_within_the_own_one_only() {
+fn an_update_of_another_domain_is_relayed_within_the_own_one_only() {
     let (feedback, upstream, now) = (Feedback::default(), upstream(), Instant::now());
-    let message = vec![note(&upstream, Some(2000), Duration::ZERO)];
+    let updates = vec![update(&upstream, Some(2000), Duration::ZERO)];
 
-    feedback.hear(message.clone(), Some(Reach::Near), now);
+    feedback.receive(updates.clone(), Some(Reach::Near), now);
     let first = feedback.due(now);
-    feedback.hear(message, Some(Reach::Near), now);
+    feedback.receive(updates, Some(Reach::Near), now);
     let second = feedback.due(now);
 
     assert_eq!((first.near.len(), first.far.len()), (1, 0));
@@ -147,7 +166,12 @@
 #[test]
 fn the_limit_of_a_listed_upstream_is_never_forgotten() {
     let (feedback, upstream, start) = (Feedback::default(), upstream(), Instant::now());
-    feedback.observe(&upstream, &naming(Advertised::Value(2.0)), start, start);
+    feedback.observe(
+        &upstream,
+        &advertising(Advertised::Value(2.0)),
+        start,
+        start,
+    );
     let later = start + 3600 * SECOND;
 
     feedback.forget(&[upstream.life].into_iter().collect(), later);
