Rank senders of cold and of rate-limited upstreams by one function

Both asked by themselves whether the gateway is in the upstream's failure domain and listed, and ranked it. One function does now; slow start decides by the rank. A bound that the number of gateways can't exceed is gone. Nothing is done otherwise; the tests of slow start make the rank themselves and assert the same.

--- a/crates/decide/src/slow_start.rs
+++ b/crates/decide/src/slow_start.rs
@@ -13,8 +13,6 @@
 
 use std::time::{Duration, Instant};
 
-use crate::senders;
-
 /// Gateways that send to one cold upstream.
 pub const SENDERS: usize = 2;
 
@@ -48,13 +46,9 @@
     }
 }
 
-/// Returns whether a gateway is a sender of a cold upstream, among the `others` of its failure domain.
-pub fn is_sender<'a>(
-    upstream: &str,
-    own: &str,
-    others: impl IntoIterator<Item = &'a String>,
-) -> bool {
-    senders::rank(upstream, own, others) < SENDERS
+/// Returns whether the gateway of a rank ([`crate::senders::rank`]) is a sender of a cold upstream.
+pub fn is_sender(rank: usize) -> bool {
+    rank < SENDERS
 }
 
 /// Returns whether a sender may send now, by when it last did.
--- a/crates/decide/tests/slow_start.rs
+++ b/crates/decide/tests/slow_start.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use decide::senders::rank;
 use decide::slow_start::{Limit, SENDERS, is_due, is_sender};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -32,7 +33,7 @@
 impl Gateway {
     fn new(n: usize, known: impl Iterator<Item = usize>, upstreams: usize) -> Gateway {
         let others: Vec<_> = known.filter(|other| *other != n).map(vm).collect();
-        let sends = |to: usize| is_sender(&upstream(to), &vm(n), &others);
+        let sends = |to: usize| is_sender(rank(&upstream(to), &vm(n), &others));
         Gateway {
             sends: (0..upstreams).map(sends).collect(),
             last: vec![None; upstreams],
@@ -108,7 +109,7 @@
         for to in 0..20 {
             let is_one = |n: &usize| {
                 let others: Vec<_> = (0..gateways).filter(|o| o != n).map(vm).collect();
-                is_sender(&upstream(to), &vm(*n), &others)
+                is_sender(rank(&upstream(to), &vm(*n), &others))
             };
             let senders = (0..gateways).filter(is_one).count();
             assert_eq!(senders, gateways.min(SENDERS));
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -190,7 +190,6 @@
 
 /// Returns whether this gateway may send a request to a cold upstream that bears so many a second.
 fn cold(cx: &Cx, upstream: &Upstream, view: &View, rate: f64, now: Instant) -> Warmth {
-    let is_near = upstream.domain == cx.roster.domain;
     let limit = Limit {
         rate,
         overage: cx.cfg.cold_overage,
@@ -199,11 +198,7 @@
     let Some(interval) = limit.interval() else {
         return Warmth::OthersSend;
     };
-    let peers = cx.peers.borrow();
-    let others = peers.near_gateways.keys();
-    let is_sender = || is_sender(&upstream.addr.to_string(), &cx.cfg.node.vm, others);
-    // Others count with a gateway only where it is listed.
-    match is_near && peers.lists_own && is_sender() {
+    match sender_rank(cx, upstream).is_some_and(is_sender) {
         false => Warmth::OthersSend,
         true if is_due(view.chosen, interval, now) => Warmth::Due,
         true => Warmth::NotDue,
@@ -212,15 +207,23 @@
 
 /// When this gateway may next send to an upstream with a rate limit; `None` for at once.
 fn next_by_rate(cx: &Cx, upstream: &Upstream, view: &View, limit: &RateLimit) -> Option<Instant> {
-    let all = cx.gateways();
-    let peers = cx.peers.borrow();
-    if upstream.domain != cx.roster.domain || !peers.lists_own {
-        // Gateways of other failure domains, and those that aren't listed, rank last.
-        return limit.next(all.max(limit.senders(all)), all, view.chosen);
+    match sender_rank(cx, upstream) {
+        Some(rank) => limit.next(rank, cx.near_gateways(), view.chosen),
+        // Other gateways all go first.
+        None => {
+            let all = cx.gateways();
+            limit.next(all, all, view.chosen)
+        }
     }
-    let others = &peers.near_gateways;
-    let rank = senders::rank(&upstream.addr.to_string(), &cx.cfg.node.vm, others.keys());
-    limit.next(rank, others.len() + 1, view.chosen)
+}
+
+/// Rank of this gateway among the senders of an upstream. `None` where it is in another failure domain, or isn't
+/// listed, so that others don't count with it.
+fn sender_rank(cx: &Cx, upstream: &Upstream) -> Option<usize> {
+    let peers = cx.peers.borrow();
+    let others = peers.near_gateways.keys();
+    let may_rank = upstream.domain == cx.roster.domain && peers.lists_own;
+    may_rank.then(|| senders::rank(&upstream.addr.to_string(), &cx.cfg.node.vm, others))
 }
 
 /// Whether an upstream fails most of what all gateways send there.
