One schedule and one way to send what goes to all gateways

Updates of rate limits had rounds of repetition and the sending to the own and other failure domains of their own, the same as those of poison requests. Both use the latter now. A gateway that receives an update wakes the task that sends updates only where it is to relay it.

--- a/crates/gateway/src/announce.rs
+++ b/crates/gateway/src/announce.rs
@@ -11,8 +11,7 @@
 use beacon::{Beacon, Msg, RateLimitUpdate, packed};
 
 use crate::Cx;
-use crate::spread::far_receivers;
-use crate::tell::near_gateways;
+use crate::spread::{Messages, send};
 
 /// Time in which changes are batched.
 const GATHER_TIME: Duration = Duration::from_millis(3);
@@ -20,6 +19,11 @@
 /// Time between two purges of expired feedback.
 const PURGE_INTERVAL: Duration = Duration::from_secs(60);
 
+const RATE_LIMITS: Messages<RateLimitUpdate> = Messages {
+    near: Msg::RateLimits,
+    far: Msg::FarRateLimits,
+};
+
 /// Sends pending updates.
 pub(crate) async fn announce(cx: Arc<Cx>, beacon: Beacon) {
     let mut number = 0;
@@ -31,7 +35,7 @@
         let due = cx.feedback.due(now);
         next = due.next;
         number += 1;
-        send(&cx, &beacon, due.near, due.far, number);
+        send(&cx, &beacon, due.near, due.far, RATE_LIMITS, number);
         if now.saturating_duration_since(purged) >= PURGE_INTERVAL {
             purged = now;
             cx.feedback.forget(&cx.roster.lives(), now);
@@ -48,26 +52,6 @@
     }
 }
 
-fn send(
-    cx: &Cx,
-    beacon: &Beacon,
-    near: Vec<RateLimitUpdate>,
-    far: Vec<RateLimitUpdate>,
-    number: u64,
-) {
-    if near.is_empty() {
-        return;
-    }
-    let to: Vec<SocketAddr> = near_gateways(cx, clock::now()).into_values().collect();
-    for msg in packed(near, Msg::RateLimits) {
-        beacon.send(&msg, to.iter().copied());
-    }
-    let to = far_receivers(cx, number);
-    for msg in packed(far, Msg::FarRateLimits) {
-        beacon.send(&msg, to.iter().copied());
-    }
-}
-
 /// Sends all limits that hold to a gateway that has just started.
 pub(crate) fn sync(cx: &Cx, beacon: &Beacon, starter: SocketAddr) {
     for msg in packed(cx.feedback.updates(clock::now()), Msg::RateLimits) {
--- a/crates/gateway/src/feedback.rs
+++ b/crates/gateway/src/feedback.rs
@@ -82,7 +82,9 @@
             is_lifted |= state.rate_limits.receive(update, relay_to, now);
         }
         drop(state);
-        self.changed.notify_one();
+        if relay_to.is_some() {
+            self.changed.notify_one();
+        }
         is_lifted
     }
 
--- a/crates/gateway/src/news.rs
+++ b/crates/gateway/src/news.rs
@@ -10,7 +10,7 @@
 
 /// Times after which news is told again, in case that a datagram was lost: of 10 in 100 lost, four leave out
 /// one receiver in 10,000.
-pub(crate) const ROUNDS: [Duration; 3] = [
+const ROUNDS: [Duration; 3] = [
     Duration::from_millis(60),
     Duration::from_millis(250),
     Duration::from_millis(1000),
@@ -28,13 +28,37 @@
     Everywhere,
 }
 
-/// A request of which there is news.
+/// An announcement that is to be sent, and sent again in case that datagrams are lost.
 #[derive(Debug, Clone, Copy)]
-struct Untold {
-    reach: Reach,
-    /// Rounds in which it was told.
-    told: usize,
-    due: Instant,
+pub(crate) struct Announcement {
+    pub(crate) reach: Reach,
+    pub(crate) due: Instant,
+    /// Index of the next pause in [`ROUNDS`].
+    round: usize,
+}
+
+impl Announcement {
+    /// One that is sent in all rounds.
+    pub(crate) fn repeated(due: Instant, reach: Reach) -> Announcement {
+        let round = 0;
+        Announcement { reach, due, round }
+    }
+
+    /// One that is sent once.
+    pub(crate) fn once(due: Instant, reach: Reach) -> Announcement {
+        let round = ROUNDS.len();
+        Announcement { reach, due, round }
+    }
+
+    /// What follows after it was sent.
+    pub(crate) fn next(self, now: Instant) -> Option<Announcement> {
+        let pause = ROUNDS.get(self.round)?;
+        Some(Announcement {
+            due: now + *pause,
+            round: self.round + 1,
+            ..self
+        })
+    }
 }
 
 /// What is to be told now.
@@ -49,12 +73,12 @@
 /// News that is still to be told.
 #[derive(Debug, Default)]
 pub(crate) struct News {
-    untold: Mutex<Map<Fingerprint, Untold>>,
+    untold: Mutex<Map<Fingerprint, Announcement>>,
     arrived: Notify,
 }
 
 impl News {
-    fn untold(&self) -> MutexGuard<'_, Map<Fingerprint, Untold>> {
+    fn untold(&self) -> MutexGuard<'_, Map<Fingerprint, Announcement>> {
         self.untold.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -62,12 +86,8 @@
     pub(crate) fn tell(&self, request: Fingerprint, reach: Reach) {
         let mut untold = self.untold();
         let before = untold.get(&request).map(|u| u.reach);
-        let news = Untold {
-            reach: before.map_or(reach, |before| before.max(reach)),
-            told: 0,
-            due: clock::now(),
-        };
-        untold.insert(request, news);
+        let reach = before.map_or(reach, |before| before.max(reach));
+        untold.insert(request, Announcement::repeated(clock::now(), reach));
         drop(untold);
         self.arrived.notify_one();
     }
@@ -110,10 +130,8 @@
                 }
                 due.far.push(note);
             }
-            if let Some(pause) = ROUNDS.get(news.told) {
-                news.due = now + *pause;
-                news.told += 1;
-                untold.insert(request, news);
+            if let Some(next) = news.next(now) {
+                untold.insert(request, next);
             }
         }
         let next = untold.values().map(|u| u.due).min();
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -8,7 +8,7 @@
 use log::info;
 
 use crate::call::Advertised;
-use crate::news::{ROUNDS, Reach};
+use crate::news::{Announcement, Reach};
 use crate::upstream::Upstream;
 
 /// Log prefix of this part.
@@ -33,15 +33,6 @@
     pending: Option<Announcement>,
 }
 
-/// An update that is to be sent, several times.
-#[derive(Debug, Clone, Copy)]
-struct Announcement {
-    due: Instant,
-    /// How often it was sent.
-    rounds: usize,
-    reach: Reach,
-}
-
 /// Updates that are due now.
 #[derive(Debug, Default)]
 pub struct Due {
@@ -99,8 +90,8 @@
         let is_due =
             known.is_none_or(|k| now.saturating_duration_since(k.announced) >= REFRESH_INTERVAL);
         let pending = match known.and_then(|k| k.pending) {
-            _ if is_changed => Some(Announcement::new(now, 0, Reach::Everywhere)),
-            None if is_due => Some(Announcement::new(now, ROUNDS.len(), Reach::Everywhere)),
+            _ if is_changed => Some(Announcement::repeated(now, Reach::Everywhere)),
+            None if is_due => Some(Announcement::once(now, Reach::Everywhere)),
             pending => pending,
         };
         let known = Known {
@@ -135,7 +126,7 @@
             per_1000_s: update.per_1000_s,
             at,
             announced: now,
-            pending: relay_to.map(|reach| Announcement::new(now, ROUNDS.len(), reach)),
+            pending: relay_to.map(|reach| Announcement::once(now, reach)),
         };
         self.known.insert(update.life, known);
         was_limited && update.per_1000_s.is_none()
@@ -186,18 +177,6 @@
     }
 }
 
-impl Announcement {
-    fn new(due: Instant, rounds: usize, reach: Reach) -> Announcement {
-        Announcement { due, rounds, reach }
-    }
-
-    /// The next time that it is sent, in case the datagram is lost.
-    fn next(self, now: Instant) -> Option<Announcement> {
-        let pause = ROUNDS.get(self.rounds)?;
-        Some(Announcement::new(now + *pause, self.rounds + 1, self.reach))
-    }
-}
-
 impl Known {
     fn update(&self, life: LifeId, now: Instant) -> RateLimitUpdate {
         RateLimitUpdate {
--- a/crates/gateway/src/spread.rs
+++ b/crates/gateway/src/spread.rs
@@ -43,12 +43,12 @@
         let (due, more) = cx.suspects.due(now, MOST_FAR);
         next = more.map(|at| at.max(now + GATHER_TIME));
         number += 1;
-        send(&cx, &beacon, due.near, due.far, number);
+        send(&cx, &beacon, due.near, due.far, SUSPECTS, number);
         if now >= renewed + RENEW_INTERVAL {
             renewed = now;
             if cx.loads.rank(&cx.cfg.node.vm, now) == 0 {
                 let all = cx.suspects.gravest(MOST_RENEWED);
-                send(&cx, &beacon, all.clone(), all, number);
+                send(&cx, &beacon, all.clone(), all, SUSPECTS, number);
             }
         }
     }
@@ -72,19 +72,42 @@
     tokio::time::sleep(GATHER_TIME).await;
 }
 
-fn send(cx: &Cx, beacon: &Beacon, near: Vec<SuspectNote>, far: Vec<SuspectNote>, number: u64) {
+/// Messages that hold items for gateways of the own failure domain, and for those of others.
+pub(crate) struct Messages<T> {
+    pub(crate) near: fn(Vec<T>) -> Msg,
+    pub(crate) far: fn(Vec<T>) -> Msg,
+}
+
+const SUSPECTS: Messages<SuspectNote> = Messages {
+    near: Msg::Suspects,
+    far: Msg::FarSuspects,
+};
+
+/// Sends items to all gateways of the failure domain and some of them to a few of each other one, of which `number`
+/// selects others each time. What goes `far` goes `near` too.
+pub(crate) fn send<T: Clone>(
+    cx: &Cx,
+    beacon: &Beacon,
+    near: Vec<T>,
+    far: Vec<T>,
+    messages: Messages<T>,
+    number: u64,
+) {
+    if near.is_empty() {
+        return;
+    }
     let to: Vec<SocketAddr> = near_gateways(cx, clock::now()).into_values().collect();
-    for msg in packed(near, Msg::Suspects) {
+    for msg in packed(near, messages.near) {
         beacon.send(&msg, to.iter().copied());
     }
     let to = far_receivers(cx, number);
-    for msg in packed(far, Msg::FarSuspects) {
+    for msg in packed(far, messages.far) {
         beacon.send(&msg, to.iter().copied());
     }
 }
 
 /// Gateways of other failure domains that are told, others with each `number`.
-pub(crate) fn far_receivers(cx: &Cx, number: u64) -> Vec<SocketAddr> {
+fn far_receivers(cx: &Cx, number: u64) -> Vec<SocketAddr> {
     let domains = cx.peers.borrow().far_gateways.clone();
     let first = number * FAR_RECEIVERS;
     let mut to: Vec<SocketAddr> = (first..first + FAR_RECEIVERS)
