Order replicas by the store's era before its revision

Callers saw routes, keys and time-outs of an older configuration more than 2 s after a newer one was acknowledged, and requests went to an upstream 2.4 s and more after its drain was. Cause: the store had been restored from a backup, and its revisions went back and were assigned again. Replicas, cursors of watches, announcements between gateways and the entries of upstreams were ordered by revision alone, so everything that the store said was taken as older than what was held, until the counter had passed it; an equal number even confirmed another body.

A revision of the store now has the era in which it was assigned, from the Store-Era header, and any revision of a later era is newer. The era travels beside the revision: in a header of replicas, and behind the load datagrams, where processes of earlier releases ignore it. A revision that such a process states is taken to be of the only era known here, and is refused once there are several. A store without the header has no era, and is followed as before.

Ruled out: a second numbering in the high bits of the revision, which an earlier release would send to the store as a cursor.

--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -20,7 +20,7 @@
 /// Revision of the table, incremented with each accepted edit.
 pub type Revision = u64;
 
-/// Number of times that the platform's store was restored from a backup; 0 for a store that doesn't say.
+/// Era of the platform's store, which increases each time that the store is restored from a backup.
 pub type Era = u64;
 
 /// Id of a request, assigned by the entry that admits it.
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod place;
 pub mod rendezvous;
 pub mod settled;
+pub mod store_revision;
 pub mod units;
 
 pub use digest::Digest;
@@ -20,6 +21,7 @@
 pub use outcome::Outcome;
 pub use place::{Domains, Place};
 pub use settled::Settled;
+pub use store_revision::StoreRevision;
 
 /// Fast hasher with a random seed.
 pub type RandomHasher = foldhash::fast::RandomState;
--- a/crates/beacon/src/lib.rs
+++ b/crates/beacon/src/lib.rs
@@ -14,4 +14,4 @@
     ChunkMap, EngineStatus, Holding, Load, LoadChange, LoadUpdate, Msg, RateLimitUpdate,
     SuspectUpdate, TrialUpdate,
 };
-pub use socket::{Beacon, MAX_DATAGRAM, batch_messages, encode};
+pub use socket::{Beacon, MAX_DATAGRAM, batch_messages, decode, encode};
--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -2,11 +2,15 @@
 //!
 //! Datagrams are encoded by postcard, which writes fields by position: fields and variants must keep their order.
 //! [`SuspectUpdate`] and [`TrialUpdate`] are also stored as JSON, by field name.
+//!
+//! The eras of a [`LoadUpdate`]'s revisions follow its message, where processes of earlier releases ignore them.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::{DomainName, Fingerprint, Incarnation, Model, Revision, UpstreamIncarnation, VmId};
+use base::{
+    DomainName, Era, Fingerprint, Incarnation, Model, StoreRevision, UpstreamIncarnation, VmId,
+};
 use catalog::{Release, ReleaseList, StartTime};
 use serde::{Deserialize, Serialize};
 
@@ -76,11 +80,14 @@
     /// Whether that gateway reaches the platform's store.
     pub reaches_store: bool,
     /// Revision of its configuration.
-    pub configuration: Revision,
+    #[serde(with = "number")]
+    pub configuration: StoreRevision,
     /// Revision of its member list.
-    pub members: Revision,
+    #[serde(with = "number")]
+    pub members: StoreRevision,
     /// Revision of its list of upstreams.
-    pub upstreams: Revision,
+    #[serde(with = "number")]
+    pub upstreams: StoreRevision,
     /// Time since the store last confirmed that list.
     pub upstreams_age: Duration,
     /// Address that serves its replicated documents.
@@ -90,6 +97,42 @@
     pub loads: Vec<Load>,
 }
 
+/// Eras of the revisions in a [`LoadUpdate`], in the order of its fields.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub(crate) struct Eras([Option<Era>; 3]);
+
+impl LoadUpdate {
+    pub(crate) fn eras(&self) -> Eras {
+        Eras([self.configuration.era, self.members.era, self.upstreams.era])
+    }
+
+    pub(crate) fn set_eras(&mut self, eras: Eras) {
+        let Eras([configuration, members, upstreams]) = eras;
+        self.configuration.era = configuration;
+        self.members.era = members;
+        self.upstreams.era = upstreams;
+    }
+}
+
+/// Encodes the number of a revision alone.
+mod number {
+    use base::{Revision, StoreRevision};
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+    pub(super) fn serialize<S: Serializer>(
+        revision: &StoreRevision,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        revision.number.serialize(serializer)
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<StoreRevision, D::Error> {
+        Revision::deserialize(deserializer).map(|number| StoreRevision::new(None, number))
+    }
+}
+
 /// Changed loads of one gateway, relayed by another gateway of its failure domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadChange {
@@ -172,6 +215,22 @@
 }
 
 impl Msg {
+    /// Returns the update with revisions, if the message is one.
+    pub(crate) fn load_update(&self) -> Option<&LoadUpdate> {
+        match self {
+            Msg::Load(update) | Msg::DomainLoad(update) | Msg::RelayedLoad(update) => Some(update),
+            _ => None,
+        }
+    }
+
+    /// Returns the update with revisions for changing it.
+    pub(crate) fn load_update_mut(&mut self) -> Option<&mut LoadUpdate> {
+        match self {
+            Msg::Load(update) | Msg::DomainLoad(update) | Msg::RelayedLoad(update) => Some(update),
+            _ => None,
+        }
+    }
+
     /// Returns the kind, a label value of the metrics.
     pub fn kind(&self) -> &'static str {
         match self {
--- a/crates/beacon/src/socket.rs
+++ b/crates/beacon/src/socket.rs
@@ -72,7 +72,7 @@
                     continue;
                 }
             };
-            match postcard::from_bytes(&buf[..n]) {
+            match decode(&buf[..n]) {
                 Ok(msg) => return (msg, from),
                 Err(e) => debug!(target: PART, "{PART}: event=dropped from={from} why=\"{e}\""),
             }
@@ -104,5 +104,19 @@
 
 /// Encodes a message as a datagram.
 pub fn encode(msg: &Msg) -> postcard::Result<Vec<u8>> {
-    postcard::to_stdvec(msg)
+    let mut buf = postcard::to_stdvec(msg)?;
+    if let Some(update) = msg.load_update() {
+        buf = postcard::to_extend(&update.eras(), buf)?;
+    }
+    Ok(buf)
+}
+
+/// Decodes a datagram. One of an earlier release ends with its message.
+pub fn decode(buf: &[u8]) -> postcard::Result<Msg> {
+    let (mut msg, rest): (Msg, _) = postcard::take_from_bytes(buf)?;
+    match msg.load_update_mut() {
+        Some(update) if !rest.is_empty() => update.set_eras(postcard::from_bytes(rest)?),
+        _ => {}
+    }
+    Ok(msg)
 }
--- a/crates/beacon/tests/messages.rs
+++ b/crates/beacon/tests/messages.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use base::Fingerprint;
-use beacon::{MAX_DATAGRAM, Msg, SuspectUpdate, TrialUpdate, batch_messages, encode};
+use base::{Era, Fingerprint, StoreRevision};
+use beacon::{
+    LoadUpdate, MAX_DATAGRAM, Msg, SuspectUpdate, TrialUpdate, batch_messages, decode, encode,
+};
 use proptest::prelude::*;
 
 fn upstream(n: u16) -> SocketAddr {
@@ -33,7 +35,7 @@
         buf in proptest::collection::vec(any::<u8>(), 0..MAX_DATAGRAM)
     ) {
         // Both an error and any message are fine, as long as a decoded message can be encoded again.
-        if let Ok(msg) = postcard::from_bytes::<Msg>(&buf) {
+        if let Ok(msg) = decode(&buf) {
             prop_assert!(encode(&msg).is_ok());
         }
     }
@@ -58,3 +60,51 @@
         prop_assert_eq!(received, updates);
     }
 }
+
+/// Returns an update whose revisions have eras, or none.
+fn load_update(eras: [Option<Era>; 3]) -> LoadUpdate {
+    let [configuration, members, upstreams] = eras.map(|era| StoreRevision::new(era, 300));
+    LoadUpdate {
+        from: "g-1".to_owned(),
+        domain: "recife".to_owned(),
+        incarnation: 7,
+        sequence: 9,
+        reaches_store: true,
+        configuration,
+        members,
+        upstreams,
+        upstreams_age: Duration::from_millis(20),
+        replica_addr: upstream(8),
+        loads: Vec::new(),
+    }
+}
+
+#[test]
+fn eras_of_revisions_are_transmitted() {
+    let eras = [Some(2), None, Some(u64::MAX)];
+    for msg in [Msg::Load, Msg::DomainLoad, Msg::RelayedLoad] {
+        let msg = msg(load_update(eras));
+
+        let received = decode(&encode(&msg).expect("a datagram"));
+
+        assert_eq!(received, Ok(msg));
+    }
+}
+
+#[test]
+fn process_of_an_earlier_release_reads_an_update_without_its_eras() {
+    let msg = Msg::Load(load_update([Some(2); 3]));
+    let buf = encode(&msg).expect("a datagram");
+
+    let received: Msg = postcard::from_bytes(&buf).expect("a message");
+
+    assert_eq!(received, Msg::Load(load_update([None; 3])));
+}
+
+#[test]
+fn update_of_a_process_of_an_earlier_release_has_no_eras() {
+    let msg = Msg::Load(load_update([None; 3]));
+    let buf = postcard::to_stdvec(&msg).expect("a datagram");
+
+    assert_eq!(decode(&buf), Ok(msg));
+}
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -25,8 +25,9 @@
     let age = cx.mirror.age(name).unwrap_or_default();
     let reaches_store = u8::from(*cx.reaches_store.borrow());
     metrics::gauge!("driftnotch_configuration_version").set(version as f64);
-    metrics::gauge!("driftnotch_configuration_revision", "of" => "own").set(own as f64);
-    metrics::gauge!("driftnotch_configuration_revision", "of" => "newest_heard").set(newest as f64);
+    metrics::gauge!("driftnotch_configuration_revision", "of" => "own").set(own.number as f64);
+    metrics::gauge!("driftnotch_configuration_revision", "of" => "newest_heard")
+        .set(newest.number as f64);
     metrics::gauge!("driftnotch_configuration_age_seconds").set(age.as_secs_f64());
     metrics::gauge!("driftnotch_store_reached").set(f64::from(reaches_store));
     let feedback = cx.feedback.current();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
-use base::Revision;
+use base::StoreRevision;
 use beacon::{Beacon, EngineStatus, Holding, LoadUpdate, Msg, RateLimitUpdate, SuspectUpdate};
 use log::{debug, warn};
 use mirror::DocName;
@@ -105,9 +105,11 @@
     sender: SocketAddr,
 ) {
     // A confirmation of the list by the store is valid for this process too.
-    if let Some(confirmed) = clock::now().checked_sub(update.upstreams_age) {
+    let confirmed = clock::now().checked_sub(update.upstreams_age);
+    let upstreams = resolve(cx, update.upstreams);
+    if let Some((confirmed, upstreams)) = confirmed.zip(upstreams) {
         cx.mirror
-            .confirm(cx.upstream_list.name, update.upstreams, confirmed);
+            .confirm(cx.upstream_list.name, upstreams, confirmed);
     }
     let from = update.replica_addr;
     fetch_newer(
@@ -133,17 +135,25 @@
     cx.loads.apply_domain_update(update, clock::now());
 }
 
+/// Returns a revision that another process states, with its era; `None` if it holds none, or the era can't be told.
+fn resolve(cx: &Cx, stated: StoreRevision) -> Option<StoreRevision> {
+    match stated == StoreRevision::default() {
+        true => None,
+        false => cx.mirror.resolve(stated.era, stated.number),
+    }
+}
+
 /// Fetches a document from another gateway of the failure domain where it is newer, unless a fetch is in progress:
 /// only the first gateways by rank read the store.
 fn fetch_newer(
     cx: &Arc<Cx>,
     client: &Client,
     doc: fn(&Cx) -> &ReplicatedDoc,
-    revision: Revision,
+    revision: StoreRevision,
     from: SocketAddr,
 ) {
     let ReplicatedDoc { name, fetching, .. } = doc(cx);
-    let is_behind = revision > cx.mirror.revision(name);
+    let is_behind = resolve(cx, revision) > Some(cx.mirror.revision(name));
     if !is_behind || fetching.swap(true, Relaxed) {
         return;
     }
@@ -159,7 +169,9 @@
 /// Fetches the configuration from another failure domain where it is newer, unless a fetch is in progress: updates
 /// arrive every few milliseconds, and each fetch takes bandwidth of two links.
 fn fetch_newer_configuration(cx: &Arc<Cx>, client: &Client, update: &LoadUpdate) {
-    let wanted = update.configuration;
+    let Some(wanted) = resolve(cx, update.configuration) else {
+        return;
+    };
     let is_behind = wanted > cx.mirror.revision(cx.configuration.name);
     if !is_behind || cx.catching_up.swap(true, Relaxed) {
         return;
@@ -172,7 +184,7 @@
 }
 
 /// Fetches a newer configuration from another failure domain, unless the own one has it after [`STORE_DELAY`].
-async fn fetch_after_delay(cx: &Cx, client: &Client, from: SocketAddr, wanted: Revision) {
+async fn fetch_after_delay(cx: &Cx, client: &Client, from: SocketAddr, wanted: StoreRevision) {
     tokio::time::sleep(STORE_DELAY).await;
     if cx.mirror.revision(cx.configuration.name) < wanted {
         fetch_replica(cx, client, cx.configuration.name, from).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,7 +48,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Instant;
 
-use base::{Incarnation, Map, RandomHasher, Revision, VmId};
+use base::{Incarnation, Map, RandomHasher, StoreRevision, VmId};
 use catalog::Catalog;
 use decide::retry_budget::RetryBudget;
 use mirror::{DocName, Mirror};
@@ -132,8 +132,8 @@
 pub struct ReplicatedDoc {
     /// Name of the document.
     pub name: DocName,
-    /// Latest revision that was put in force, which excludes those that couldn't be decoded; 0 for none.
-    pub in_force: watch::Sender<Revision>,
+    /// Latest revision that was put in force, which excludes those that couldn't be decoded; the default for none.
+    pub in_force: watch::Sender<StoreRevision>,
     /// Whether a fetch is in progress.
     fetching: AtomicBool,
     /// Whether a newer revision is known and the last attempt to fetch it failed.
@@ -144,7 +144,7 @@
     fn new(name: DocName) -> ReplicatedDoc {
         ReplicatedDoc {
             name,
-            in_force: watch::Sender::new(0),
+            in_force: watch::Sender::new(StoreRevision::default()),
             fetching: AtomicBool::new(false),
             fetch_failed: AtomicBool::new(false),
         }
--- a/crates/gateway/src/loads.rs
+++ b/crates/gateway/src/loads.rs
@@ -11,7 +11,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Map, Revision, VmId};
+use base::{DomainName, Map, StoreRevision, VmId};
 use beacon::{Load, LoadChange, LoadUpdate};
 use decide::outlier_detection::OutcomeCounts;
 
@@ -197,11 +197,14 @@
     }
 
     /// Returns the newest revision of the configuration that another gateway has, near or far.
-    pub fn newest_configuration(&self, now: Instant) -> Revision {
+    pub fn newest_configuration(&self, now: Instant) -> StoreRevision {
         let state = self.state();
         let all = state.near.values().chain(state.far.values());
         let recent = all.filter(|r| !r.is_expired(now));
-        recent.map(|r| r.update.configuration).max().unwrap_or(0)
+        recent
+            .map(|r| r.update.configuration)
+            .max()
+            .unwrap_or_default()
     }
 
     /// Returns the replica address of the gateway to query for the state of the store: the first gateway of the
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Map, Revision, Set, UpstreamIncarnation};
+use base::{DomainName, Map, Set, StoreRevision, UpstreamIncarnation};
 use beacon::EngineStatus;
 use catalog::ServiceName;
 use log::info;
@@ -165,7 +165,7 @@
     }
 
     /// Records that the upstreams of a failure domain may have become cold, as of a revision.
-    pub fn mark_possibly_cold(&self, domain: &str, revision: Revision) {
+    pub fn mark_possibly_cold(&self, domain: &str, revision: StoreRevision) {
         let state = self.state();
         let of_domain = state
             .entries
@@ -209,7 +209,7 @@
 /// Drops entries whose address has a newer one: an upstream that restarted, or another one that was assigned the
 /// address, is listed beside the stale entry until that one expires.
 fn newest_by_address(all: Vec<ListedUpstream>) -> Vec<ListedUpstream> {
-    let mut newest: Map<SocketAddr, Revision> = Map::default();
+    let mut newest: Map<SocketAddr, StoreRevision> = Map::default();
     for listed in &all {
         let revision = newest.entry(listed.addr).or_default();
         *revision = listed.revision.max(*revision);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Fingerprint, Model, Revision, UpstreamIncarnation};
+use base::{DomainName, Fingerprint, Model, StoreRevision, UpstreamIncarnation};
 use beacon::{EngineStatus, Holding, Load};
 use catalog::{ServiceName, StartTime, WeightsVersion};
 use decide::outlier_detection::{OutcomeCounts, OutcomeTracker};
@@ -48,7 +48,7 @@
     /// Weights that it holds completely.
     pub holdings: Vec<Holding>,
     /// Revision of the entry; grows with each heartbeat.
-    pub revision: Revision,
+    pub revision: StoreRevision,
     /// Start time of the process, if stated; it may restart under the same id.
     pub start_time: Option<StartTime>,
 }
@@ -104,7 +104,7 @@
     /// Until when it is cold, as last stated in a response or an entry.
     cold_until: Option<Instant>,
     /// Set if it may have turned cold: it counts as cold until an entry of a later revision states otherwise.
-    cold_unless_after: Option<Revision>,
+    cold_unless_after: Option<StoreRevision>,
     /// When this gateway last chose it.
     last_chosen: Option<Instant>,
 }
@@ -307,7 +307,7 @@
     }
 
     /// Records that it may have turned cold: it counts as cold until an entry of a later revision states otherwise.
-    pub fn mark_possibly_cold(&self, revision: Revision) {
+    pub fn mark_possibly_cold(&self, revision: StoreRevision) {
         let mut state = self.state();
         let since = revision.max(state.listed.revision);
         state.cold_unless_after = Some(since);
--- a/crates/gateway/tests/feedback.rs
+++ b/crates/gateway/tests/feedback.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use base::StoreRevision;
 use beacon::RateLimitUpdate;
 use gateway::announcements::Scope;
 use gateway::feedback::Feedback;
@@ -18,7 +19,7 @@
         draining: false,
         cold_for: Duration::ZERO,
         holdings: Vec::new(),
-        revision: 1,
+        revision: StoreRevision::new(None, 1),
         start_time: None,
     })
 }
--- a/crates/gateway/tests/loads.rs
+++ b/crates/gateway/tests/loads.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use base::Map;
+use base::{Map, StoreRevision};
 use beacon::{Load, LoadChange, LoadUpdate, MAX_DATAGRAM, Msg, batch_messages};
 use decide::outlier_detection::OutcomeTracker;
 use gateway::load_updates::{PublishedLoads, RelayedLoads};
@@ -31,9 +31,9 @@
         incarnation: 5,
         sequence,
         reaches_store: true,
-        members: 0,
-        configuration: 1,
-        upstreams: 1,
+        members: StoreRevision::default(),
+        configuration: StoreRevision::new(None, 1),
+        upstreams: StoreRevision::new(None, 1),
         upstreams_age: Duration::ZERO,
         replica_addr: upstream(0),
         loads,
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use base::StoreRevision;
 use beacon::{EngineStatus, Holding};
 use gateway::membership::UpstreamTable;
 use gateway::upstream::{Health, ListedUpstream, Slot, SlotNotifier};
@@ -21,6 +22,11 @@
     upstreams.apply_list(all, Duration::from_secs(1), now)
 }
 
+/// Returns a revision of a store that states no era.
+fn rev(number: u64) -> StoreRevision {
+    StoreRevision::new(None, number)
+}
+
 fn listed(n: u16) -> ListedUpstream {
     ListedUpstream {
         instance: format!("i-{n}"),
@@ -31,7 +37,7 @@
         draining: false,
         cold_for: Duration::ZERO,
         holdings: vec![holding(Some(1))],
-        revision: 1,
+        revision: rev(1),
         start_time: None,
     }
 }
@@ -142,11 +148,11 @@
     let now = Instant::now();
     let mut restarted = listed(1);
     restarted.instance = "i-again".to_owned();
-    restarted.revision = 9;
+    restarted.revision = rev(9);
     let mut other_service = listed(2);
     other_service.instance = "i-other".to_owned();
     other_service.service = "registry".to_owned();
-    other_service.revision = 9;
+    other_service.revision = rev(9);
 
     apply_list(
         &upstreams,
@@ -163,7 +169,7 @@
     let now = Instant::now();
     apply_list(&upstreams, vec![listed(1)], now);
     let mut heartbeat = listed(1);
-    heartbeat.revision = 2;
+    heartbeat.revision = rev(2);
 
     assert!(!apply_list(&upstreams, vec![heartbeat], now));
 }
@@ -356,7 +362,7 @@
 
 fn at_revision(revision: u64, cold_for: Duration) -> ListedUpstream {
     ListedUpstream {
-        revision,
+        revision: rev(revision),
         cold_for,
         ..listed(1)
     }
@@ -383,9 +389,9 @@
     let (upstreams, now) = (upstreams(), Instant::now());
     apply_list(&upstreams, vec![at_revision(5, Duration::ZERO)], now);
 
-    upstreams.mark_possibly_cold("fortaleza", 8);
+    upstreams.mark_possibly_cold("fortaleza", rev(8));
     let of_another_domain = is_cold(&upstreams, now);
-    upstreams.mark_possibly_cold("recife", 8);
+    upstreams.mark_possibly_cold("recife", rev(8));
     apply_list(&upstreams, vec![at_revision(7, Duration::ZERO)], now);
     let by_an_earlier_entry = is_cold(&upstreams, now);
     apply_list(&upstreams, vec![at_revision(9, Duration::ZERO)], now);
--- a/crates/mirror/src/fetch.rs
+++ b/crates/mirror/src/fetch.rs
@@ -4,12 +4,13 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use base::{Era, StoreRevision};
 use bytes::Bytes;
 use log::warn;
 use web::{Client, empty, read_with_idle_timeout};
 
 use crate::delta::decompress;
-use crate::serve::{CompressedBody, ReplicaResponse};
+use crate::serve::{CompressedBody, ReplicaResponse, state_era, stated_era};
 use crate::{DocName, Mirror, PART, PATH};
 
 /// Largest replica accepted, in bytes.
@@ -67,30 +68,42 @@
     bound: String,
 ) -> Result<bool, FetchError> {
     let held = mirror.revision(name);
-    let changes = request(name, client, from, timeout, format!("{held}{bound}")).await?;
-    match apply(mirror, name, changes) {
-        Err(e) if held != 0 => {
+    let changes = request(name, client, from, timeout, held, &bound).await?;
+    match apply(mirror, name, held, changes) {
+        Err(e) if held != StoreRevision::default() => {
             warn!(target: PART, "{PART}: event=asked_whole document={name} from={from} held={held} why=\"{e}\"");
-            let full = request(name, client, from, timeout, format!("0{bound}")).await?;
-            apply(mirror, name, full)
+            let none = StoreRevision::default();
+            let full = request(name, client, from, timeout, none, &bound).await?;
+            apply(mirror, name, none, full)
         }
         applied => applied,
     }
 }
 
-/// Requests a replica. Returns it with a lower bound of the time of its confirmation by the store: its age is
-/// counted back from when the request was sent, since the response may have been in transit ever since.
+/// A response to a request for a replica.
+struct Fetched {
+    replica: ReplicaResponse,
+    /// Era of the replica, if the other process states it.
+    era: Option<Era>,
+    /// Lower bound of the time of its confirmation by the store: its age is counted back from when the request was
+    /// sent, since the response may have been in transit ever since.
+    confirmed: Instant,
+}
+
+/// Requests a replica, or the changes since the one held.
 async fn request(
     name: DocName,
     client: &Client,
     from: SocketAddr,
     timeout: Duration,
-    query: String,
-) -> Result<(ReplicaResponse, Instant), FetchError> {
+    held: StoreRevision,
+    bound: &str,
+) -> Result<Fetched, FetchError> {
     let sent = clock::now();
-    let req = hyper::Request::get(format!("{PATH}{name}?{query}"))
+    let mut req = hyper::Request::get(format!("{PATH}{name}?{}{bound}", held.number))
         .body(empty())
         .map_err(|e| FetchError(e.to_string()))?;
+    state_era(req.headers_mut(), held.era);
     let res = client
         .send(from, req, timeout)
         .await
@@ -98,6 +111,7 @@
     if !res.status().is_success() {
         return Err(FetchError(format!("{from} answered {}", res.status())));
     }
+    let era = stated_era(res.headers());
     let buf = read_with_idle_timeout(res.into_body(), MAX_BODY_BYTES, timeout)
         .await
         .map_err(|e| FetchError(e.to_string()))?;
@@ -106,23 +120,39 @@
     let confirmed = sent
         .checked_sub(replica.age)
         .ok_or_else(|| FetchError(format!("impossible age of a replica: {:?}", replica.age)))?;
-    Ok((replica, confirmed))
+    Ok(Fetched {
+        replica,
+        era,
+        confirmed,
+    })
 }
 
-/// Applies a fetched replica; returns whether it is newer than the one held.
+/// Applies a replica that was fetched by a process that held a revision; returns whether it is newer.
 fn apply(
     mirror: &Mirror,
     name: DocName,
-    (replica, confirmed): (ReplicaResponse, Instant),
+    held: StoreRevision,
+    fetched: Fetched,
 ) -> Result<bool, FetchError> {
+    let Fetched {
+        replica,
+        era,
+        confirmed,
+    } = fetched;
+    let revision = mirror.resolve(era, replica.revision).ok_or_else(|| {
+        FetchError(format!(
+            "revision {} has no era, and the store was restored; update the other process",
+            replica.revision
+        ))
+    })?;
     match replica.body {
         Some(body) => {
-            let body = decompressed(mirror, name, &body)?;
-            Ok(mirror.update(name, replica.revision, body, confirmed))
+            let body = decompressed(mirror, name, held.era, &body)?;
+            Ok(mirror.update(name, revision, body, confirmed))
         }
         // The same revision: only its age may be newer.
         None => {
-            mirror.confirm(name, replica.revision, confirmed);
+            mirror.confirm(name, revision, confirmed);
             Ok(false)
         }
     }
@@ -131,14 +161,15 @@
 fn decompressed(
     mirror: &Mirror,
     name: DocName,
+    era: Option<Era>,
     body: &CompressedBody,
 ) -> Result<Bytes, FetchError> {
     let reference = match body.reference {
         0 => Bytes::new(),
-        revision => mirror
-            .body_of(name, revision)
+        number => mirror
+            .body_of(name, StoreRevision::new(era, number))
             .map_err(|e| FetchError(e.to_string()))?
-            .ok_or_else(|| FetchError(format!("reference revision {revision} is not held")))?,
+            .ok_or_else(|| FetchError(format!("reference revision {number} is not held")))?,
     };
     decompress(&body.bytes, &reference, body.length.min(MAX_BODY_BYTES))
         .map_err(|e| FetchError(e.to_string()))
--- a/crates/mirror/src/history.rs
+++ b/crates/mirror/src/history.rs
@@ -6,7 +6,7 @@
 
 use std::collections::VecDeque;
 
-use base::Revision;
+use base::StoreRevision;
 use bytes::Bytes;
 
 use crate::delta::{DeltaError, compress, decompress};
@@ -25,7 +25,7 @@
 
 #[derive(Debug, Clone)]
 struct Item {
-    revision: Revision,
+    revision: StoreRevision,
     stored: Stored,
 }
 
@@ -42,7 +42,7 @@
 
 impl History {
     /// Adds the newest body; drops the oldest ones beyond the limits.
-    pub(crate) fn push(&mut self, revision: Revision, body: Bytes) {
+    pub(crate) fn push(&mut self, revision: StoreRevision, body: Bytes) {
         let newest = Item {
             revision,
             stored: Stored::Full(body),
@@ -63,14 +63,14 @@
     }
 
     /// Returns whether the body of a revision is stored.
-    pub(crate) fn has(&self, revision: Revision) -> bool {
+    pub(crate) fn has(&self, revision: StoreRevision) -> bool {
         self.0.iter().any(|item| item.revision == revision)
     }
 
     /// Restores the body of a revision, going backwards from the current body.
     pub(crate) fn body_of(
         &self,
-        revision: Revision,
+        revision: StoreRevision,
         current: &Bytes,
     ) -> Result<Option<Bytes>, DeltaError> {
         if !self.has(revision) {
--- a/crates/mirror/src/replica.rs
+++ b/crates/mirror/src/replica.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{Map, Revision};
+use base::{Era, Map, Revision, StoreRevision};
 use bytes::Bytes;
 use log::warn;
 use tokio::runtime::Handle;
@@ -18,7 +18,7 @@
 #[derive(Debug, Clone)]
 pub struct Replica {
     /// Revision.
-    pub revision: Revision,
+    pub revision: StoreRevision,
     /// Body.
     pub body: Bytes,
     /// Last confirmation by the store.
@@ -33,23 +33,31 @@
 struct Document {
     replica: Replica,
     history: History,
-    /// The body compressed against the revision that a requester holds; 0 for none.
-    compressed: Map<Revision, Bytes>,
+    /// The body compressed against the revision that a requester holds; `None` for none.
+    compressed: Map<Option<StoreRevision>, Bytes>,
 }
 
 /// A replica compressed against an earlier revision.
 #[derive(Debug)]
 pub(crate) struct CompressedReplica {
     pub(crate) replica: Replica,
-    /// Revision that the body is compressed against; 0 for none.
-    pub(crate) reference: Revision,
+    /// Revision that the body is compressed against, if any.
+    pub(crate) reference: Option<StoreRevision>,
     pub(crate) body: Bytes,
 }
 
+/// Documents by name, and the eras of the store that their replicas came from.
+#[derive(Debug, Default)]
+struct Documents {
+    by_name: Map<DocName, Document>,
+    /// The first and the newest era.
+    eras: Option<(Era, Era)>,
+}
+
 /// All replicas of a process.
 #[derive(Debug, Clone, Default)]
 pub struct Mirror {
-    documents: Arc<Mutex<Map<DocName, Document>>>,
+    documents: Arc<Mutex<Documents>>,
     changed: Arc<watch::Sender<()>>,
     confirmed: Arc<watch::Sender<()>>,
     /// Limits compression to one body at a time, since each takes memory in proportion to its size.
@@ -62,11 +70,13 @@
     pub fn update(
         &self,
         name: DocName,
-        revision: Revision,
+        revision: StoreRevision,
         body: Bytes,
         confirmed: Instant,
     ) -> bool {
-        let mut documents = self.lock();
+        let mut locked = self.lock();
+        locked.record_era(revision.era);
+        let documents = &mut locked.by_name;
         let gap = match documents.get_mut(name) {
             Some(held) if held.replica.revision > revision => return false,
             Some(held) if held.replica.revision == revision => {
@@ -86,7 +96,7 @@
         let previous = documents.remove(name);
         let has_history = previous.is_some();
         documents.insert(name, Document::replacing(previous, replica));
-        drop(documents);
+        drop(locked);
         self.changed.send_replace(());
         if has_history {
             self.spawn_history_compression(name);
@@ -95,9 +105,10 @@
     }
 
     /// Records that the store confirmed a revision, if that is the one held.
-    pub fn confirm(&self, name: DocName, revision: Revision, confirmed: Instant) {
+    pub fn confirm(&self, name: DocName, revision: StoreRevision, confirmed: Instant) {
         let mut documents = self.lock();
         let same = documents
+            .by_name
             .get_mut(name)
             .filter(|held| held.replica.revision == revision);
         if let Some(held) = same {
@@ -108,20 +119,35 @@
 
     /// Returns the replica held.
     pub fn get(&self, name: DocName) -> Option<Replica> {
-        self.lock().get(name).map(|held| held.replica.clone())
-    }
-
-    /// Returns the revision held; 0 if there is none.
-    pub fn revision(&self, name: DocName) -> Revision {
         self.lock()
+            .by_name
             .get(name)
-            .map_or(0, |held| held.replica.revision)
+            .map(|held| held.replica.clone())
+    }
+
+    /// Returns the revision held; the default if there is none.
+    pub fn revision(&self, name: DocName) -> StoreRevision {
+        let documents = self.lock();
+        let held = documents.by_name.get(name);
+        held.map(|held| held.replica.revision).unwrap_or_default()
+    }
+
+    /// Returns the revision that another process states by its number and its era. A process of an earlier release
+    /// doesn't state the era: that is the only one of the replicas here, and can't be told if there are several.
+    pub fn resolve(&self, era: Option<Era>, number: Revision) -> Option<StoreRevision> {
+        let era = match (era, self.lock().eras) {
+            (None, Some((first, newest))) if first != newest => return None,
+            (None, eras) => eras.map(|(_, newest)| newest),
+            (stated, _) => stated,
+        };
+        Some(StoreRevision::new(era, number))
     }
 
     /// Returns the time since the store last confirmed the replica; `None` if there is none.
     pub fn age(&self, name: DocName) -> Option<Duration> {
         let documents = self.lock();
         documents
+            .by_name
             .get(name)
             .map(|held| clock::since(held.replica.confirmed))
     }
@@ -141,7 +167,7 @@
     pub(crate) async fn compressed(
         &self,
         name: DocName,
-        known: Revision,
+        known: StoreRevision,
     ) -> Result<Option<CompressedReplica>, DeltaError> {
         if let Some(cached) = self.cached(name, known) {
             return Ok(Some(cached));
@@ -154,7 +180,7 @@
     pub(crate) fn body_of(
         &self,
         name: DocName,
-        revision: Revision,
+        revision: StoreRevision,
     ) -> Result<Option<Bytes>, DeltaError> {
         let Some((replica, history)) = self.snapshot(name) else {
             return Ok(None);
@@ -183,7 +209,7 @@
     fn compress(
         &self,
         name: DocName,
-        known: Revision,
+        known: StoreRevision,
     ) -> Result<Option<CompressedReplica>, DeltaError> {
         // The previous holder of the lock may have compressed the same body.
         if let Some(cached) = self.cached(name, known) {
@@ -193,10 +219,10 @@
             return Ok(None);
         };
         let body = history.body_of(known, &replica.body)?;
-        let reference = body.as_ref().map_or(0, |_| known);
+        let reference = body.as_ref().map(|_| known);
         let body = compress(&replica.body, &body.unwrap_or_default())?;
         let mut documents = self.lock();
-        let held = documents.get_mut(name);
+        let held = documents.by_name.get_mut(name);
         if let Some(held) = held.filter(|held| held.replica.revision == replica.revision) {
             held.compressed.insert(reference, body.clone());
         }
@@ -207,9 +233,10 @@
         }))
     }
 
-    fn cached(&self, name: DocName, known: Revision) -> Option<CompressedReplica> {
+    fn cached(&self, name: DocName, known: StoreRevision) -> Option<CompressedReplica> {
         let documents = self.lock();
-        documents.get(name).and_then(|held| held.compressed(known))
+        let held = documents.by_name.get(name)?;
+        held.compressed(known)
     }
 
     /// Compresses earlier bodies in the background, or in place if there is no runtime.
@@ -230,7 +257,7 @@
             return Ok(());
         };
         history.compress(&replica.body)?;
-        if let Some(held) = self.lock().get_mut(name) {
+        if let Some(held) = self.lock().by_name.get_mut(name) {
             held.history.adopt_deltas(&history);
         }
         Ok(())
@@ -239,17 +266,26 @@
     /// Returns the replica and its history, which share their bytes with those held.
     fn snapshot(&self, name: DocName) -> Option<(Replica, History)> {
         let documents = self.lock();
-        let held = documents.get(name)?;
+        let held = documents.by_name.get(name)?;
         Some((held.replica.clone(), held.history.clone()))
     }
 
-    fn lock(&self) -> MutexGuard<'_, Map<DocName, Document>> {
+    fn lock(&self) -> MutexGuard<'_, Documents> {
         self.documents
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+impl Documents {
+    fn record_era(&mut self, era: Option<Era>) {
+        if let Some(era) = era {
+            let (first, newest) = self.eras.unwrap_or((era, era));
+            self.eras = Some((first.min(era), newest.max(era)));
+        }
+    }
+}
+
 impl Document {
     /// Returns a document with a newer replica; the previous one becomes part of its history.
     fn replacing(previous: Option<Document>, replica: Replica) -> Document {
@@ -266,11 +302,8 @@
     }
 
     /// Returns the cached body for a process that holds a revision.
-    fn compressed(&self, known: Revision) -> Option<CompressedReplica> {
-        let reference = match self.history.has(known) {
-            true => known,
-            false => 0,
-        };
+    fn compressed(&self, known: StoreRevision) -> Option<CompressedReplica> {
+        let reference = self.history.has(known).then_some(known);
         let body = self.compressed.get(&reference)?;
         Some(CompressedReplica {
             replica: self.replica.clone(),
--- a/crates/mirror/tests/fetch.rs
+++ b/crates/mirror/tests/fetch.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::{Duration, Instant};
 
+use base::{Era, StoreRevision};
 use bytes::Bytes;
+use hyper::HeaderMap;
 use mirror::Mirror;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
@@ -16,6 +18,11 @@
 
 const TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Returns a revision of a store that states no era.
+fn rev(number: u64) -> StoreRevision {
+    StoreRevision::new(None, number)
+}
+
 /// A process that serves its replicas, with counts of its requests and response bytes.
 struct Peer {
     mirror: Mirror,
@@ -26,6 +33,17 @@
 }
 
 async fn peer() -> Peer {
+    peer_with(|_| {}, |_| {}).await
+}
+
+/// Starts a process of an earlier release, which doesn't know the eras of the store.
+async fn peer_without_eras() -> Peer {
+    let remove = |headers: &mut HeaderMap| drop(headers.remove("driftnotch-store-era"));
+    peer_with(remove, remove).await
+}
+
+/// Starts a process whose requests and responses have their headers changed.
+async fn peer_with(change_req: fn(&mut HeaderMap), change_res: fn(&mut HeaderMap)) -> Peer {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let addr = listener.local_addr().expect("an address");
     let (_stop, rx) = watch::channel(false);
@@ -35,11 +53,13 @@
         listener,
         ServerLimits::internal(),
         rx,
-        move |req| {
+        move |mut req| {
+            change_req(req.headers_mut());
             requested.fetch_add(1, Relaxed);
             let (served, counted) = (served.clone(), counted.clone());
             async move {
-                let res = mirror::serve(&served, &[NAME], &req).await;
+                let mut res = mirror::serve(&served, &[NAME], &req).await;
+                change_res(res.headers_mut());
                 let length = hyper::body::Body::size_hint(res.body()).exact();
                 counted.fetch_add(length.expect("a length") as usize, Relaxed);
                 res
@@ -92,12 +112,14 @@
 #[tokio::test]
 async fn sends_only_changes_since_an_earlier_revision() {
     let (peer, local) = (peer().await, Mirror::default());
-    peer.mirror.update(NAME, 1, document("one"), Instant::now());
+    peer.mirror
+        .update(NAME, rev(1), document("one"), Instant::now());
     let full = fetch(&local, &peer).await;
 
-    peer.mirror.update(NAME, 2, document("two"), Instant::now());
     peer.mirror
-        .update(NAME, 3, document("three"), Instant::now());
+        .update(NAME, rev(2), document("two"), Instant::now());
+    peer.mirror
+        .update(NAME, rev(3), document("three"), Instant::now());
     let changed = fetch(&local, &peer).await;
     let unchanged = fetch(&local, &peer).await;
 
@@ -110,10 +132,11 @@
 #[tokio::test]
 async fn sends_full_body_for_an_unknown_revision() {
     let (peer, local) = (peer().await, Mirror::default());
-    local.update(NAME, 1, document("one"), Instant::now());
+    local.update(NAME, rev(1), document("one"), Instant::now());
     for revision in 2..10 {
         let body = body_of(revision);
-        peer.mirror.update(NAME, revision, body, Instant::now());
+        peer.mirror
+            .update(NAME, rev(revision), body, Instant::now());
     }
 
     fetch(&local, &peer).await;
@@ -124,8 +147,9 @@
 #[tokio::test]
 async fn fetched_older_revision_is_ignored() {
     let (peer, local) = (peer().await, Mirror::default());
-    peer.mirror.update(NAME, 1, document("one"), Instant::now());
-    local.update(NAME, 2, document("two"), Instant::now());
+    peer.mirror
+        .update(NAME, rev(1), document("one"), Instant::now());
+    local.update(NAME, rev(2), document("two"), Instant::now());
 
     fetch(&local, &peer).await;
 
@@ -138,11 +162,12 @@
 #[tokio::test]
 async fn sends_only_changes_after_a_missed_burst() {
     let (peer, local, follower) = (peer().await, Mirror::default(), Mirror::default());
-    peer.mirror.update(NAME, 1, body_of(1), Instant::now());
+    peer.mirror.update(NAME, rev(1), body_of(1), Instant::now());
     let full = fetch(&local, &peer).await;
     for revision in 2..=BURST {
         let body = body_of(revision);
-        peer.mirror.update(NAME, revision, body, Instant::now());
+        peer.mirror
+            .update(NAME, rev(revision), body, Instant::now());
         fetch(&follower, &peer).await;
     }
 
@@ -155,11 +180,12 @@
 #[tokio::test]
 async fn sends_full_body_if_the_requester_is_too_far_behind() {
     let (peer, local) = (peer().await, Mirror::default());
-    peer.mirror.update(NAME, 1, body_of(1), Instant::now());
+    peer.mirror.update(NAME, rev(1), body_of(1), Instant::now());
     let full = fetch(&local, &peer).await;
     for revision in 2..=4 * BURST {
         let body = body_of(revision);
-        peer.mirror.update(NAME, revision, body, Instant::now());
+        peer.mirror
+            .update(NAME, rev(revision), body, Instant::now());
     }
 
     let again = fetch(&local, &peer).await;
@@ -174,12 +200,13 @@
     let mirrors: Vec<Mirror> = (0..12).map(|_| Mirror::default()).collect();
     for revision in 1..=6 {
         let body = body_of(revision);
-        peer.mirror.update(NAME, revision, body, Instant::now());
+        peer.mirror
+            .update(NAME, rev(revision), body, Instant::now());
         for local in mirrors.iter().skip(2 * revision as usize - 2) {
-            local.update(NAME, revision, body_of(revision), Instant::now());
+            local.update(NAME, rev(revision), body_of(revision), Instant::now());
         }
     }
-    peer.mirror.update(NAME, 7, body_of(7), Instant::now());
+    peer.mirror.update(NAME, rev(7), body_of(7), Instant::now());
 
     let fetches = mirrors
         .iter()
@@ -198,9 +225,10 @@
 fn serves_other_requests_during_compression() {
     one_thread().block_on(async {
         let (peer, local, other) = (peer().await, Mirror::default(), Mirror::default());
-        peer.mirror.update(NAME, 2, document("two"), Instant::now());
-        local.update(NAME, 1, document("one"), Instant::now());
-        other.update(NAME, 2, document("two"), Instant::now());
+        peer.mirror
+            .update(NAME, rev(2), document("two"), Instant::now());
+        local.update(NAME, rev(1), document("one"), Instant::now());
+        other.update(NAME, rev(2), document("two"), Instant::now());
         // Occupies the only blocking thread, so that compression waits until `resume` is sent.
         let (resume, blocked) = std::sync::mpsc::channel::<()>();
         let blocker = tokio::task::spawn_blocking(move || blocked.recv());
@@ -226,12 +254,78 @@
 #[tokio::test]
 async fn fetches_full_body_if_the_held_one_differs_under_the_same_revision() {
     let (peer, local) = (peer().await, Mirror::default());
-    peer.mirror.update(NAME, 1, body_of(1), Instant::now());
-    peer.mirror.update(NAME, 2, body_of(2), Instant::now());
+    peer.mirror.update(NAME, rev(1), body_of(1), Instant::now());
+    peer.mirror.update(NAME, rev(2), body_of(2), Instant::now());
     let different = body_of(1).iter().rev().copied().collect();
-    local.update(NAME, 1, different, Instant::now());
+    local.update(NAME, rev(1), different, Instant::now());
 
     fetch(&local, &peer).await;
 
     assert_eq!(local.get(NAME).expect("a replica").body, body_of(2));
 }
+
+/// Returns a revision of an era of the store.
+fn in_era(era: Era, number: u64) -> StoreRevision {
+    StoreRevision::new(Some(era), number)
+}
+
+/// Stores a document of one line that differs by revision.
+fn update(mirror: &Mirror, revision: StoreRevision, word: &str) {
+    mirror.update(NAME, revision, document(word), Instant::now());
+}
+
+#[tokio::test]
+async fn sends_only_changes_across_a_restore_of_the_store() {
+    let (peer, local) = (peer().await, Mirror::default());
+    update(&peer.mirror, in_era(1, 9), "nine");
+    let full = fetch(&local, &peer).await;
+
+    update(&peer.mirror, in_era(2, 3), "three");
+    let changed = fetch(&local, &peer).await;
+
+    assert_eq!(local.get(NAME).expect("a replica").body, document("three"));
+    assert_eq!(local.revision(NAME), in_era(2, 3));
+    assert!(changed < full / 100, "{changed} of {full}");
+}
+
+#[tokio::test]
+async fn replica_of_an_earlier_era_with_a_higher_number_is_ignored() {
+    let (peer, local) = (peer().await, Mirror::default());
+    update(&peer.mirror, in_era(1, 9), "nine");
+    update(&local, in_era(2, 3), "three");
+
+    fetch(&local, &peer).await;
+
+    assert_eq!(local.revision(NAME), in_era(2, 3));
+}
+
+#[tokio::test]
+async fn process_of_an_earlier_release_is_followed_until_the_store_is_restored() {
+    let (peer, local) = (peer_without_eras().await, Mirror::default());
+    update(&local, in_era(1, 4), "four");
+    update(&peer.mirror, rev(5), "five");
+    fetch(&local, &peer).await;
+    let followed = local.revision(NAME);
+    update(&local, in_era(2, 3), "three");
+    update(&peer.mirror, rev(6), "six");
+
+    let client = Client::new(DialOptions::with_timeout(TIMEOUT));
+    let fetched = mirror::fetch(&local, NAME, &client, peer.addr, TIMEOUT).await;
+
+    assert_eq!(followed, in_era(1, 5));
+    fetched.expect_err("its era can't be told");
+    assert_eq!(local.revision(NAME), in_era(2, 3));
+}
+
+#[tokio::test]
+async fn process_of_an_earlier_release_fetches_replicas() {
+    let (peer, earlier) = (peer_without_eras().await, Mirror::default());
+    update(&peer.mirror, in_era(1, 4), "four");
+    fetch(&earlier, &peer).await;
+    update(&peer.mirror, in_era(1, 5), "five");
+
+    fetch(&earlier, &peer).await;
+
+    assert_eq!(earlier.revision(NAME), rev(5));
+    assert_eq!(earlier.get(NAME).expect("a replica").body, document("five"));
+}
