Ignore restored entries of upstreams that have drained or were removed since

A store that was restored from a backup lists upstreams as of the backup until they write their entries again. Gateways took that list as newer: an upstream that had said that it drains got requests again, and so did one whose entry had been removed; one that had registered since the backup was dropped while it ran.

Within an incarnation an upstream orders its own entries by its heartbeats, and a drain is final. After a restore an entry with fewer heartbeats than the known one, or with as many and no drain, is ignored until the upstream writes it again (decide/restore.rs); removed entries are remembered for a minute for the same comparison. Entries that the restored list lacks are retained for return_time, as after an outage.

--- a/crates/base/src/store_revision.rs
+++ b/crates/base/src/store_revision.rs
@@ -21,6 +21,11 @@
     pub fn new(era: Option<Era>, number: Revision) -> StoreRevision {
         StoreRevision { era, number }
     }
+
+    /// Returns whether the store was restored since an earlier revision.
+    pub fn is_restored_since(&self, earlier: StoreRevision) -> bool {
+        earlier.era.is_some() && self.era > earlier.era
+    }
 }
 
 impl fmt::Display for StoreRevision {
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`rate_limit`]: request rate to an upstream that advertises a rate limit.
 //! - [`readers`]: gateways of a failure domain that read the store, and when.
 //! - [`residency`]: failure domains in which a request may run.
+//! - [`restore`]: entries of a restored store that are out of date.
 //! - [`retry_after`]: time after which a refused caller should retry.
 //! - [`retry_budget`]: budget of retries.
 //! - [`senders`]: gateways that send to an upstream limited to a few requests a second.
@@ -37,6 +38,7 @@
 pub mod rate_limit;
 pub mod readers;
 pub mod residency;
+pub mod restore;
 pub mod retry_after;
 pub mod retry_budget;
 pub mod senders;
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -4,6 +4,10 @@
 //! expired meanwhile reappear within `return_time` of its recovery, so until then missing upstreams are retained
 //! unchanged. A gateway that was merely partitioned from a store that others could reach gets no such period, since
 //! no entry expired.
+//!
+//! After a restore of the store from a backup, upstreams that registered since the backup are missing likewise. Entries
+//! that were written before those known here are ignored until the upstream writes them again, see
+//! [`decide::restore`].
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,7 +16,7 @@
 use base::{DomainName, Map, Set, StoreRevision, UpstreamIncarnation};
 use beacon::EngineStatus;
 use catalog::ServiceName;
-use log::info;
+use log::{debug, info};
 
 use crate::upstream::{InstanceId, ListedUpstream, Upstream, is_stale};
 
@@ -23,6 +27,10 @@
 /// heartbeats without a write, and lists arrive every second, from the store or another gateway.
 const STORE_OUTAGE: Duration = Duration::from_millis(2500);
 
+/// Time for which a removed entry is remembered, in case the store is restored from a backup that has it. Backups are
+/// some seconds old.
+const REMOVED_TIME: Duration = Duration::from_secs(60);
+
 /// Maximum number of added upstreams in one list that are logged individually.
 const MAX_LOGGED: usize = 20;
 
@@ -52,6 +60,8 @@
     by_addr: Map<SocketAddr, Arc<Upstream>>,
     /// Until when missing entries are retained.
     retain_missing_until: Option<Instant>,
+    /// Removed entries, and when they were removed.
+    removed: Map<InstanceId, (ListedUpstream, Instant)>,
 }
 
 /// Table of known upstreams.
@@ -85,8 +95,11 @@
     /// Applies a complete list. `gap` is the time for which the store hadn't confirmed the previous list when it
     /// confirmed this one. Returns whether anything changed.
     pub fn apply_list(&self, all: Vec<ListedUpstream>, gap: Duration, now: Instant) -> bool {
-        let all = newest_by_address(all);
         let mut state = self.state();
+        state
+            .removed
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < REMOVED_TIME);
+        let all = newest_by_address(state.without_removed(all));
         state.is_loaded = true;
         if gap > STORE_OUTAGE {
             state.retain_missing_until = Some(now + self.return_time);
@@ -97,6 +110,10 @@
         for listed in all {
             let id = listed.instance.clone();
             let upstream = match previous.remove(&id) {
+                Some(Entry { upstream, .. }) if upstream.outdates(&listed) => {
+                    debug!(target: PART, "{PART}: event=outdated upstream={id} revision={}", listed.revision);
+                    upstream
+                }
                 // The start time is known, so an entry without one is of another writer.
                 Some(Entry { upstream, .. })
                     if upstream.start_time.is_some() && listed.start_time.is_none() =>
@@ -136,14 +153,20 @@
             let is_retained = missing.retained_until.is_some_and(|until| now < until);
             info!(target: PART, "{PART}: event=missing upstream={id} addr={} kept={is_retained}", missing.upstream.addr);
             changed = true;
-            if is_retained {
-                state.entries.insert(id, missing);
+            match is_retained {
+                true => drop(state.entries.insert(id, missing)),
+                false => drop(state.removed.insert(id, (missing.upstream.listed(), now))),
             }
         }
         state.index();
         changed
     }
 
+    /// Records that the store was restored from a backup: entries that are missing are retained for some time.
+    pub fn record_restore(&self, now: Instant) {
+        self.state().retain_missing_until = Some(now + self.return_time);
+    }
+
     /// Applies a loader's status. Returns whether it changes what an upstream can serve.
     pub fn apply_status(&self, status: EngineStatus, now: Instant) -> bool {
         let upstream = self.state().by_addr.get(&status.upstream).cloned();
@@ -192,6 +215,19 @@
 }
 
 impl State {
+    /// Returns a list without the restored entries of upstreams that were removed.
+    fn without_removed(&mut self, mut all: Vec<ListedUpstream>) -> Vec<ListedUpstream> {
+        all.retain(|listed| match self.removed.get(&listed.instance) {
+            Some((removed, _)) if listed.is_removed_by(removed) => false,
+            Some(_) => {
+                self.removed.remove(&listed.instance);
+                true
+            }
+            None => true,
+        });
+        all
+    }
+
     fn index(&mut self) {
         let mut by_service: Map<ServiceName, Vec<Entry>> = Map::default();
         self.by_addr.clear();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -8,6 +8,7 @@
 use beacon::{EngineStatus, Holding, Load};
 use catalog::{ServiceName, StartTime, WeightsVersion};
 use decide::outlier_detection::{OutcomeCounts, OutcomeTracker};
+use decide::restore::{self, Statement};
 use tokio::sync::Notify;
 
 use crate::suspects::TrialGuard;
@@ -51,14 +52,37 @@
     pub revision: StoreRevision,
     /// Start time of the process, if stated; it may restart under the same id.
     pub start_time: Option<StartTime>,
+    /// Number of heartbeats since then.
+    pub heartbeats: u64,
 }
 
 impl ListedUpstream {
+    /// Returns whether the entry was restored from a backup and was written before another one of the same id.
+    fn is_outdated_by(&self, known: &ListedUpstream) -> bool {
+        self.revision.era > known.revision.era
+            && restore::is_outdated(self.statement(), known.statement())
+    }
+
+    /// Returns whether the entry was restored from a backup and is of an upstream whose entry was removed since.
+    pub(crate) fn is_removed_by(&self, removed: &ListedUpstream) -> bool {
+        self.revision.era > removed.revision.era
+            && restore::is_removed(self.statement(), removed.statement())
+    }
+
+    fn statement(&self) -> Statement {
+        Statement {
+            start_time: self.start_time,
+            heartbeats: self.heartbeats,
+            draining: self.draining,
+        }
+    }
+
     /// Returns whether the entries differ, apart from the fields that change with each heartbeat.
     pub fn differs_from(&self, other: &ListedUpstream) -> bool {
         *self
             != ListedUpstream {
                 revision: self.revision,
+                heartbeats: self.heartbeats,
                 cold_for: self.cold_for,
                 ..other.clone()
             }
@@ -222,6 +246,16 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the entry.
+    pub(crate) fn listed(&self) -> ListedUpstream {
+        self.state().listed.clone()
+    }
+
+    /// Returns whether a restored entry was written before the known one.
+    pub(crate) fn outdates(&self, listed: &ListedUpstream) -> bool {
+        listed.is_outdated_by(&self.state().listed)
+    }
+
     /// Replaces the entry. Returns whether it differs.
     pub fn update_listing(&self, listed: ListedUpstream) -> bool {
         let mut state = self.state();
--- a/crates/gateway/tests/feedback.rs
+++ b/crates/gateway/tests/feedback.rs
@@ -21,6 +21,7 @@
         holdings: Vec::new(),
         revision: StoreRevision::new(None, 1),
         start_time: None,
+        heartbeats: 1,
     })
 }
 
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -39,6 +39,7 @@
         holdings: vec![holding(Some(1))],
         revision: rev(1),
         start_time: None,
+        heartbeats: 1,
     }
 }
 
@@ -415,3 +416,72 @@
     assert!(!once && twice);
     assert!(!is_cold(&upstreams, now));
 }
+
+/// Returns an entry as of an era of the store.
+fn in_era(era: u64, n: u16, heartbeats: u64, draining: bool) -> ListedUpstream {
+    ListedUpstream {
+        revision: StoreRevision::new(Some(era), heartbeats),
+        heartbeats,
+        draining,
+        ..listed(n)
+    }
+}
+
+#[test]
+fn restored_entry_does_not_revoke_a_drain() {
+    let (upstreams, now) = (upstreams(), Instant::now());
+    for heartbeats in [3, 4] {
+        let drained = in_era(1, 1, 3, true);
+        apply_list(&upstreams, vec![drained, in_era(1, 2, 9, false)], now);
+
+        // The drain was stated in the fourth heartbeat, or between the third and the fourth.
+        let restored = vec![in_era(2, 1, heartbeats - 1, false), in_era(2, 2, 9, false)];
+        apply_list(&upstreams, restored, now);
+
+        assert_eq!(available(&upstreams, now), ["i-2"]);
+    }
+}
+
+#[test]
+fn restored_entry_of_a_removed_upstream_is_ignored_until_it_is_written_again() {
+    let (upstreams, now) = (upstreams(), Instant::now());
+    let (first, second) = (in_era(1, 1, 4, false), in_era(1, 2, 4, false));
+    apply_list(&upstreams, vec![first, second.clone()], now);
+    apply_list(&upstreams, vec![second], now);
+
+    let restored = vec![in_era(2, 1, 4, false), in_era(2, 2, 4, false)];
+    apply_list(&upstreams, restored, now);
+    let by_the_restored = available(&upstreams, now);
+    let written = vec![in_era(2, 1, 5, false), in_era(2, 2, 4, false)];
+    apply_list(&upstreams, written, now);
+
+    assert_eq!(by_the_restored, ["i-2"]);
+    assert_eq!(available(&upstreams, now), ["i-1", "i-2"]);
+}
+
+#[test]
+fn upstream_missing_from_a_restored_list_is_retained_for_the_return_time() {
+    let (upstreams, now) = (upstreams(), Instant::now());
+    apply_list(&upstreams, vec![in_era(1, 1, 4, false)], now);
+
+    upstreams.record_restore(now);
+    apply_list(&upstreams, vec![], now);
+
+    let before = now + RETURN_TIME - Duration::from_millis(1);
+    assert_eq!(available(&upstreams, before), ["i-1"]);
+    assert!(available(&upstreams, now + RETURN_TIME).is_empty());
+}
+
+#[test]
+fn entry_of_an_earlier_start_does_not_replace_a_later_one_after_a_restore() {
+    let (upstreams, now) = (upstreams(), Instant::now());
+    let started = |era, start_time, heartbeats, draining| ListedUpstream {
+        start_time: Some(start_time),
+        ..in_era(era, 1, heartbeats, draining)
+    };
+    apply_list(&upstreams, vec![started(1, 2_000, 1, false)], now);
+
+    apply_list(&upstreams, vec![started(2, 1_000, 9, true)], now);
+
+    assert_eq!(available(&upstreams, now), ["i-1"]);
+}
