Give a replica of unknown era the era of the same revision

In a fleet that is being upgraded, a gateway that had copied a document from a process of an earlier release held it without an era. Each announcement by a newer process then named a newer revision, and each fetch was answered that nothing has changed, so the gateway fetched it again at every datagram. Found by reading the code for mixed releases.

Such a response now gives the replica its era. The test failed before (era None).

--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -110,7 +110,7 @@
         for listed in all {
             let id = listed.instance.clone();
             let upstream = match previous.remove(&id) {
-                Some(Entry { upstream, .. }) if upstream.outdates(&listed) => {
+                Some(Entry { upstream, .. }) if upstream.has_newer_entry_than(&listed) => {
                     debug!(target: PART, "{PART}: event=outdated upstream={id} revision={}", listed.revision);
                     upstream
                 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -252,7 +252,7 @@
     }
 
     /// Returns whether a restored entry was written before the known one.
-    pub(crate) fn outdates(&self, listed: &ListedUpstream) -> bool {
+    pub(crate) fn has_newer_entry_than(&self, listed: &ListedUpstream) -> bool {
         listed.is_outdated_by(&self.state().listed)
     }
 
--- a/crates/mirror/src/fetch.rs
+++ b/crates/mirror/src/fetch.rs
@@ -150,11 +150,16 @@
             let body = decompressed(mirror, name, held.era, &body)?;
             Ok(mirror.update(name, revision, body, confirmed))
         }
-        // The same revision: only its age may be newer.
-        None => {
-            mirror.confirm(name, revision, confirmed);
-            Ok(false)
-        }
+        // The same revision: only its age may be newer, or its era known.
+        None => match mirror.get(name).filter(|r| r.revision == held) {
+            Some(replica) if held.era.is_none() && held.number == revision.number => {
+                Ok(mirror.update(name, revision, replica.body, confirmed))
+            }
+            _ => {
+                mirror.confirm(name, revision, confirmed);
+                Ok(false)
+            }
+        },
     }
 }
 
--- a/crates/mirror/tests/fetch.rs
+++ b/crates/mirror/tests/fetch.rs
@@ -317,6 +317,18 @@
     assert_eq!(local.revision(NAME), in_era(2, 3));
 }
 
+#[tokio::test]
+async fn replica_without_an_era_gets_the_era_of_the_same_revision() {
+    let (peer, local) = (peer().await, Mirror::default());
+    update(&peer.mirror, in_era(1, 4), "four");
+    update(&local, rev(4), "four");
+
+    fetch(&local, &peer).await;
+
+    assert_eq!(local.revision(NAME), in_era(1, 4));
+    assert_eq!(local.get(NAME).expect("a replica").body, document("four"));
+}
+
 #[tokio::test]
 async fn process_of_an_earlier_release_fetches_replicas() {
     let (peer, earlier) = (peer_without_eras().await, Mirror::default());
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -59,7 +59,7 @@
     field(
         "return_time",
         Duration("2s", "0ms", "1m"),
-        "Time after the store was away in which entries that lapsed meanwhile may come back.",
+        "Time after an outage or a restore of the store in which upstreams and operators write again what it lacks.",
     ),
     field(
         "connect_timeout",
