--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -21,6 +21,12 @@
 /// read.
 const DENYING: [Seed; 2] = [105, 10];
 
+/// Length of the phase with faults on the seed of `RESTORED_SEED`.
+const RESTORED_FAULT_TIME: Duration = Duration::from_secs(12);
+
+/// Seed on which gateways ignored a store that was restored from a backup, and so all changes after that.
+const RESTORED_SEED: Seed = 3001;
+
 /// Seed on which callers send the deadly request, under which engines exit.
 const DEADLY_SEED: Seed = 700;
 
@@ -62,6 +68,27 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_invariant_is_violated_while_the_store_is_restored_from_backups() {
+    let options = Options {
+        restores: true,
+        ..options(RESTORED_FAULT_TIME)
+    };
+    println!("seed {RESTORED_SEED}");
+
+    let report = soak::run(options, RESTORED_SEED)
+        .await
+        .expect("the run completes");
+
+    assert_eq!(
+        report.violations,
+        [],
+        "seed {RESTORED_SEED}: {:?}",
+        report.faults
+    );
+    assert!(report.served > 0 && !report.changes.is_empty());
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn quarantines_request_under_which_engines_exit_during_faults() {
     let options = Options {
