--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -135,7 +135,7 @@
     cx.loads.apply_domain_update(update, clock::now());
 }
 
-/// Returns a revision that another process states, with its era; `None` if it holds none, or the era can't be told.
+/// Returns a revision announced by another process, with its era; `None` if it holds none, or the era is ambiguous.
 fn resolve(cx: &Cx, stated: StoreRevision) -> Option<StoreRevision> {
     match stated == StoreRevision::default() {
         true => None,
--- a/crates/mirror/src/fetch.rs
+++ b/crates/mirror/src/fetch.rs
@@ -141,7 +141,7 @@
     } = fetched;
     let revision = mirror.resolve(era, replica.revision).ok_or_else(|| {
         FetchError(format!(
-            "revision {} has no era, and the store was restored; update the other process",
+            "the era of revision {} is unknown since the store was restored; upgrade the other process",
             replica.revision
         ))
     })?;
--- a/crates/mirror/src/replica.rs
+++ b/crates/mirror/src/replica.rs
@@ -132,8 +132,8 @@
         held.map(|held| held.replica.revision).unwrap_or_default()
     }
 
-    /// Returns the revision that another process states by its number and its era. A process of an earlier release
-    /// doesn't state the era: that is the only one of the replicas here, and can't be told if there are several.
+    /// Returns the revision that another process sent as a number and an era. Processes of earlier releases send no
+    /// era: it is then the only era of the replicas here; `None` if there are several.
     pub fn resolve(&self, era: Option<Era>, number: Revision) -> Option<StoreRevision> {
         let era = match (era, self.lock().eras) {
             (None, Some((first, newest))) if first != newest => return None,
