Publish the pace of engines from loaders to gateways

An engine that is slow for 600 ms at a time was noticed by no one. Its own report states its pace. A loader that has seen another pace than 1 within 30 s polls every engine_poll_uneven (50 ms) and sends each change at once to the gateways of its failure domain and to one of each other domain, which relays it; it repeats a change after 60 and 250 ms and a pace other than 1 every second. An engine that always reports 1 is polled as before and causes no datagrams.

Gateways keep the paces (3 s) and the worst one lately by service (10 s). The configuration of an engine's iterations and the gap objective of streams are decoded; nothing decides by them yet.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -182,6 +182,22 @@
     pub ago: Duration,
 }
 
+/// Pace of an engine at its normal speed, in thousandths.
+pub const NORMAL_PACE: u32 = 1000;
+
+/// Pace of an engine, published by the loader on its VM: the factor by which its work takes longer than normal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceUpdate {
+    /// Address of the engine.
+    pub upstream: SocketAddr,
+    /// Incarnation of the loader.
+    pub incarnation: Incarnation,
+    /// Sequence number within that incarnation.
+    pub sequence: u64,
+    /// Pace in thousandths, see [`NORMAL_PACE`].
+    pub pace: u32,
+}
+
 /// Chunks of a version that a loader holds.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChunkMap {
@@ -245,6 +261,8 @@
             Msg::FarSuspects(_) => "far_suspects",
             Msg::RateLimits(_) => "rate_limits",
             Msg::FarRateLimits(_) => "far_rate_limits",
+            Msg::Pace(_) => "pace",
+            Msg::FarPace(_) => "far_pace",
         }
     }
 }
@@ -274,4 +292,8 @@
     RateLimits(Vec<RateLimitUpdate>),
     /// [`Msg::RateLimits`] to a gateway of another failure domain, which relays those that are new to it.
     FarRateLimits(Vec<RateLimitUpdate>),
+    /// From a loader to gateways of its failure domain, or relayed to them: the pace of its engine.
+    Pace(PaceUpdate),
+    /// [`Msg::Pace`] to a gateway of another failure domain, which relays it there.
+    FarPace(PaceUpdate),
 }
--- a/crates/beacon/tests/messages.rs
+++ b/crates/beacon/tests/messages.rs
@@ -5,7 +5,8 @@
 
 use base::{Era, Fingerprint, StoreRevision};
 use beacon::{
-    LoadUpdate, MAX_DATAGRAM, Msg, SuspectUpdate, TrialUpdate, batch_messages, decode, encode,
+    Beacon, LoadUpdate, MAX_DATAGRAM, Msg, PaceUpdate, SuspectUpdate, TrialUpdate, batch_messages,
+    decode, encode,
 };
 use proptest::prelude::*;
 
@@ -108,3 +109,51 @@
 
     assert_eq!(decode(&buf), Ok(msg));
 }
+
+fn pace_update(sequence: u64) -> PaceUpdate {
+    PaceUpdate {
+        upstream: upstream(9),
+        incarnation: 7,
+        sequence,
+        pace: 2500,
+    }
+}
+
+/// Guards against a kind that is inserted before others: processes of other releases would read its datagrams as
+/// another kind.
+#[test]
+fn kinds_of_pace_updates_are_transmitted_and_come_after_all_earlier_ones() {
+    let earlier = Msg::FarRateLimits(Vec::new());
+    let last = encode(&earlier).expect("a datagram")[0];
+    for (msg, kind) in [
+        (Msg::Pace(pace_update(3)), last + 1),
+        (Msg::FarPace(pace_update(4)), last + 2),
+    ] {
+        let buf = encode(&msg).expect("a datagram");
+
+        assert_eq!(buf[0], kind);
+        assert_eq!(decode(&buf), Ok(msg));
+    }
+}
+
+/// Guards against a receiver that stops, or that reads another message, when a newer process sends a kind that it
+/// doesn't know.
+#[tokio::test]
+async fn datagram_of_an_unknown_kind_is_skipped() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let probe = tokio::net::UdpSocket::bind(any).await.expect("a socket");
+    let addr = probe.local_addr().expect("an address");
+    drop(probe);
+    let receiver = Beacon::bind(addr).await.expect("a free port");
+    let sender = tokio::net::UdpSocket::bind(any).await.expect("a socket");
+    let msg = Msg::Pace(pace_update(3));
+    let mut unknown = encode(&msg).expect("a datagram");
+    unknown[0] = 120;
+    assert!(decode(&unknown).is_err());
+
+    for buf in [unknown, encode(&msg).expect("a datagram")] {
+        sender.send_to(&buf, addr).await.expect("sent");
+    }
+
+    assert_eq!(receiver.recv().await.0, msg);
+}
--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -16,6 +16,26 @@
     pub prompt_rate: f64,
     /// Size of a chunk of weights, in bytes; 0 if unknown.
     pub chunk_bytes: u64,
+    /// Speed of its iterations.
+    pub iteration: Iteration,
+}
+
+/// Speed of an engine's iterations at its normal pace; `None` where the configuration doesn't state it. An iteration
+/// runs a few decode steps for all running requests and prefills the prompts that arrived meanwhile.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Iteration {
+    /// Decode steps of an iteration.
+    pub stride: Option<f64>,
+    /// Time of a decode step, in ms.
+    pub step_ms: Option<f64>,
+    /// Time that each running request adds to a decode step, in ms.
+    pub per_request_ms: Option<f64>,
+    /// Time that 1,000 tokens of context add to a decode step, in ms.
+    pub context_ms: Option<f64>,
+    /// Time of prefill for a million pairs of a token and a preceding token, in ms.
+    pub pairs_ms: Option<f64>,
+    /// Maximum number of prompt tokens per step.
+    pub chunk_tokens: Option<f64>,
 }
 
 impl Engine {
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use engine::{Engine, Origin};
+pub use engine::{Engine, Iteration, Origin};
 pub use route::{Route, RouteKind, Share};
 
 /// Name of a service.
@@ -146,6 +146,7 @@
     pub access: Access,
     by_host: Map<String, Vec<Arc<Route>>>,
     services: Map<ServiceName, Arc<Service>>,
+    gap_objectives: Map<ServiceName, Duration>,
 }
 
 impl Catalog {
@@ -157,6 +158,7 @@
         access: Access,
         limits: RequestLimits,
     ) -> Catalog {
+        let gap_objectives = gap_objectives(&routes);
         let mut by_host: Map<String, Vec<Arc<Route>>> = Map::default();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -175,9 +177,15 @@
             access,
             by_host,
             services,
+            gap_objectives,
         }
     }
 
+    /// Returns the smallest objective for the pause between two events of the streams that a service runs.
+    pub fn gap_objective(&self, service: &str) -> Option<Duration> {
+        self.gap_objectives.get(service).copied()
+    }
+
     /// Returns the route of a host with the longest prefix of a path, if any.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
@@ -201,3 +209,18 @@
         engine.map_or(&[], |e| &e.models)
     }
 }
+
+/// Returns the smallest gap objective of the stream routes of each service.
+fn gap_objectives(routes: &[Route]) -> Map<ServiceName, Duration> {
+    let mut smallest: Map<ServiceName, Duration> = Map::default();
+    for route in routes.iter().filter(|r| r.kind.is_stream()) {
+        let Some(gap) = route.gap_objective else {
+            continue;
+        };
+        for share in &route.shares {
+            let known = smallest.entry(share.service.clone()).or_insert(gap);
+            *known = gap.min(*known);
+        }
+    }
+    smallest
+}
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -59,6 +59,8 @@
     pub timeout: Duration,
     /// Latency objective of a response, or of the first event of a stream.
     pub objective: Duration,
+    /// Objective for the pause between two events of a stream, if there is one.
+    pub gap_objective: Option<Duration>,
     /// Maximum number of upstreams that one attempt of the caller is sent to.
     pub max_attempts: u32,
     /// Priority; 0 is the most urgent.
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -34,6 +34,8 @@
     metrics::gauge!("driftnotch_rate_limited_upstreams").set(feedback.rate_limited() as f64);
     metrics::gauge!("driftnotch_draining_upstreams").set(feedback.draining() as f64);
     drop(feedback);
+    let slow = cx.paces.slow_engines(clock::now());
+    metrics::gauge!("driftnotch_slow_engines").set(slow as f64);
     let (open, quarantined) = cx.suspects.counts();
     metrics::gauge!("driftnotch_suspects", "of" => "known").set(open as f64);
     metrics::gauge!("driftnotch_suspects", "of" => "held").set(quarantined as f64);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,7 +10,9 @@
 use std::time::Duration;
 
 use base::StoreRevision;
-use beacon::{Beacon, EngineStatus, Holding, LoadUpdate, Msg, RateLimitUpdate, SuspectUpdate};
+use beacon::{
+    Beacon, EngineStatus, Holding, LoadUpdate, Msg, PaceUpdate, RateLimitUpdate, SuspectUpdate,
+};
 use log::{debug, warn};
 use mirror::DocName;
 use web::{Client, DialOptions};
@@ -55,6 +57,12 @@
             Msg::FarSuspects(updates) => apply_suspects(&cx, updates, Some(Scope::Near)),
             Msg::RateLimits(updates) => apply_rate_limits(&cx, updates, None),
             Msg::FarRateLimits(updates) => apply_rate_limits(&cx, updates, Some(Scope::Near)),
+            Msg::Pace(update) => apply_pace(&cx, update),
+            Msg::FarPace(update) => {
+                let to: Vec<_> = cx.peers.borrow().near_gateways.values().copied().collect();
+                beacon.send(&Msg::Pace(update), to);
+                apply_pace(&cx, update);
+            }
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
@@ -80,6 +88,16 @@
     }
 }
 
+/// Applies the pace of an engine; one that has become faster may have capacity for a queued request.
+fn apply_pace(cx: &Cx, update: PaceUpdate) {
+    let Some(upstream) = cx.upstreams.at(&update.upstream) else {
+        return;
+    };
+    if cx.paces.apply(&upstream.service, update, clock::now()) {
+        cx.admission.slot_freed().notify_one();
+    }
+}
+
 /// Applies a loader's status of its engine, and sends the loader the releases that it missed.
 fn apply_engine_status(cx: &Cx, beacon: &Beacon, status: EngineStatus, from: SocketAddr) {
     let now = clock::now();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod loads;
 mod loss;
 pub mod membership;
+pub mod paces;
 mod rate_limit_updates;
 pub mod rate_limits;
 mod record;
@@ -63,6 +64,7 @@
 use crate::introduction::Introductions;
 use crate::loads::LoadTable;
 use crate::membership::UpstreamTable;
+use crate::paces::PaceTable;
 use crate::release::Releases;
 use crate::request::Codec;
 use crate::suspects::Suspects;
@@ -95,6 +97,8 @@
     pub suspects: Arc<Suspects>,
     /// Requests that other gateways have in flight.
     pub loads: LoadTable,
+    /// Paces of engines.
+    pub paces: PaceTable,
     /// Processes that introduced themselves to this gateway.
     pub introductions: Introductions,
     /// Replicas of documents.
@@ -178,6 +182,7 @@
             attempt_ages: AttemptAges::default(),
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
+            paces: PaceTable::default(),
             introductions: Introductions::new(deps.registered_members),
             incarnation: base::unix_ms(),
             started: clock::now(),
--- a/crates/gateway/src/membership.rs
+++ b/crates/gateway/src/membership.rs
@@ -173,6 +173,11 @@
         upstream.is_some_and(|u| u.update_status(status, now))
     }
 
+    /// Returns the upstream at an address.
+    pub fn at(&self, addr: &SocketAddr) -> Option<Arc<Upstream>> {
+        self.state().by_addr.get(addr).cloned()
+    }
+
     /// Returns the upstreams of a service, including retained and draining ones.
     pub fn entries(&self, service: &str) -> Arc<Vec<Entry>> {
         let state = self.state();
--- a/crates/loader/src/api.rs
+++ b/crates/loader/src/api.rs
@@ -11,6 +11,8 @@
 use bytes::Bytes;
 use catalog::{StartTime, WeightsVersion};
 
+use crate::pace::Pace;
+
 /// SHA-256 digest of a chunk.
 pub type ChunkDigest = [u8; 32];
 
@@ -45,6 +47,8 @@
     pub queued: u32,
     /// Start time, if the engine reports it.
     pub start_time: Option<StartTime>,
+    /// Factor by which its work takes longer than normal; 1 if it doesn't report a usable one.
+    pub pace: Pace,
 }
 
 impl EngineState {
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -91,7 +91,9 @@
                 | Msg::Suspects(_)
                 | Msg::FarSuspects(_)
                 | Msg::RateLimits(_)
-                | Msg::FarRateLimits(_),
+                | Msg::FarRateLimits(_)
+                | Msg::Pace(_)
+                | Msg::FarPace(_),
                 _,
             ) => {}
         }
--- a/crates/loader/src/status.rs
+++ b/crates/loader/src/status.rs
@@ -12,6 +12,7 @@
 
 use crate::Cx;
 use crate::api::EngineState;
+use crate::pace::{PaceTracker, poll_pause, publish_pace};
 
 /// Log prefix of this part.
 const PART: &str = "engine";
@@ -43,10 +44,13 @@
     let mut sent_far = clock::now();
     let mut sent_plan = None;
     let mut changed_at = clock::now();
+    let mut paces = PaceTracker::new(clock::now());
     loop {
+        let polled_at = clock::now();
         let before = tx.borrow().clone();
         match (cx.api.state)(()).await {
             Ok(mut state) => {
+                publish_pace(&cx, &mut paces, state.pace);
                 state.switching |= cx.leaving.load(Ordering::Relaxed);
                 let changed = before
                     .as_ref()
@@ -95,7 +99,7 @@
         let switching = tx.borrow().as_ref().is_some_and(|s| s.switching);
         let pause = match switching {
             true => SWITCHING_POLL_INTERVAL,
-            false => cx.cfg.engine_poll,
+            false => poll_pause(&cx.cfg, &paces, polled_at, clock::now()),
         };
         tokio::select! {
             _ = tokio::time::sleep(pause) => {}
@@ -120,7 +124,7 @@
 }
 
 /// Returns the datagram addresses of gateways of the own failure domain if `near`, and of the others if `far`.
-fn gateways(cx: &Cx, near: bool, far: bool) -> Vec<SocketAddr> {
+pub(crate) fn gateways(cx: &Cx, near: bool, far: bool) -> Vec<SocketAddr> {
     let is_receiver = |m: &&Member| match m.domain == cx.cfg.node.domain {
         true => near,
         false => far,
--- a/crates/loader/tests/slots.rs
+++ b/crates/loader/tests/slots.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use loader::api::{EngineState, Manifest};
 use loader::chunk_set::{ChunkSet, ChunkSets};
+use loader::pace::Pace;
 use loader::slot::{
     PendingVersion, can_skip, last_slot_start, position, should_complete, slot_start,
 };
@@ -171,6 +172,7 @@
         running: 0,
         queued: 0,
         start_time,
+        pace: Pace::NORMAL,
     }
 }
 
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Declares the fields of gateways and loaders.
 
 use crate::Field;
-use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Map, Name, Ratio};
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Flag, Map, Name, Ratio};
 use crate::field::field;
 
 /// Fields of gateways and loaders, which are configured by the platform's store.
@@ -112,6 +112,12 @@
         Ratio(0.0, 0.0, 1e6),
         "Requests to a cold upstream in any second that are allowed beside `cold_overage`.",
     ),
+    field(
+        "speed_aware",
+        Flag(true),
+        "Whether requests are kept from engines that are slow now, and from those where they would make running \
+         streams pause for too long. Turn it off where engines report a wrong speed.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
@@ -140,6 +146,12 @@
         Duration("250ms", "10ms", "1m"),
         "Time between two reads of the engine's state.",
     ),
+    field(
+        "engine_poll_uneven",
+        Duration("50ms", "10ms", "1m"),
+        "Time between two reads of the state of an engine whose speed has changed within the last 30 s. Raise it \
+         where these reads load the engine's VM; gateways then learn of a change of speed later.",
+    ),
     field(
         "release_poll",
         Duration("1m", "50ms", "10m"),
