--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -59,9 +59,9 @@
             Msg::FarRateLimits(updates) => apply_rate_limits(&cx, updates, Some(Scope::Near)),
             Msg::Pace(update) => apply_pace(&cx, update),
             Msg::FarPace(update) => {
+                apply_pace(&cx, update);
                 let to: Vec<_> = cx.peers.borrow().near_gateways.values().copied().collect();
                 beacon.send(&Msg::Pace(update), to);
-                apply_pace(&cx, update);
             }
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
