Rank engines as suitable, risky or late, and keep idle far ones from coming first

And an engine where streams would certainly be late was as good as one where they only might be. There are three groups now, and an idle far engine is in the second.

The test has three failure domains too, with 0.36, 0.38 and 0.26 of the callers, and 9 gateways.

--- a/crates/decide/src/engine_model.rs
+++ b/crates/decide/src/engine_model.rs
@@ -17,18 +17,21 @@
 use crate::DeadlineClass;
 use crate::load_balancing::{self, Candidate, Requirements, TOKENS_PER_REQUEST};
 
-/// Fraction of the gap objective that a predicted pause leaves free: another gateway may send a prompt before the loads
-/// show this one. With 0.1 twice as many callers are late at 60% of the capacity; 0.7 serves alike.
+/// Fraction of the gap objective that a predicted pause leaves free at a suitable engine: another gateway may send a
+/// prompt before the loads show this one. With 0.1, 1.3 times as many callers are late at 60% of the capacity and 1.8
+/// times as many at 75%; with 0.7 hardly any engine with running streams is suitable.
 const GAP_MARGIN: f64 = 0.5;
 
 /// Random part of a cost for a service of engines of varying speed. With [`load_balancing::JITTER`] gateways that see
-/// the same fast engine send it their prompts at once, and 2.4 times as many callers are late at 60% of the capacity;
-/// with 6 it is 1.4 times as many.
+/// the same fast engine send it their prompts at once, and 2.2 times as many callers are late at 60% of the capacity;
+/// with 6, three times as many requests go to other failure domains at 30%.
 const JITTER: f64 = 3.0;
 
-/// Cost of an engine at which the request or running streams would be late. It exceeds the cost of any other engine,
-/// so such an engine is chosen only where there is no other.
-const UNSUITABLE_COST: f64 = 1e6;
+/// Cost of an engine that is chosen only where no other is suitable; it exceeds that of any suitable one.
+const RISKY_COST: f64 = 1e3;
+
+/// Cost of an engine at which the request or running streams would be late, chosen only where there is no other.
+const LATE_COST: f64 = 1e6;
 
 /// Speed of an engine at pace 1. Parts that the configuration doesn't state count as taking no time.
 #[derive(Debug, Clone, Copy)]
@@ -87,6 +90,18 @@
     }
 }
 
+/// How an engine fits a request, the best first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fit {
+    /// Neither the request nor the running streams would be late, whatever the pace does next.
+    Suitable,
+    /// The request or running streams would be late if the engine becomes slow or another gateway sends a prompt too,
+    /// or it is an idle engine in another failure domain.
+    Risky,
+    /// The request or running streams would be late.
+    Late,
+}
+
 /// Requirements of a request by what is known of the paces of its service's engines.
 #[derive(Debug, Clone, Copy)]
 pub enum EngineRequirements {
@@ -140,17 +155,39 @@
 }
 
 impl PacedRequirements {
-    /// Returns the cost of an engine; `None` if it is full regardless of pace. Where the request or the running streams
-    /// would be late it is above all others, and grows with the total delay of the request and of the streams.
+    /// Returns the cost of an engine; `None` if it is full regardless of pace. That of an engine that isn't suitable
+    /// grows with the total delay of the request and of the running streams.
     pub fn cost(&self, candidate: &Candidate, pace: f64) -> Option<f64> {
         let cost = self.base.cost(candidate)?;
-        if !self.is_suitable(candidate, pace) {
-            let delay = self.total_delay(candidate, pace);
-            return Some(UNSUITABLE_COST + delay + self.base.placement_cost(candidate));
+        let delay = self.total_delay(candidate, pace) + self.base.placement_cost(candidate);
+        Some(match self.fit(candidate, pace) {
+            Fit::Suitable => cost + self.pace_cost(candidate, pace),
+            Fit::Risky => RISKY_COST + delay,
+            Fit::Late => LATE_COST + delay,
+        })
+    }
+
+    /// Returns how an engine fits the request.
+    pub fn fit(&self, candidate: &Candidate, pace: f64) -> Fit {
+        let worst_pace = pace.max(self.worst_pace);
+        let is_idle = running(candidate) == 0;
+        let pause_fits = |pace, fraction| is_idle || self.pause_fits(candidate, pace, fraction);
+        if !self.is_in_time(candidate, pace) || !pause_fits(pace, 1.0) {
+            return Fit::Late;
         }
+        // In light load there is always an idle engine in another failure domain.
+        let is_idle_elsewhere = is_idle && candidate.is_far;
+        match pause_fits(worst_pace, 1.0 - GAP_MARGIN) && !is_idle_elsewhere {
+            true => Fit::Suitable,
+            false => Fit::Risky,
+        }
+    }
+
+    /// Returns the cost of the pace of an engine, in requests.
+    fn pace_cost(&self, candidate: &Candidate, pace: f64) -> f64 {
         let tokens = (candidate.unread + self.prompt) as f64;
         let load = f64::from(candidate.requests) + 1.0 + tokens / TOKENS_PER_REQUEST;
-        Some(cost + load * (pace - 1.0))
+        load * (pace - 1.0)
     }
 
     /// Returns the number of requests like this one that an engine has capacity for, as
@@ -164,14 +201,6 @@
         paced.free_capacity(candidate)
     }
 
-    /// Returns whether neither the request nor the running streams would be late.
-    pub fn is_suitable(&self, candidate: &Candidate, pace: f64) -> bool {
-        self.is_in_time(candidate, pace)
-            && (running(candidate) == 0
-                || self.pause_fits(candidate, pace)
-                    && self.pause_fits(candidate, pace.max(self.worst_pace)))
-    }
-
     /// Returns whether the first event is expected in time. A request that is late in any case goes anywhere.
     fn is_in_time(&self, candidate: &Candidate, pace: f64) -> bool {
         let first_event =
@@ -181,15 +210,14 @@
             || first_event <= self.remaining.as_secs_f64()
     }
 
-    /// Returns whether the running streams pause for no longer than their objective at a pace.
-    fn pause_fits(&self, candidate: &Candidate, pace: f64) -> bool {
-        let bound = self
-            .gap_objective
-            .map_or(f64::INFINITY, |gap| gap.as_secs_f64() * (1.0 - GAP_MARGIN));
+    /// Returns whether the running streams pause for no longer than a fraction of their objective at a pace.
+    fn pause_fits(&self, candidate: &Candidate, pace: f64, fraction: f64) -> bool {
         let Candidate {
             requests, unread, ..
         } = *candidate;
-        self.model.pause(pace, requests, unread, self.prompt) <= bound
+        let pause = self.model.pause(pace, requests, unread, self.prompt);
+        self.gap_objective
+            .is_none_or(|gap| pause <= gap.as_secs_f64() * fraction)
     }
 
     /// Returns the time to the first event and the pauses of all running streams, in seconds.
--- a/crates/decide/tests/engine_model.rs
+++ b/crates/decide/tests/engine_model.rs
@@ -8,7 +8,7 @@
 
 use decide::DeadlineClass;
 use decide::contention::{draw_period, should_try};
-use decide::engine_model::{EngineModel, EngineRequirements, PacedRequirements};
+use decide::engine_model::{EngineModel, EngineRequirements, Fit, PacedRequirements};
 use decide::load_balancing::{Candidate, Requirements};
 use decide::queue::max_wait;
 use decide::retry_after::{Reason, jittered_delay};
@@ -18,7 +18,9 @@
 
 const ENGINES: usize = 15;
 const SLOTS: u32 = 12;
-const GATEWAYS: usize = 8;
+const GATEWAYS: usize = 9;
+/// Fraction of the callers of each failure domain, if there are three.
+const SHARES: [f64; 3] = [0.36, 0.38, 0.26];
 const GAP: f64 = 0.4;
 const SLOW: f64 = 2.5;
 /// Requests a second that the engines serve with all slots in use.
@@ -88,6 +90,8 @@
     late_first: u32,
     late_pause: u32,
     refused: u32,
+    /// Requests sent to another failure domain.
+    far: u32,
 }
 
 impl Results {
@@ -172,20 +176,34 @@
     loads
 }
 
-/// Returns the state of an engine in the view of a gateway whose knowledge of the others is `then`.
-fn candidate(now: &[(u32, u64); GATEWAYS], then: &[(u32, u64); GATEWAYS], own: usize) -> Candidate {
-    let others = (0..GATEWAYS).filter(|g| *g != own);
-    let (requests, unread) = others
-        .map(|g| then[g])
-        .fold(now[own], |(r, u), (requests, unread)| {
-            (r + requests, u + unread)
-        });
+/// Returns whether two of the engines and gateways, which belong to the failure domains in turn, are of different ones.
+fn is_far(domains: usize, a: usize, b: usize) -> bool {
+    a % domains != b % domains
+}
+
+/// Returns the age of what a gateway knows of the loads of another one, in ms.
+fn view_age(domains: usize, own: usize, other: usize) -> usize {
+    match domains {
+        1 => 25 + 105 * own / (GATEWAYS - 1),
+        _ if is_far(domains, own, other) => 130,
+        _ => 25,
+    }
+}
+
+/// Returns the state of an engine in the view of a gateway; `history` has the loads of each ms, the latest first.
+fn candidate(domains: usize, engine: usize, history: &VecDeque<Loads>, own: usize) -> Candidate {
+    let known = |g: usize| match g == own {
+        true => history[0][engine][g],
+        false => history[view_age(domains, own, g)][engine][g],
+    };
+    let sum = |(r, u): (u32, u64), g| (r + known(g).0, u + known(g).1);
+    let (requests, unread) = (0..GATEWAYS).fold((0, 0), sum);
     Candidate {
         slots: SLOTS,
         requests,
         unread,
-        own_unread: now[own].1,
-        is_far: false,
+        own_unread: known(own).1,
+        is_far: is_far(domains, engine, own),
         leaves_in: None,
     }
 }
@@ -216,6 +234,17 @@
     }
 }
 
+/// Returns the gateway of a request; those of three failure domains take turns.
+fn gateway(rng: &mut StdRng) -> usize {
+    let mut draw = rng.random_range(0.0..1.0);
+    let domain = SHARES.iter().position(|share| {
+        draw -= share;
+        draw < 0.0
+    });
+    let row = rng.random_range(0..GATEWAYS / SHARES.len());
+    domain.unwrap_or(0) + SHARES.len() * row
+}
+
 fn new_request(now: u64, rng: &mut StdRng) -> Request {
     let mut draw = rng.random_range(0.0..1.0);
     let route = ROUTES.iter().find(|r| {
@@ -232,7 +261,7 @@
         first: now,
         arrived: now,
         is_retry: false,
-        gateway: rng.random_range(0..GATEWAYS),
+        gateway: gateway(rng),
         last_event: None,
         is_first_late: false,
         has_paused: false,
@@ -240,7 +269,7 @@
 }
 
 /// Simulates some seconds with a fraction of the capacity as load.
-fn simulate(load: f64, seconds: u64, seed: u64, knows: Pace) -> Results {
+fn simulate(load: f64, domains: usize, seconds: u64, seed: u64, knows: Pace) -> Results {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut arrivals = StdRng::seed_from_u64(seed + 1000);
     let mut paces = StdRng::seed_from_u64(seed + 2000);
@@ -248,9 +277,6 @@
     for e in &mut engines {
         e.slow_until = paces.random_range(0..600);
     }
-    let ages: Vec<usize> = (0..GATEWAYS)
-        .map(|g| 25 + 105 * g / (GATEWAYS - 1))
-        .collect();
     let mut history: VecDeque<Loads> = VecDeque::from(vec![Loads::default(); 131]);
     let mut draws = [[0.0; GATEWAYS]; ENGINES];
     let (mut queued, mut retrying): (Vec<(Request, bool)>, Vec<Request>) = Default::default();
@@ -265,28 +291,35 @@
                 .extract_if(.., |r| r.arrived <= now)
                 .map(|r| (r, false)),
         );
-        if now % draw_period(false).as_millis() as u64 == 0 {
-            draws
-                .iter_mut()
-                .flatten()
-                .for_each(|d| *d = rng.random_range(0.0..1.0));
+        for (e, g) in (0..ENGINES).flat_map(|e| (0..GATEWAYS).map(move |g| (e, g))) {
+            let period = draw_period(is_far(domains, e, g)).as_millis() as u64;
+            if now % period == 0 {
+                draws[e][g] = rng.random_range(0.0..1.0);
+            }
         }
         for (mut request, has_waited) in std::mem::take(&mut queued) {
             let g = request.gateway;
-            let current = loads(&engines);
+            history[0] = loads(&engines);
             let requirements = requirements(&request, now, knows);
             let offers = (0..ENGINES).filter_map(|e| {
-                let candidate = candidate(&current[e], &history[ages[g]][e], g);
+                let candidate = candidate(domains, e, &history, g);
                 let pace = engines[e].known_pace(knows, now as usize + 7 * e);
                 let free = requirements.free_capacity(&candidate, pace);
-                let tries = should_try(free, GATEWAYS, false, has_waited, draws[e][g]);
+                let (is_far, gateways) = match candidate.is_far {
+                    true => (true, GATEWAYS),
+                    false => (false, GATEWAYS / domains),
+                };
+                let tries = should_try(free, gateways, is_far, has_waited, draws[e][g]);
                 let cost = requirements.cost(&candidate, pace).filter(|_| tries)?;
                 Some((cost + rng.random_range(0.0..requirements.jitter()), e))
             });
             let chosen = offers.min_by(|(a, _), (b, _)| a.total_cmp(b));
             let max_wait = max_wait(Duration::from_millis(request.objective)).as_millis() as u64;
             match chosen {
-                Some((_, e)) => engines[e].pending.push(request),
+                Some((_, e)) => {
+                    results.far += u32::from(is_far(domains, e, g));
+                    engines[e].pending.push(request);
+                }
                 None if now < request.arrived + max_wait => queued.push((request, true)),
                 None if request.is_retry => results.refused += 1,
                 None => {
@@ -312,17 +345,18 @@
 }
 
 /// Sums the results over some seeds and prints them.
-fn sum(load: f64, knows: Pace) -> Results {
-    let results = (1..=SEEDS).map(|seed| simulate(load, 30, seed, knows));
+fn sum(load: f64, domains: usize, knows: Pace) -> Results {
+    let results = (1..=SEEDS).map(|seed| simulate(load, domains, 30, seed, knows));
     let sum = results.fold(Results::default(), |sum, r| Results {
         callers: sum.callers + r.callers,
         in_time: sum.in_time + r.in_time,
         late_first: sum.late_first + r.late_first,
         late_pause: sum.late_pause + r.late_pause,
         refused: sum.refused + r.refused,
+        far: sum.far + r.far,
     });
     println!(
-        "load {load}, pace {knows:?}, seeds 1 to {SEEDS}: late {:.4}, {sum:?}",
+        "load {load}, domains {domains}, pace {knows:?}, seeds 1 to {SEEDS}: late {:.4}, {sum:?}",
         sum.late()
     );
     sum
@@ -332,7 +366,10 @@
 #[test]
 fn known_pace_leaves_few_callers_late_and_serves_no_fewer() {
     for load in [0.6, 0.75] {
-        let (before, after) = (sum(load, Pace::Unknown), sum(load, Pace::Known(DELAY)));
+        let (before, after) = (
+            sum(load, 1, Pace::Unknown),
+            sum(load, 1, Pace::Known(DELAY)),
+        );
 
         assert!(after.late() < before.late() / 2.0);
         assert!(load > 0.6 || after.late() <= 0.04);
@@ -343,16 +380,31 @@
 /// Guards against refusals of requests that would be late anywhere.
 #[test]
 fn known_pace_serves_as_many_near_full_load() {
-    let (before, after) = (sum(0.9, Pace::Unknown), sum(0.9, Pace::Known(DELAY)));
+    let (before, after) = (sum(0.9, 1, Pace::Unknown), sum(0.9, 1, Pace::Known(DELAY)));
 
     assert!(after.late() < before.late());
     assert!(f64::from(after.served()) > 0.998 * f64::from(before.served()));
 }
 
+/// Guards against requests that leave their failure domain in light load, where an engine elsewhere is always idle.
+#[test]
+fn known_pace_sends_no_more_requests_to_other_failure_domains() {
+    for load in [0.3, 0.6, 0.9] {
+        let (before, after) = (
+            sum(load, 3, Pace::Unknown),
+            sum(load, 3, Pace::Known(DELAY)),
+        );
+
+        assert!(after.late() < before.late());
+        assert!(f64::from(after.far) <= 1.05 * f64::from(before.far));
+        assert!(f64::from(after.served()) > 0.998 * f64::from(before.served()));
+    }
+}
+
 /// Guards against decisions by paces that no longer hold, which must not be worse than those without any.
 #[test]
 fn lost_updates_leave_no_more_callers_late_than_unknown_paces() {
-    let (before, after) = (sum(0.6, Pace::Unknown), sum(0.6, Pace::Known(STALE)));
+    let (before, after) = (sum(0.6, 1, Pace::Unknown), sum(0.6, 1, Pace::Known(STALE)));
 
     assert!(after.late() <= before.late());
     assert!(after.served() >= before.served());
@@ -414,9 +466,9 @@
     };
     let engine = candidate_with(8, 600);
 
-    assert!(even.is_suitable(&engine, 1.0));
-    assert!(!request.is_suitable(&engine, 1.0));
-    assert!(request.is_suitable(&candidate_with(8, 0), 1.0));
+    assert_eq!(even.fit(&engine, 1.0), Fit::Suitable);
+    assert_ne!(request.fit(&engine, 1.0), Fit::Suitable);
+    assert_eq!(request.fit(&candidate_with(8, 0), 1.0), Fit::Suitable);
 }
 
 /// Guards against engines without running streams, which no prompt can delay, that are left idle.
@@ -424,25 +476,45 @@
 fn idle_engine_is_limited_by_the_first_event_alone() {
     let (short, long) = (paced(1330), paced(6000));
 
-    assert!(short.is_suitable(&candidate_with(0, 0), 2.5));
-    assert!(long.is_suitable(&candidate_with(0, 0), 1.0));
-    assert!(!long.is_suitable(&candidate_with(0, 0), 2.5));
+    assert_eq!(short.fit(&candidate_with(0, 0), 2.5), Fit::Suitable);
+    assert_eq!(long.fit(&candidate_with(0, 0), 1.0), Fit::Suitable);
+    assert_ne!(long.fit(&candidate_with(0, 0), 2.5), Fit::Suitable);
 }
 
-/// Guards against refusals: where every engine is unsuitable, the one with the smallest total delay is chosen.
+/// Guards against refusals: where no engine is suitable, the one with the smallest total delay is chosen.
 #[test]
 fn long_prompt_goes_to_a_fast_engine_with_few_streams_and_no_pending_prompt() {
-    let request = paced(6000);
-    let cost = |requests, unread, pace| {
-        let cost = request.cost(&candidate_with(requests, unread), pace);
-        cost.expect("free capacity")
-    };
-    let best = cost(2, 0, 1.0);
+    for (prompt, fit) in [(6000, Fit::Risky), (9000, Fit::Late)] {
+        let request = paced(prompt);
+        let cost = |requests, unread, pace| {
+            let cost = request.cost(&candidate_with(requests, unread), pace);
+            cost.expect("free capacity")
+        };
+        let best = cost(2, 0, 1.0);
+
+        assert_eq!(request.fit(&candidate_with(2, 0), 1.0), fit);
+        assert!(best < cost(8, 0, 1.0));
+        assert!(best < cost(3, 900, 1.0));
+        assert!(best < cost(2, 0, 2.5));
+    }
+}
+
+/// Guards against an engine where streams would be late that the random part of costs has chosen over another.
+#[test]
+fn worse_fit_costs_more_whatever_the_load() {
+    let request = paced(600);
+    let (suitable, risky, late) = (
+        (candidate_with(11, 0), 1.0),
+        (candidate_with(2, 600), 1.0),
+        (candidate_with(2, 1900), 2.5),
+    );
+
+    let fits = [suitable, risky, late].map(|(c, pace)| request.fit(&c, pace));
+    let costs = [suitable, risky, late].map(|(c, pace)| request.cost(&c, pace));
 
-    assert!(best > 1e6);
-    assert!(best < cost(8, 0, 1.0));
-    assert!(best < cost(3, 900, 1.0));
-    assert!(best < cost(2, 0, 2.5));
+    assert_eq!(fits, [Fit::Suitable, Fit::Risky, Fit::Late]);
+    assert!(costs[0].map(|cost| cost + 100.0) < costs[1]);
+    assert!(costs[1].map(|cost| cost + 100.0) < costs[2]);
 }
 
 /// Guards against queued requests of many gateways that all try an engine that is slow now.
