--- a/crates/decide/src/engine_model.rs
+++ b/crates/decide/src/engine_model.rs
@@ -6,7 +6,7 @@
 //! takes longer by the engine's pace, which its loader publishes. A slow period may begin right after a prompt was
 //! sent, so the prompts at one engine are bounded for the worst pace that any engine of the service had lately.
 //!
-//! Load: engines that are 2.5 times slower in periods of 600 ms, 15% of the time, with 7 requests a second each, from
+//! Load: engines that are 2.5 times slower in periods of 600 ms, 15% of the time, with up to 7 requests a second each, from
 //! gateways whose view of the loads is 25 to 130 ms old. For a service without another pace than 1 lately, gateways
 //! decide by [`crate::load_balancing`] alone.
 
@@ -93,7 +93,7 @@
 /// How an engine fits a request, the best first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fit {
-    /// Neither the request nor the running streams would be late, whatever the pace does next.
+    /// Neither the request nor the running streams would be late, also at the worst pace lately.
     Suitable,
     /// The request or running streams would be late if the engine becomes slow or another gateway sends a prompt too,
     /// or it is an idle engine in another failure domain.
--- a/crates/decide/tests/engine_model.rs
+++ b/crates/decide/tests/engine_model.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use catalog::{Engine, Iteration};
 use decide::DeadlineClass;
 use decide::contention::{draw_period, should_try};
 use decide::engine_model::{EngineModel, EngineRequirements, Fit, PacedRequirements};
@@ -71,7 +72,7 @@
 }
 
 #[derive(Debug, Default)]
-struct Engine {
+struct SimulatedEngine {
     pending: Vec<Request>,
     running: Vec<Request>,
     /// Work left of the current iteration, in ms at pace 1.
@@ -104,7 +105,7 @@
     }
 }
 
-impl Engine {
+impl SimulatedEngine {
     fn pace(&self) -> f64 {
         match self.is_slow {
             true => SLOW,
@@ -162,7 +163,7 @@
 /// Requests and unread prompt tokens of each gateway at each engine.
 type Loads = [[(u32, u64); GATEWAYS]; ENGINES];
 
-fn loads(engines: &[Engine]) -> Loads {
+fn loads(engines: &[SimulatedEngine]) -> Loads {
     let mut loads = Loads::default();
     for (engine, load) in engines.iter().zip(&mut loads) {
         for r in &engine.running {
@@ -273,7 +274,8 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut arrivals = StdRng::seed_from_u64(seed + 1000);
     let mut paces = StdRng::seed_from_u64(seed + 2000);
-    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
+    let mut engines: Vec<SimulatedEngine> =
+        (0..ENGINES).map(|_| SimulatedEngine::default()).collect();
     for e in &mut engines {
         e.slow_until = paces.random_range(0..600);
     }
@@ -442,6 +444,31 @@
     assert_eq!(ms(MODEL.first_event(1.0, 9, 0, 1330)), 136.0);
 }
 
+/// Guards against a configuration without some fields that gives infinite times or none at all.
+#[test]
+fn model_of_a_configured_engine_does_without_fields_that_are_absent() {
+    let engine = |prompt_rate, iteration| Engine {
+        models: Vec::new(),
+        layers: 1,
+        prompt_rate,
+        chunk_bytes: 0,
+        iteration,
+    };
+    let kiosks = Iteration {
+        stride: Some(5.0),
+        step_ms: Some(9.27),
+        per_request_ms: Some(0.0232),
+        ..Iteration::default()
+    };
+
+    let complete = EngineModel::new(&engine(20_700.0, kiosks)).expect("a model");
+    let absent = EngineModel::new(&engine(20_700.0, Iteration::default())).expect("a model");
+
+    assert!((complete.pause(2.5, 10, 900, 600) - MODEL.pause(2.5, 10, 900, 600)).abs() < 1e-9);
+    assert_eq!(absent.pause(1.0, 10, 0, 2070), 0.1);
+    assert!(EngineModel::new(&engine(0.0, kiosks)).is_none());
+}
+
 /// Guards against a pause that is overestimated where engines split prompts.
 #[test]
 fn pause_is_bounded_by_the_prompt_tokens_of_an_iteration() {
