Avoid an overflow of prompt tokens in the engine model

A caller may state any number of prompt tokens. Their sum with the pending ones overflowed: a panic with overflow checks, and without them a long prompt that counted as a short one. The sums saturate.

--- a/crates/decide/src/engine_model.rs
+++ b/crates/decide/src/engine_model.rs
@@ -73,7 +73,7 @@
 
     /// Returns the longest pause of the running streams, in seconds, if a prompt is prefilled with the pending ones.
     pub fn pause(&self, pace: f64, running: u32, pending: u64, prompt: u64) -> f64 {
-        let tokens = (pending + prompt) as f64;
+        let tokens = pending.saturating_add(prompt) as f64;
         let fraction = (self.iteration_tokens / tokens.max(1.0)).min(1.0);
         self.decode_time(pace, running) + self.prefill_time(pace, pending, prompt) * fraction
     }
@@ -81,7 +81,8 @@
     /// Returns the mean time to the first event of a request, in seconds: the rest of the current iteration, of which
     /// half has passed on average, and those that prefill its prompt after the pending ones.
     pub fn first_event(&self, pace: f64, running: u32, pending: u64, prompt: u64) -> f64 {
-        let iterations = ((pending + prompt) as f64 / self.iteration_tokens).ceil();
+        let tokens = pending.saturating_add(prompt) as f64;
+        let iterations = (tokens / self.iteration_tokens).ceil();
         let decode = self.decode_time(pace, running + 1) * (0.5 + iterations.max(1.0));
         decode + self.prefill_time(pace, pending, prompt)
     }
@@ -148,7 +149,7 @@
             let delay = self.total_delay(candidate, pace);
             return Some(UNSUITABLE_COST + delay + self.base.placement_cost(candidate));
         }
-        let tokens = (candidate.unread + self.prompt) as f64;
+        let tokens = candidate.unread.saturating_add(self.prompt) as f64;
         let load = f64::from(candidate.requests) + 1.0 + tokens / TOKENS_PER_REQUEST;
         Some(cost + load * (pace - 1.0))
     }
--- a/crates/decide/tests/engine_model.rs
+++ b/crates/decide/tests/engine_model.rs
@@ -455,6 +455,16 @@
     assert!(request.cost(&engine, 2.5) > request.cost(&candidate_with(9, 0), 1.0));
 }
 
+/// Guards against an overflow: a caller may state any number of prompt tokens.
+#[test]
+fn longest_prompt_that_a_caller_can_state_has_the_cost_of_a_late_one() {
+    let request = paced(u64::MAX);
+
+    let cost = request.cost(&candidate_with(4, 600), 1.0);
+
+    assert!(cost.is_some_and(|cost| cost.is_finite() && cost > 1e6));
+}
+
 /// Guards against a request that crosses failure domains because of the random part of costs.
 #[test]
 fn unsuitable_engine_of_another_failure_domain_costs_more() {
