Ignore updates of a pace that are older than an expired one

An expired pace was replaced by any update. A gateway that was frozen for longer than 3 s relays the start of a slow period after its end, and the engine then counted as slow for 3 s. Within an incarnation of the loader the sequence now decides as long as the entry exists. Each update also drops old entries of all services, not only those of its own.

--- a/crates/gateway/src/paces.rs
+++ b/crates/gateway/src/paces.rs
@@ -1,7 +1,7 @@
 //! Paces of engines as their loaders published them, and the highest one lately of each service.
 //!
 //! A pace that isn't repeated expires, so an engine whose loader has died counts as normal. Entries exist only for
-//! listed upstreams of which a loader has published a pace within [`WORST_TIME`].
+//! addresses that were listed when their loader published a pace; each update drops those older than [`WORST_TIME`].
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -37,6 +37,16 @@
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.worst.1) < WORST_TIME
     }
+
+    /// Returns whether an update is newer. Within an incarnation the sequence decides also after the pace has expired,
+    /// since a gateway that was frozen relays what it received before. The clock by which loaders choose their
+    /// incarnation may have been set back, so an expired pace is replaced by that of any other incarnation.
+    fn is_replaced_by(&self, update: &PaceUpdate, now: Instant) -> bool {
+        match update.incarnation == self.incarnation {
+            true => update.sequence > self.sequence,
+            false => update.incarnation > self.incarnation || !self.is_current(now),
+        }
+    }
 }
 
 /// Paces of the engines of one service at one moment.
@@ -74,16 +84,14 @@
     /// capacity.
     pub fn apply(&self, service: &ServiceName, update: PaceUpdate, now: Instant) -> bool {
         let mut all = self.known();
+        all.retain(|_, known| {
+            known.retain(|_, pace| pace.is_current(now) || pace.is_recent(now));
+            !known.is_empty()
+        });
         let known = all.entry(service.clone()).or_default();
-        known.retain(|_, pace| pace.is_current(now) || pace.is_recent(now));
         let before = known.get(&update.upstream).copied();
-        // The clock by which loaders choose their incarnation may have been set back, so an expired pace is replaced by
-        // any other.
         let current = before.filter(|known| known.is_current(now));
-        let is_newer = current.is_none_or(|known| {
-            (update.incarnation, update.sequence) > (known.incarnation, known.sequence)
-        });
-        if !is_newer {
+        if before.is_some_and(|known| !known.is_replaced_by(&update, now)) {
             return false;
         }
         let worst = before
--- a/crates/gateway/tests/paces.rs
+++ b/crates/gateway/tests/paces.rs
@@ -93,6 +93,22 @@
     }
 }
 
+/// Guards against a gateway that was frozen and relays the start of a slow period after its end has expired.
+#[test]
+fn update_out_of_order_is_ignored_after_the_newer_pace_has_expired() {
+    let start = Instant::now();
+    let table = table(
+        start,
+        &[
+            (0, update(1, 1, 2500)),
+            (600, update(1, 4, 1000)),
+            (4_000, update(1, 2, 2500)),
+        ],
+    );
+
+    assert_eq!(paces(&table, start + MS * 4_010), Some((1.0, 2.5)));
+}
+
 /// Guards against a loader whose clock was set back, which starts with a lower incarnation.
 #[test]
 fn restarted_loader_with_a_lower_incarnation_is_accepted_once_the_pace_has_expired() {
