Count the objective from the caller's first attempt in the choice of engines

The time left for the first event was counted from the current attempt, so a retry was sent to engines where it would be late. It now includes the age of the attempt, as the deadline class does.

--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -93,6 +93,7 @@
         service: service.name.clone(),
         workspace,
         arrived,
+        attempt_age,
         deadline: arrived + timeout,
         spans: record.spans.clone(),
         fingerprint: OnceLock::new(),
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -137,6 +137,8 @@
     pub deadline_class: DeadlineClass,
     /// When the head was read.
     pub arrived: Instant,
+    /// Estimated time since the caller's first attempt when the head was read.
+    pub attempt_age: Duration,
     /// Latest time for the final response.
     pub deadline: Instant,
     /// Time spent in each span.
--- a/crates/gateway/src/speed.rs
+++ b/crates/gateway/src/speed.rs
@@ -2,7 +2,7 @@
 //! [`decide::engine_model`].
 
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use catalog::Service;
 use decide::engine_model::{EngineModel, EngineRequirements, PacedRequirements};
@@ -28,8 +28,7 @@
         base: Requirements,
         now: Instant,
     ) -> Speeds {
-        let is_enabled = cx.cfg.speed_aware;
-        let paces = match is_enabled {
+        let paces = match cx.cfg.speed_aware {
             true => cx.paces.current(&req.service, now),
             false => None,
         };
@@ -72,13 +71,14 @@
     }
 }
 
-/// Returns the time left for the first event of a request.
-fn remaining(req: &RoutedRequest, now: Instant) -> std::time::Duration {
+/// Returns the time left for the first event of a request. Its objective counts from the caller's first attempt.
+fn remaining(req: &RoutedRequest, now: Instant) -> Duration {
     let waited = now.saturating_duration_since(req.arrived);
-    req.route.objective.saturating_sub(waited)
+    let objective = req.route.objective;
+    objective.saturating_sub(req.attempt_age.saturating_add(waited))
 }
 
-fn gap_objective(cx: &Cx, req: &RoutedRequest) -> Option<std::time::Duration> {
+fn gap_objective(cx: &Cx, req: &RoutedRequest) -> Option<Duration> {
     let catalog = cx.catalog.borrow();
     catalog.as_ref().and_then(|c| c.gap_objective(&req.service))
 }
