--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -9,8 +9,8 @@
 //! - `stage` stages the chunks at the engine and verifies them.
 //! - [`slot`] decides when the engine may leave service to switch.
 //!
-//! `status` publishes the state of the engine to gateways, and [`pace`] decides when to publish its speed. The calls to the engine and the origin depend on the
-//! platform, which provides them by [`api`].
+//! `status` publishes the state of the engine to gateways, and [`pace`] decides when to publish its speed. The calls to
+//! the engine and the origin depend on the platform, which provides them by [`api`].
 
 #![deny(clippy::disallowed_methods)]
 
--- a/crates/loader/tests/pace.rs
+++ b/crates/loader/tests/pace.rs
@@ -19,7 +19,7 @@
     Pace::from_report(Some(2.5))
 }
 
-/// Polls every `interval` for `span` and returns the times of the updates, in ms.
+/// Polls every 50 ms of a range and returns the times of the updates; times in ms.
 fn updates(
     paces: &mut PaceTracker,
     start: Instant,
