Admit requests by priority with a pooled reserve

Admission depended on a route's own objective alone, so in overload a route with a long objective found an engine free where a more urgent one found it full.

A request of an engine's service whose routes differ in priority now takes a slot only while the free capacity of all upstreams that may run it exceeds a reserve that grows with its rank (2.5% of the slots for each rank, at least one request, at most three quarters of an idle pool). Late ranks follow all on-time ranks. A fixed share of each less urgent route (min_share, 0.25) counts as most urgent. Queueing time and pending prompts are bounded by the shortest objective of the more urgent routes. Other services decide as before, as does priority_admission: false.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -4,6 +4,7 @@
 //! newer one, as a whole, so a request sees a single revision throughout.
 
 mod engine;
+mod priorities;
 mod route;
 
 use std::sync::Arc;
@@ -14,6 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use engine::{Engine, Origin};
+pub use priorities::Priorities;
 pub use route::{Route, RouteKind, Share};
 
 /// Name of a service.
@@ -113,6 +115,8 @@
     pub origin: Option<Origin>,
     /// Requests per second that a cold upstream can handle; `None` if its upstreams are never cold.
     pub cold_rate: Option<f64>,
+    /// Priorities of its routes; set by [`Catalog::new`].
+    pub priorities: Priorities,
 }
 
 /// Rules for requests of a workspace.
@@ -157,6 +161,15 @@
         access: Access,
         limits: RequestLimits,
     ) -> Catalog {
+        let priorities = |service: &Service| Priorities::of(&service.name, &routes);
+        let services = services
+            .into_iter()
+            .map(|s| Service {
+                priorities: priorities(&s),
+                ..s
+            })
+            .map(|s| (s.name.clone(), Arc::new(s)))
+            .collect();
         let mut by_host: Map<String, Vec<Arc<Route>>> = Map::default();
         for route in routes {
             let host = route.host.to_ascii_lowercase();
@@ -165,10 +178,6 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
-        let services = services
-            .into_iter()
-            .map(|s| (s.name.clone(), Arc::new(s)))
-            .collect();
         Catalog {
             revision,
             limits,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`fanout`]: gateways of a failure domain that a change of load is sent to at once.
 //! - [`load_balancing`]: choice of the upstream for a request.
 //! - [`outlier_detection`]: upstreams that are avoided because they fail most of their requests.
+//! - [`priority`]: whether a request may take a slot while more urgent ones may need it.
 //! - [`quarantine`]: requests that run on trial or are quarantined because upstreams exited under
 //!   them.
 //! - [`queue`]: order and maximum wait of queued requests.
@@ -33,6 +34,7 @@
 pub mod fanout;
 pub mod load_balancing;
 pub mod outlier_detection;
+pub mod priority;
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,8 @@
 
 use base::Map;
 use catalog::{Service, ServiceName};
+use decide::DeadlineClass;
+use decide::priority::Rank;
 use decide::quarantine::Isolation;
 use decide::queue::{Queue, Ticket, max_wait};
 use decide::retry_after::{Reason, delay_until_available, jittered_delay};
@@ -71,13 +73,23 @@
         }
     }
 
-    fn enqueue<'a>(&'a self, service: &'a ServiceName, req: &RoutedRequest) -> QueueGuard<'a> {
+    fn enqueue<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        req: &RoutedRequest,
+        rank: Option<Rank>,
+    ) -> QueueGuard<'a> {
+        let (class, priority) = match rank {
+            // Late ranks follow all others, so the class is part of the rank.
+            Some(rank) => (DeadlineClass::OnTime, u8::try_from(rank).unwrap_or(u8::MAX)),
+            None => (req.deadline_class, req.priority()),
+        };
         let mut queues = self.queues();
         let queue = queues.entry(service.clone()).or_default();
         QueueGuard {
             admission: self,
             service,
-            ticket: queue.enqueue(req.deadline_class, req.priority()),
+            ticket: queue.enqueue(class, priority),
         }
     }
 
@@ -90,7 +102,7 @@
 
 /// Returns until when a request that has just arrived may be queued.
 pub fn queue_deadline(req: &RoutedRequest) -> Instant {
-    (req.arrived + max_wait(req.route.objective)).min(req.deadline)
+    (req.arrived + max_wait(req.bound_objective)).min(req.deadline)
 }
 
 /// Waits until `until` for a slot at an upstream that isn't among `tried`. `isolation` is set for a suspect, and
@@ -103,8 +115,10 @@
     isolation: Option<Isolation>,
     until: Instant,
 ) -> Result<Slot, Refusal> {
-    let guard = cx.admission.enqueue(&req.service, req);
-    let mut has_waited = false;
+    let guard = cx
+        .admission
+        .enqueue(&req.service, req, req.rank_after(tried.len()));
+    let (mut has_waited, mut is_reserved) = (false, false);
     loop {
         if cx.admission.is_next(&guard) {
             match pick_isolated(isolation, cx, req, service, tried, has_waited) {
@@ -122,7 +136,11 @@
                         cx.admission.notifier(),
                     ));
                 }
-                Pick::Full => has_waited = true,
+                Pick::Full => (has_waited, is_reserved) = (true, false),
+                Pick::Reserved { lasts: true } => {
+                    return Err(Refusal::Reserved(retry_delay(Reason::Busy)));
+                }
+                Pick::Reserved { lasts: false } => (has_waited, is_reserved) = (true, true),
                 Pick::NotBefore(at) if at < until => has_waited = true,
                 Pick::NotBefore(at) => {
                     let remaining = at.saturating_duration_since(clock::now());
@@ -136,7 +154,11 @@
         }
         let now = clock::now();
         if now >= until {
-            return Err(Refusal::Busy(retry_delay(Reason::Busy)));
+            let delay = retry_delay(Reason::Busy);
+            return match is_reserved {
+                true => Err(Refusal::Reserved(delay)),
+                false => Err(Refusal::Busy(delay)),
+            };
         }
         let recheck_at = (now + RECHECK_INTERVAL).min(until);
         tokio::select! {
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -11,11 +11,14 @@
 use std::time::Instant;
 
 use catalog::{Service, WeightsVersion};
+use decide::DeadlineClass;
 use decide::back_off::next_send;
 use decide::contention::{draw_period, should_try};
 use decide::draining::{DrainState, accepts_requests};
 use decide::load_balancing::{Candidate, JITTER, Requirements};
 use decide::outlier_detection::OutcomeCounts;
+use decide::priority::{Pool, Rank, ranks};
+use decide::queue::max_wait;
 use decide::rate_limit::RateLimit;
 use decide::senders;
 use decide::slow_start::{Limit, is_due, is_sender};
@@ -33,6 +36,11 @@
     Chosen(Arc<Upstream>, Option<WeightsVersion>),
     /// There are upstreams, but none has free capacity.
     Full,
+    /// The free capacity is reserved for more urgent requests.
+    Reserved {
+        /// Whether it has been for the time for which the request may be queued.
+        lasts: bool,
+    },
     /// There are upstreams, but none may be sent a request before this time.
     NotBefore(Instant),
     /// There is no upstream.
@@ -51,10 +59,48 @@
     not_before: Option<Instant>,
     /// Whether any upstream that may run the request is healthy.
     has_healthy: bool,
-    /// Cheapest healthy candidate with free capacity.
-    cheapest_healthy: Option<Priced>,
-    /// Cheapest of all candidates with free capacity.
-    cheapest: Option<Priced>,
+    /// Cheapest candidates with free capacity.
+    cheapest: Cheapest,
+    /// Cheapest of those that are cold or rate-limited, and so not part of the pool.
+    paced: Cheapest,
+    /// Capacity of all candidates of the pool; added up only if requests are admitted by priority.
+    pool: Pool,
+    /// Capacity of the healthy candidates of the pool.
+    pool_healthy: Pool,
+}
+
+/// Cheapest candidates of a search.
+#[derive(Default)]
+struct Cheapest {
+    healthy: Option<Priced>,
+    any: Option<Priced>,
+}
+
+impl Cheapest {
+    fn offer(
+        &mut self,
+        cost: f64,
+        upstream: &Arc<Upstream>,
+        version: Option<WeightsVersion>,
+        is_healthy: bool,
+    ) {
+        let is_cheaper =
+            |found: &Option<Priced>| found.as_ref().is_none_or(|(min, ..)| cost < *min);
+        if is_cheaper(&self.any) {
+            self.any = Some((cost, upstream.clone(), version));
+        }
+        if is_healthy && is_cheaper(&self.healthy) {
+            self.healthy = Some((cost, upstream.clone(), version));
+        }
+    }
+
+    /// Returns the choice; an unhealthy upstream is chosen only if there is no healthy one.
+    fn choose(self, has_healthy: bool) -> Option<Priced> {
+        match has_healthy {
+            true => self.healthy,
+            false => self.any,
+        }
+    }
 }
 
 /// Chooses an upstream that isn't among `tried`, and whose address isn't among `excluded`; `has_waited` states whether
@@ -69,6 +115,7 @@
 ) -> Pick {
     let now = clock::now();
     let requirements = requirements(cx, req, service);
+    let rank = req.rank_after(tried.len());
     let model = service.engine.as_ref().and(req.metadata.model.as_ref());
     let oldest_allowed = model.map_or(0, |model| cx.releases.oldest_allowed(model, now));
     let (near_gateways, all_gateways) = (cx.near_gateways(), cx.gateways());
@@ -130,23 +177,46 @@
         let draw = draw(cx, upstream, is_far, now);
         // Only a few gateways send to a cold or rate-limited upstream, and these pace their requests.
         let is_contended = slow_start == SlowStart::Warm && limit.is_none();
-        if is_contended
-            && !should_try(
-                requirements.free_capacity(&candidate),
-                gateways,
-                is_far,
-                has_waited,
-                draw,
-            )
-        {
+        let free_capacity = requirements.free_capacity(&candidate);
+        if rank.is_some() && is_contended {
+            let idle = requirements.free_capacity(&idle(&candidate));
+            search.add_to_pool(candidate.slots, idle, free_capacity, is_healthy);
+        }
+        if is_contended && !should_try(free_capacity, gateways, is_far, has_waited, draw) {
             continue;
         }
         if let Some(cost) = requirements.cost(&candidate) {
             let cost = cost + rng.random_range(0.0..JITTER);
-            search.offer(cost, upstream, snapshot.serving_version, is_healthy);
+            let version = snapshot.serving_version;
+            search.cheapest.offer(cost, upstream, version, is_healthy);
+            if !is_contended {
+                search.paced.offer(cost, upstream, version, is_healthy);
+            }
         }
     }
-    search.finish()
+    drop((peer_loads, feedback));
+    match rank.and_then(|rank| reserved(cx, req, service, &search, rank, now)) {
+        Some(lasts) => search.finish_reserved(lasts),
+        None => search.finish(),
+    }
+}
+
+/// Returns `None` if a request is admitted, or else whether the shortage has lasted for as long as it may be queued.
+fn reserved(
+    cx: &Cx,
+    req: &RoutedRequest,
+    service: &Service,
+    search: &Search,
+    rank: Rank,
+    now: Instant,
+) -> Option<bool> {
+    let pool = search.pool();
+    let ranks = ranks(service.priorities.distinct());
+    let max_wait = max_wait(req.bound_objective);
+    let lasts = cx
+        .pools
+        .observe(&req.service, pool, (rank, ranks), max_wait, now);
+    (!pool.admits(rank)).then_some(lasts)
 }
 
 impl Search {
@@ -155,29 +225,33 @@
         self.not_before = Some(self.not_before.map_or(at, |next| next.min(at)));
     }
 
-    fn offer(
-        &mut self,
-        cost: f64,
-        upstream: &Arc<Upstream>,
-        version: Option<WeightsVersion>,
-        is_healthy: bool,
-    ) {
-        let is_cheaper =
-            |found: &Option<Priced>| found.as_ref().is_none_or(|(min, ..)| cost < *min);
-        if is_cheaper(&self.cheapest) {
-            self.cheapest = Some((cost, upstream.clone(), version));
+    fn add_to_pool(&mut self, slots: u32, idle: f64, free: f64, is_healthy: bool) {
+        self.pool.add(slots, idle, free);
+        if is_healthy {
+            self.pool_healthy.add(slots, idle, free);
+        }
+    }
+
+    /// Returns the capacity of the candidates that may be chosen.
+    fn pool(&self) -> &Pool {
+        match self.has_healthy {
+            true => &self.pool_healthy,
+            false => &self.pool,
         }
-        if is_healthy && is_cheaper(&self.cheapest_healthy) {
-            self.cheapest_healthy = Some((cost, upstream.clone(), version));
+    }
+
+    /// Returns the result for a request that must leave the pool to more urgent ones: it may still be sent to an
+    /// upstream outside of the pool, which limits the rate of requests itself.
+    fn finish_reserved(self, lasts: bool) -> Pick {
+        match self.paced.choose(self.has_healthy) {
+            Some((_, upstream, version)) => Pick::Chosen(upstream, version),
+            None => Pick::Reserved { lasts },
         }
     }
 
-    /// Returns the result; an unhealthy upstream is chosen only if there is no healthy one.
+    /// Returns the result.
     fn finish(self) -> Pick {
-        let found = match self.has_healthy {
-            true => self.cheapest_healthy,
-            false => self.cheapest,
-        };
+        let found = self.cheapest.choose(self.has_healthy);
         match (found, self.not_before) {
             (Some((_, upstream, version)), _) => Pick::Chosen(upstream, version),
             (None, _) if self.has_candidate => Pick::Full,
@@ -279,14 +353,26 @@
         .expected_tokens
         .unwrap_or(req.metadata.max_tokens);
     Requirements {
-        deadline_class: req.deadline_class,
-        objective: req.route.objective,
+        // The pooled reserve stands in for that of each engine.
+        deadline_class: req
+            .rank
+            .map_or(req.deadline_class, |_| DeadlineClass::OnTime),
+        objective: req.bound_objective,
         prompt_rate: service.engine.as_ref().map(|e| e.prompt_rate),
         expected_tokens,
         is_only_gateway: cx.gateways() == 1,
     }
 }
 
+/// Returns the state of a candidate without load.
+fn idle(candidate: &Candidate) -> Candidate {
+    Candidate {
+        requests: 0,
+        unread: 0,
+        ..*candidate
+    }
+}
+
 fn candidate(snapshot: &Snapshot, peer_load: PeerLoad, is_far: bool) -> Candidate {
     Candidate {
         slots: snapshot.slots,
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -34,6 +34,7 @@
     metrics::gauge!("driftnotch_rate_limited_upstreams").set(feedback.rate_limited() as f64);
     metrics::gauge!("driftnotch_draining_upstreams").set(feedback.draining() as f64);
     drop(feedback);
+    cx.pools.report();
     let (open, quarantined) = cx.suspects.counts();
     metrics::gauge!("driftnotch_suspects", "of" => "known").set(open as f64);
     metrics::gauge!("driftnotch_suspects", "of" => "held").set(quarantined as f64);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -16,10 +16,11 @@
 use crate::admission::{acquire_slot, queue_deadline};
 use crate::confirm::{decision, wait_for_confirmation};
 use crate::loss::{self, ResponseLoss};
+use crate::rank;
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::refusal::Refusal;
 use crate::relay::{self, EventStream};
-use crate::request::{RequestMetadata, RoutedRequest};
+use crate::request::{RequestMetadata, RoutedRequest, priority};
 use crate::send::{SendOutcome, UpstreamResponse, read_to_end, record_health, send};
 use crate::spans::Span;
 use crate::suspects::wait_until_permitted;
@@ -84,8 +85,25 @@
         .ok_or(Refusal::NoUpstream(NOT_READY_RETRY))?
         .clone();
     let deadline_class = deadline_class(&metadata, &route, &service, attempt_age);
+    let priority = priority(&route, workspace.as_deref());
+    record.priority = Some(priority);
+    let rank = rank::of(
+        cx,
+        &service,
+        deadline_class,
+        priority,
+        (&metadata.attempt_id, arrived),
+    );
+    let bound_objective = match rank {
+        Some(_) => service
+            .priorities
+            .bound_objective(priority, route.objective),
+        None => route.objective,
+    };
     let req = RoutedRequest {
         deadline_class,
+        rank,
+        bound_objective,
         metadata,
         head,
         body,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,8 @@
 pub mod loads;
 mod loss;
 pub mod membership;
+pub mod pools;
+mod rank;
 mod rate_limit_updates;
 pub mod rate_limits;
 mod record;
@@ -63,6 +65,7 @@
 use crate::introduction::Introductions;
 use crate::loads::LoadTable;
 use crate::membership::UpstreamTable;
+use crate::pools::Pools;
 use crate::release::Releases;
 use crate::request::Codec;
 use crate::suspects::Suspects;
@@ -87,6 +90,8 @@
     pub releases: Releases,
     /// Queues of requests that wait for a slot.
     pub admission: Admission,
+    /// Free capacity of services whose routes differ in priority.
+    pub pools: Pools,
     /// Attempt ages of callers, by route.
     pub attempt_ages: AttemptAges,
     /// Retry budget.
@@ -175,6 +180,7 @@
             feedback: Feedback::default(),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
+            pools: Pools::default(),
             attempt_ages: AttemptAges::default(),
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -35,6 +35,8 @@
     pub service: String,
     /// Name of the workspace.
     pub workspace: String,
+    /// Priority, 0 being the most urgent; `None` if the request was refused before it was known.
+    pub priority: Option<u8>,
     /// Revision of the configuration that was applied.
     pub config_revision: u64,
     /// Milliseconds since the store last confirmed that revision.
@@ -64,6 +66,7 @@
             route: String::new(),
             service: String::new(),
             workspace: String::new(),
+            priority: None,
             config_revision: 0,
             config_age_ms: 0,
             timeout_ms: 0,
@@ -107,6 +110,13 @@
             .increment(1);
         if let RequestOutcome::Refused(_, why) = self.outcome {
             metrics::counter!("driftnotch_refusals_total", "why" => why).increment(1);
+            if let Some(priority) = self.priority {
+                metrics::counter!(
+                    "driftnotch_route_refusals_total",
+                    "route" => route.clone(), "priority" => priority.to_string(), "why" => why,
+                )
+                .increment(1);
+            }
         }
         if let Some(ms) = self.first_event_ms {
             metrics::histogram!("driftnotch_first_event_seconds", "route" => route)
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -32,6 +32,8 @@
     Unconfirmed(Duration),
     /// all upstreams are busy; come back later
     Busy(Duration),
+    /// the free capacity is kept for more urgent requests; come back later
+    Reserved(Duration),
     /// no upstream can run the request now; come back later
     NoUpstream(Duration),
     /// all upstreams are rate limited or in a back-off; come back later
@@ -65,6 +67,7 @@
             Refusal::NotReady(_)
             | Refusal::Unconfirmed(_)
             | Refusal::Busy(_)
+            | Refusal::Reserved(_)
             | Refusal::NoUpstream(_)
             | Refusal::NotBefore(_)
             | Refusal::NotTaken(_)
@@ -81,6 +84,7 @@
             Refusal::NotReady(delay)
             | Refusal::Unconfirmed(delay)
             | Refusal::Busy(delay)
+            | Refusal::Reserved(delay)
             | Refusal::NoUpstream(delay)
             | Refusal::NotBefore(delay)
             | Refusal::NotTaken(delay)
@@ -102,6 +106,7 @@
             Refusal::NotReady(_) => "not_ready",
             Refusal::Unconfirmed(_) => "unconfirmed",
             Refusal::Busy(_) => "busy",
+            Refusal::Reserved(_) => "reserved",
             Refusal::NoUpstream(_) => "no_upstream",
             Refusal::NotBefore(_) => "not_before",
             Refusal::NotTaken(_) => "not_taken",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use catalog::{ApiKey, Route, ServiceName, WeightsVersion, WorkspacePolicy};
 use decide::DeadlineClass;
+use decide::priority::Rank;
 use decide::residency::is_allowed;
 use hyper::HeaderMap;
 use hyper::http::{request, response};
@@ -118,6 +119,12 @@
     pub response_headers: fn(&HeaderMap) -> HeaderMap,
 }
 
+/// Returns the priority of a workspace's requests on a route, 0 being the most urgent.
+pub(crate) fn priority(route: &Route, workspace: Option<&WorkspacePolicy>) -> u8 {
+    let own = workspace.and_then(|w| w.priority);
+    own.unwrap_or(route.priority)
+}
+
 /// A complete request with the routing decisions made for it.
 #[derive(Debug)]
 pub struct RoutedRequest {
@@ -135,6 +142,10 @@
     pub workspace: Option<Arc<WorkspacePolicy>>,
     /// Whether it can still be served within its objective.
     pub deadline_class: DeadlineClass,
+    /// Rank by which it is admitted; `None` if the routes of its service have the same priority.
+    pub rank: Option<Rank>,
+    /// Objective that bounds its queueing time and the prompts ahead of it.
+    pub bound_objective: Duration,
     /// When the head was read.
     pub arrived: Instant,
     /// Latest time for the final response.
@@ -148,8 +159,16 @@
 impl RoutedRequest {
     /// Returns the priority, 0 being the most urgent.
     pub fn priority(&self) -> u8 {
-        let own = self.workspace.as_ref().and_then(|w| w.priority);
-        own.unwrap_or(self.route.priority)
+        priority(&self.route, self.workspace.as_deref())
+    }
+
+    /// Returns the rank by which it gets a slot after some attempts. Once admitted it counts as most urgent, since a
+    /// refusal would waste what it has taken already.
+    pub fn rank_after(&self, attempts: usize) -> Option<Rank> {
+        match attempts {
+            0 => self.rank,
+            _ => self.rank.map(|_| 0),
+        }
     }
 
     /// Returns the time until the deadline.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -118,6 +118,7 @@
     let not_run = [
         Refusal::NotReady(after),
         Refusal::Busy(after),
+        Refusal::Reserved(after),
         Refusal::NoUpstream(after),
         Refusal::NotTaken(after),
         Refusal::NoTime(after),
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Declares the fields of gateways and loaders.
 
 use crate::Field;
-use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Map, Name, Ratio};
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Flag, Map, Name, Ratio};
 use crate::field::field;
 
 /// Fields of gateways and loaders, which are configured by the platform's store.
@@ -112,6 +112,18 @@
         Ratio(0.0, 0.0, 1e6),
         "Requests to a cold upstream in any second that are allowed beside `cold_overage`.",
     ),
+    field(
+        "priority_admission",
+        Flag(true),
+        "Whether requests of less urgent routes leave some capacity of a service's engines to more urgent ones. Turn \
+         it off where all routes are to be refused alike.",
+    ),
+    field(
+        "min_share",
+        Ratio(0.25, 0.0, 1.0),
+        "Part of the requests of each less urgent route that counts as most urgent, so that none is starved. Raise \
+         it where less urgent routes get too little in overload.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -247,6 +247,8 @@
         retry_slack: f64 = ratio,
         cold_overage: f64 = ratio,
         cold_slack: f64 = ratio,
+        priority_admission: bool = flag,
+        min_share: f64 = ratio,
         hold_time: Duration = duration,
         stop_notice: Duration = duration,
         drain_timeout: Duration = duration,
