Share short capacity fairly between workspaces of one priority

Within a priority the workspaces with the most requests took the capacity of the others.

A workspace that was admitted more than its max-min share leaves half a step more of the pool free than others of its rank, and queues behind them. Applies where requests are admitted by priority.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`contention`]: whether to try an engine that other gateways see as equally free.
 //! - [`denial`]: whether the local replica of the configuration may deny a request.
 //! - [`draining`]: whether a draining upstream gets new requests.
+//! - [`fairness`]: workspaces that have been admitted more than their share of short capacity.
 //! - [`fanout`]: gateways of a failure domain that a change of load is sent to at once.
 //! - [`load_balancing`]: choice of the upstream for a request.
 //! - [`outlier_detection`]: upstreams that are avoided because they fail most of their requests.
@@ -31,6 +32,7 @@
 pub mod contention;
 pub mod denial;
 pub mod draining;
+pub mod fairness;
 pub mod fanout;
 pub mod load_balancing;
 pub mod outlier_detection;
--- a/crates/decide/src/priority.rs
+++ b/crates/decide/src/priority.rs
@@ -55,6 +55,28 @@
     draw < min_share
 }
 
+/// What a request is admitted by. Requests of one rank whose workspace is over its share come after the others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Standing {
+    /// Rank.
+    pub rank: Rank,
+    /// Whether its workspace is over its share, by [`crate::fairness`].
+    pub is_over_share: bool,
+}
+
+impl Standing {
+    /// Standing of a request that has been admitted before.
+    pub const ADMITTED: Standing = Standing {
+        rank: 0,
+        is_over_share: false,
+    };
+
+    /// Returns the priority in a queue, 0 being the most urgent.
+    pub fn queue_priority(&self) -> u8 {
+        u8::try_from(2 * self.rank + Rank::from(self.is_over_share)).unwrap_or(u8::MAX)
+    }
+}
+
 /// Capacity of all upstreams that may run a request, in requests like it.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Pool {
@@ -79,10 +101,24 @@
         rank == 0 || self.slots == 0.0 || self.free > self.reserve(rank)
     }
 
+    /// Returns whether a request with this standing may take a slot. One whose workspace is over its share leaves half a
+    /// step more than others of its rank, at least one request, and never more than the next rank.
+    pub fn admits_standing(&self, standing: Standing) -> bool {
+        if !standing.is_over_share {
+            return self.admits(standing.rank);
+        }
+        let (reserve, next) = (self.reserve(standing.rank), self.reserve(standing.rank + 1));
+        let extra = (self.step() / 2.0).max(MIN_STEP);
+        self.slots == 0.0 || self.free > (reserve + extra).min(next)
+    }
+
     /// Returns the free capacity that requests of a rank leave to more urgent ones.
     pub fn reserve(&self, rank: Rank) -> f64 {
-        let step = (self.slots * STEP_FRACTION).max(MIN_STEP);
-        (f64::from(rank) * step).min(self.idle * MAX_RESERVE_FRACTION)
+        (f64::from(rank) * self.step()).min(self.idle * MAX_RESERVE_FRACTION)
+    }
+
+    fn step(&self) -> f64 {
+        (self.slots * STEP_FRACTION).max(MIN_STEP)
     }
 
     /// Returns the most urgent of `ranks` ranks that isn't admitted.
--- a/crates/decide/tests/priority.rs
+++ b/crates/decide/tests/priority.rs
@@ -9,7 +9,7 @@
 use decide::DeadlineClass;
 use decide::contention::{draw_period, should_try};
 use decide::load_balancing::{Candidate, JITTER, Requirements};
-use decide::priority::{Pool, Rank, Shortage, is_promoted, rank, ranks};
+use decide::priority::{Pool, Rank, Shortage, Standing, is_promoted, rank, ranks};
 use decide::queue::max_wait;
 use decide::retry_after::{Reason, jittered_delay};
 use rand::rngs::StdRng;
@@ -483,6 +483,30 @@
     assert_eq!(reserves, [0.0, 17.0, 35.0, 87.0]);
 }
 
+/// Guards against a workspace over its share coming after less urgent requests, or being limited in an idle pool.
+#[test]
+fn workspace_over_its_share_comes_between_its_rank_and_the_next() {
+    let over = |rank| Standing {
+        rank,
+        is_over_share: true,
+    };
+    let refused_at = |pool: Pool, rank| {
+        let admitted = [
+            pool.admits(rank),
+            pool.admits_standing(over(rank)),
+            pool.admits(rank + 1),
+        ];
+        admitted.iter().filter(|is_admitted| !**is_admitted).count()
+    };
+
+    let counts = [5.0, 15.0, 20.0].map(|free| refused_at(pool(696, free), 0));
+
+    assert_eq!(counts, [2, 1, 0]);
+    for slots in [1, 2, 3, 12, 696] {
+        assert!((0..6).all(|rank| pool(slots, f64::from(slots)).admits_standing(over(rank))));
+    }
+}
+
 /// Guards against requests that are refused at once although the shortage is new, or was last seen long ago.
 #[test]
 fn shortage_lasts_from_its_first_observation() {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -10,7 +10,7 @@
 use base::Map;
 use catalog::{Service, ServiceName};
 use decide::DeadlineClass;
-use decide::priority::Rank;
+use decide::priority::Standing;
 use decide::quarantine::Isolation;
 use decide::queue::{Queue, Ticket, max_wait};
 use decide::retry_after::{Reason, delay_until_available, jittered_delay};
@@ -19,6 +19,7 @@
 
 use crate::Cx;
 use crate::balance::{Pick, pick};
+use crate::rank;
 use crate::refusal::Refusal;
 use crate::request::RoutedRequest;
 use crate::upstream::{Slot, SlotNotifier, Upstream};
@@ -77,11 +78,11 @@
         &'a self,
         service: &'a ServiceName,
         req: &RoutedRequest,
-        rank: Option<Rank>,
+        standing: Option<Standing>,
     ) -> QueueGuard<'a> {
-        let (class, priority) = match rank {
+        let (class, priority) = match standing {
             // Late ranks follow all others, so the class is part of the rank.
-            Some(rank) => (DeadlineClass::OnTime, u8::try_from(rank).unwrap_or(u8::MAX)),
+            Some(standing) => (DeadlineClass::OnTime, standing.queue_priority()),
             None => (req.deadline_class, req.priority()),
         };
         let mut queues = self.queues();
@@ -115,14 +116,14 @@
     isolation: Option<Isolation>,
     until: Instant,
 ) -> Result<Slot, Refusal> {
-    let guard = cx
-        .admission
-        .enqueue(&req.service, req, req.rank_after(tried.len()));
+    let standing = rank::standing(cx, req, tried.len());
+    let guard = cx.admission.enqueue(&req.service, req, standing);
     let (mut has_waited, mut is_reserved) = (false, false);
     loop {
         if cx.admission.is_next(&guard) {
-            match pick_isolated(isolation, cx, req, service, tried, has_waited) {
+            match pick_isolated(isolation, cx, req, service, tried, has_waited, standing) {
                 Pick::Chosen(upstream, version) => {
+                    rank::record_admitted(cx, req, tried.len());
                     // There may be free capacity for the next request too.
                     cx.admission.slot_freed.notify_one();
                     let unread = service
@@ -177,14 +178,15 @@
     service: &Service,
     tried: &[Arc<Upstream>],
     has_waited: bool,
+    standing: Option<Standing>,
 ) -> Pick {
     let Some(isolation) = isolation else {
-        return pick(cx, req, service, tried, &[], has_waited);
+        return pick(cx, req, service, tried, &[], has_waited, standing);
     };
     let trials = cx.suspects.active_trials(clock::now());
-    match pick(cx, req, service, tried, &trials, has_waited) {
+    match pick(cx, req, service, tried, &trials, has_waited, standing) {
         Pick::Full if isolation == Isolation::Preferred => {
-            pick(cx, req, service, tried, &[], has_waited)
+            pick(cx, req, service, tried, &[], has_waited, standing)
         }
         picked => picked,
     }
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -17,7 +17,7 @@
 use decide::draining::{DrainState, accepts_requests};
 use decide::load_balancing::{Candidate, JITTER, Requirements};
 use decide::outlier_detection::OutcomeCounts;
-use decide::priority::{Pool, Rank, ranks};
+use decide::priority::{Pool, Standing, ranks};
 use decide::queue::max_wait;
 use decide::rate_limit::RateLimit;
 use decide::senders;
@@ -104,7 +104,7 @@
 }
 
 /// Chooses an upstream that isn't among `tried`, and whose address isn't among `excluded`; `has_waited` states whether
-/// none had free capacity before.
+/// none had free capacity before. `standing` is set where requests are admitted by priority.
 pub(crate) fn pick(
     cx: &Cx,
     req: &RoutedRequest,
@@ -112,10 +112,10 @@
     tried: &[Arc<Upstream>],
     excluded: &[SocketAddr],
     has_waited: bool,
+    standing: Option<Standing>,
 ) -> Pick {
     let now = clock::now();
     let requirements = requirements(cx, req, service);
-    let rank = req.rank_after(tried.len());
     let model = service.engine.as_ref().and(req.metadata.model.as_ref());
     let oldest_allowed = model.map_or(0, |model| cx.releases.oldest_allowed(model, now));
     let (near_gateways, all_gateways) = (cx.near_gateways(), cx.gateways());
@@ -178,7 +178,7 @@
         // Only a few gateways send to a cold or rate-limited upstream, and these pace their requests.
         let is_contended = slow_start == SlowStart::Warm && limit.is_none();
         let free_capacity = requirements.free_capacity(&candidate);
-        if rank.is_some() && is_contended {
+        if standing.is_some() && is_contended {
             let idle = requirements.free_capacity(&idle(&candidate));
             search.add_to_pool(candidate.slots, idle, free_capacity, is_healthy);
         }
@@ -195,7 +195,7 @@
         }
     }
     drop((peer_loads, feedback));
-    match rank.and_then(|rank| reserved(cx, req, service, &search, rank, now)) {
+    match standing.and_then(|standing| reserved(cx, req, service, &search, standing, now)) {
         Some(lasts) => search.finish_reserved(lasts),
         None => search.finish(),
     }
@@ -207,7 +207,7 @@
     req: &RoutedRequest,
     service: &Service,
     search: &Search,
-    rank: Rank,
+    standing: Standing,
     now: Instant,
 ) -> Option<bool> {
     let pool = search.pool();
@@ -215,8 +215,8 @@
     let max_wait = max_wait(req.bound_objective);
     let lasts = cx
         .pools
-        .observe(&req.service, pool, (rank, ranks), max_wait, now);
-    (!pool.admits(rank)).then_some(lasts)
+        .observe(&req.service, pool, (standing.rank, ranks), max_wait, now);
+    (!pool.admits_standing(standing)).then_some(lasts)
 }
 
 impl Search {
@@ -348,10 +348,6 @@
 }
 
 fn requirements(cx: &Cx, req: &RoutedRequest, service: &Service) -> Requirements {
-    let expected_tokens = req
-        .metadata
-        .expected_tokens
-        .unwrap_or(req.metadata.max_tokens);
     Requirements {
         // The pooled reserve stands in for that of each engine.
         deadline_class: req
@@ -359,7 +355,7 @@
             .map_or(req.deadline_class, |_| DeadlineClass::OnTime),
         objective: req.bound_objective,
         prompt_rate: service.engine.as_ref().map(|e| e.prompt_rate),
-        expected_tokens,
+        expected_tokens: req.expected_tokens(),
         is_only_gateway: cx.gateways() == 1,
     }
 }
--- a/crates/gateway/src/pools.rs
+++ b/crates/gateway/src/pools.rs
@@ -1,12 +1,13 @@
 //! Free capacity of the services whose requests are admitted by priority, as last observed by this gateway.
 //!
-//! One entry for each such service of the configuration.
+//! One entry for each such service of the configuration, with the usage of each workspace by priority.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::Map;
+use base::{Map, Workspace};
 use catalog::ServiceName;
+use decide::fairness::Shares;
 use decide::priority::{Pool, Rank, Shortage};
 use log::info;
 
@@ -19,6 +20,8 @@
     pool: Pool,
     ranks: Rank,
     shortage: Shortage,
+    /// Usage of workspaces, by priority.
+    shares: Map<u8, Shares>,
     /// Most urgent rank that is refused, as last logged.
     logged: Option<Rank>,
 }
@@ -34,6 +37,43 @@
         self.services.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Calls a function with the state of a service.
+    fn with<T>(&self, service: &ServiceName, f: impl FnOnce(&mut Observed) -> T) -> T {
+        let mut services = self.services();
+        if !services.contains_key(service) {
+            services.insert(service.clone(), Observed::default());
+        }
+        f(services.get_mut(service).expect("it was inserted"))
+    }
+
+    /// Records a workspace's request of a service and priority. Returns whether the workspace is over its share.
+    pub fn arrive(
+        &self,
+        (service, priority): (&ServiceName, u8),
+        workspace: &Workspace,
+        cost: f64,
+        now: Instant,
+    ) -> bool {
+        self.with(service, |observed| {
+            let shares = observed.shares.entry(priority).or_default();
+            shares.arrive(workspace, cost, now)
+        })
+    }
+
+    /// Records that a workspace's request was admitted.
+    pub fn admit(
+        &self,
+        (service, priority): (&ServiceName, u8),
+        workspace: &Workspace,
+        cost: f64,
+        now: Instant,
+    ) {
+        self.with(service, |observed| {
+            let shares = observed.shares.entry(priority).or_default();
+            shares.admit(workspace, cost, now);
+        });
+    }
+
     /// Records the state of a pool. Returns whether it has been below the reserve of a rank for at least `time`.
     pub fn observe(
         &self,
@@ -43,14 +83,11 @@
         time: Duration,
         now: Instant,
     ) -> bool {
-        let mut services = self.services();
-        if !services.contains_key(service) {
-            services.insert(service.clone(), Observed::default());
-        }
-        let observed = services.get_mut(service).expect("it was inserted");
-        (observed.pool, observed.ranks) = (*pool, ranks);
-        observed.shortage.observe(pool, ranks, now);
-        observed.shortage.lasts(rank, time, now)
+        self.with(service, |observed| {
+            (observed.pool, observed.ranks) = (*pool, ranks);
+            observed.shortage.observe(pool, ranks, now);
+            observed.shortage.lasts(rank, time, now)
+        })
     }
 
     /// Updates the gauges, and logs the most urgent rank that is refused if it has changed. Called once a second.
--- a/crates/gateway/src/rank.rs
+++ b/crates/gateway/src/rank.rs
@@ -1,14 +1,15 @@
-//! Rank by which a request is admitted.
+//! Rank and standing by which a request is admitted.
 
 use std::hash::BuildHasher;
 use std::time::Instant;
 
 use catalog::Service;
 use decide::DeadlineClass;
-use decide::priority::{self, Rank};
+use decide::fairness;
+use decide::priority::{self, Rank, Standing};
 
 use crate::Cx;
-use crate::request::AttemptId;
+use crate::request::{AttemptId, RoutedRequest};
 
 /// Returns the rank of a request; `None` if requests of its service aren't admitted by priority. `attempt` identifies
 /// the request, so that its rank doesn't depend on when it is computed.
@@ -32,3 +33,35 @@
     };
     Some(priority::rank(class, priority, priorities.distinct()))
 }
+
+/// Returns the standing of a request that gets a slot after some attempts, and records its first one. Once admitted it
+/// counts as most urgent, since a refusal would waste what it has taken already.
+pub(crate) fn standing(cx: &Cx, req: &RoutedRequest, attempts: usize) -> Option<Standing> {
+    let rank = req.rank?;
+    if attempts > 0 {
+        return Some(Standing::ADMITTED);
+    }
+    let now = clock::now();
+    let is_over_share = req.workspace.as_ref().is_some_and(|w| {
+        let shares = (&req.service, req.priority());
+        cx.pools.arrive(shares, &w.workspace, cost(req), now)
+    });
+    Some(Standing {
+        rank,
+        is_over_share,
+    })
+}
+
+/// Records that a request was admitted after some attempts.
+pub(crate) fn record_admitted(cx: &Cx, req: &RoutedRequest, attempts: usize) {
+    let workspace = req.workspace.as_ref().filter(|_| attempts == 0);
+    if let (Some(_), Some(w)) = (req.rank, workspace) {
+        let shares = (&req.service, req.priority());
+        cx.pools
+            .admit(shares, &w.workspace, cost(req), clock::now());
+    }
+}
+
+fn cost(req: &RoutedRequest) -> f64 {
+    fairness::cost(req.metadata.prompt_tokens, req.expected_tokens())
+}
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -162,13 +162,10 @@
         priority(&self.route, self.workspace.as_deref())
     }
 
-    /// Returns the rank by which it gets a slot after some attempts. Once admitted it counts as most urgent, since a
-    /// refusal would waste what it has taken already.
-    pub fn rank_after(&self, attempts: usize) -> Option<Rank> {
-        match attempts {
-            0 => self.rank,
-            _ => self.rank.map(|_| 0),
-        }
+    /// Returns the caller's estimate of the number of generated tokens, or else their maximum number.
+    pub fn expected_tokens(&self) -> u64 {
+        let expected = self.metadata.expected_tokens;
+        expected.unwrap_or(self.metadata.max_tokens)
     }
 
     /// Returns the time until the deadline.
