--- a/crates/decide/src/fairness.rs
+++ b/crates/decide/src/fairness.rs
@@ -5,7 +5,8 @@
 //! workspace that has been admitted more than that is over its share, and leaves a little more of the pool free than
 //! others of its rank. While everything is admitted, the level is the largest demand and no workspace is over it.
 //!
-//! Callers reach gateways at random, so each gateway sees a sample of all workspaces and nothing is exchanged.
+//! Callers reach gateways at random, so each gateway sees a sample of all workspaces and nothing is exchanged. Holds some
+//! 100 bytes for each workspace of the configuration that has sent requests.
 
 use std::time::{Duration, Instant};
 
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -36,7 +36,7 @@
     Chosen(Arc<Upstream>, Option<WeightsVersion>),
     /// There are upstreams, but none has free capacity.
     Full,
-    /// The free capacity is reserved for more urgent requests.
+    /// The free capacity is reserved for requests that come first.
     Reserved {
         /// Whether it has been for the time for which the request may be queued.
         lasts: bool,
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -32,7 +32,7 @@
     Unconfirmed(Duration),
     /// all upstreams are busy; come back later
     Busy(Duration),
-    /// the free capacity is kept for more urgent requests; come back later
+    /// the free capacity is reserved for other requests; come back later
     Reserved(Duration),
     /// no upstream can run the request now; come back later
     NoUpstream(Duration),
