Order requests by their route where workspaces have the same priority

Cause: a workspace's priority took the place of its route's, so where all workspaces have the same one, all requests had one rank, and a reserve was kept that no request could use. Change: the rank follows the workspace's priority, then the route's; at most four levels are told apart, so that reserves stay small.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -15,7 +15,7 @@
 use serde::{Deserialize, Serialize};
 
 pub use engine::{Engine, Origin};
-pub use priorities::Priorities;
+pub use priorities::{Priorities, Urgency, urgency};
 pub use route::{Route, RouteKind, Share};
 
 /// Name of a service.
@@ -115,7 +115,7 @@
     pub origin: Option<Origin>,
     /// Requests per second that a cold upstream can handle; `None` if its upstreams are never cold.
     pub cold_rate: Option<f64>,
-    /// Priorities of its routes; set by [`Catalog::new`].
+    /// Priorities of its requests; set by [`Catalog::new`].
     pub priorities: Priorities,
 }
 
@@ -161,7 +161,7 @@
         access: Access,
         limits: RequestLimits,
     ) -> Catalog {
-        let priorities = |service: &Service| Priorities::of(&service.name, &routes);
+        let priorities = |service: &Service| Priorities::of(&service.name, &routes, &access);
         let services = services
             .into_iter()
             .map(|s| Service {
--- a/crates/decide/src/priority.rs
+++ b/crates/decide/src/priority.rs
@@ -33,20 +33,29 @@
 /// 20 times a second.
 const MAX_OBSERVATION_GAP: Duration = Duration::from_millis(250);
 
-/// Returns the rank of a request, given the distinct priorities of the routes of its service in ascending order. A
-/// priority that no route has counts as the next more urgent one of a route, or else as the most urgent one.
-pub fn rank(class: DeadlineClass, priority: u8, priorities: &[u8]) -> Rank {
+/// Maximum number of priorities that are told apart, so that reserves stay small where workspaces have many
+/// priorities. Neighbouring ones share a rank beyond that.
+const MAX_LEVELS: usize = 4;
+
+/// Returns the rank of a request, given the distinct priorities of its service in ascending order. A priority that isn't
+/// among them counts as the next more urgent one, or else as the most urgent one.
+pub fn rank<P: Ord>(class: DeadlineClass, priority: P, priorities: &[P]) -> Rank {
     let at_most = priorities.iter().filter(|p| **p <= priority).count();
-    let index = at_most.saturating_sub(1) as Rank;
+    let levels = levels(priorities);
+    let index = at_most.saturating_sub(1) * levels / priorities.len().max(1);
     match class {
-        DeadlineClass::OnTime => index,
-        DeadlineClass::Late => index + priorities.len() as Rank,
+        DeadlineClass::OnTime => index as Rank,
+        DeadlineClass::Late => (index + levels) as Rank,
     }
 }
 
-/// Returns the number of ranks of a service whose routes have some distinct priorities.
-pub fn ranks(priorities: &[u8]) -> Rank {
-    2 * priorities.len() as Rank
+/// Returns the number of ranks of a service whose requests have some distinct priorities.
+pub fn ranks<P>(priorities: &[P]) -> Rank {
+    2 * levels(priorities) as Rank
+}
+
+fn levels<P>(priorities: &[P]) -> usize {
+    priorities.len().min(MAX_LEVELS)
 }
 
 /// Returns whether a request counts as being of the most urgent priority so that no route is starved, for a `draw` in
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use catalog::{Access, Catalog, Route, Service, WorkspacePolicy};
+use catalog::{Access, Catalog, Route, Service, WorkspacePolicy, urgency};
 use decide::DeadlineClass;
 use decide::denial::Decision;
 use hyper::http::request;
@@ -87,17 +87,16 @@
     let deadline_class = deadline_class(&metadata, &route, &service, attempt_age);
     let priority = priority(&route, workspace.as_deref());
     record.priority = Some(priority);
+    let urgency = urgency(&route, workspace.as_ref().and_then(|w| w.priority));
     let rank = rank::of(
         cx,
         &service,
         deadline_class,
-        priority,
+        urgency,
         (&metadata.attempt_id, arrived),
     );
     let bound_objective = match rank {
-        Some(_) => service
-            .priorities
-            .bound_objective(priority, route.objective),
+        Some(_) => service.priorities.bound_objective(urgency, route.objective),
         None => route.objective,
     };
     let req = RoutedRequest {
--- a/crates/gateway/src/pools.rs
+++ b/crates/gateway/src/pools.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use base::{Map, Workspace};
-use catalog::ServiceName;
+use catalog::{ServiceName, Urgency};
 use decide::fairness::Shares;
 use decide::priority::{Pool, Rank, Shortage};
 use log::info;
@@ -20,8 +20,8 @@
     pool: Pool,
     ranks: Rank,
     shortage: Shortage,
-    /// Usage of workspaces, by priority.
-    shares: Map<u8, Shares>,
+    /// Usage of workspaces, by urgency.
+    shares: Map<Urgency, Shares>,
     /// Most urgent rank that is refused, as last logged.
     logged: Option<Rank>,
 }
@@ -49,13 +49,13 @@
     /// Records a workspace's request of a service and priority. Returns whether the workspace is over its share.
     pub fn arrive(
         &self,
-        (service, priority): (&ServiceName, u8),
+        (service, urgency): (&ServiceName, Urgency),
         workspace: &Workspace,
         cost: f64,
         now: Instant,
     ) -> bool {
         self.with(service, |observed| {
-            let shares = observed.shares.entry(priority).or_default();
+            let shares = observed.shares.entry(urgency).or_default();
             shares.arrive(workspace, cost, now)
         })
     }
@@ -63,13 +63,13 @@
     /// Records that a workspace's request was admitted.
     pub fn admit(
         &self,
-        (service, priority): (&ServiceName, u8),
+        (service, urgency): (&ServiceName, Urgency),
         workspace: &Workspace,
         cost: f64,
         now: Instant,
     ) {
         self.with(service, |observed| {
-            let shares = observed.shares.entry(priority).or_default();
+            let shares = observed.shares.entry(urgency).or_default();
             shares.admit(workspace, cost, now);
         });
     }
--- a/crates/gateway/src/rank.rs
+++ b/crates/gateway/src/rank.rs
@@ -3,7 +3,7 @@
 use std::hash::BuildHasher;
 use std::time::Instant;
 
-use catalog::Service;
+use catalog::{Service, Urgency};
 use decide::DeadlineClass;
 use decide::fairness;
 use decide::priority::{self, Rank, Standing};
@@ -17,7 +17,7 @@
     cx: &Cx,
     service: &Service,
     class: DeadlineClass,
-    priority: u8,
+    urgency: Urgency,
     attempt: (&AttemptId, Instant),
 ) -> Option<Rank> {
     let priorities = &service.priorities;
@@ -27,11 +27,11 @@
     // The hash has a random seed: a caller can't choose an attempt id that counts as most urgent.
     let hash = cx.random_state.hash_one(attempt) >> 32;
     let draw = hash as f64 / f64::from(u32::MAX);
-    let priority = match priority::is_promoted(draw, cx.cfg.min_share) {
+    let urgency = match priority::is_promoted(draw, cx.cfg.min_share) {
         true => priorities.most_urgent(),
-        false => priority,
+        false => urgency,
     };
-    Some(priority::rank(class, priority, priorities.distinct()))
+    Some(priority::rank(class, urgency, priorities.distinct()))
 }
 
 /// Returns the standing of a request that gets a slot after some attempts, and records its first one. Once admitted it
@@ -43,7 +43,7 @@
     }
     let now = clock::now();
     let is_over_share = req.workspace.as_ref().is_some_and(|w| {
-        let shares = (&req.service, req.priority());
+        let shares = (&req.service, req.urgency());
         cx.pools.arrive(shares, &w.workspace, cost(req), now)
     });
     Some(Standing {
@@ -56,7 +56,7 @@
 pub(crate) fn record_admitted(cx: &Cx, req: &RoutedRequest, attempts: usize) {
     let workspace = req.workspace.as_ref().filter(|_| attempts == 0);
     if let (Some(_), Some(w)) = (req.rank, workspace) {
-        let shares = (&req.service, req.priority());
+        let shares = (&req.service, req.urgency());
         cx.pools
             .admit(shares, &w.workspace, cost(req), clock::now());
     }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -6,7 +6,7 @@
 
 use base::{Domains, Fingerprint, Model};
 use bytes::Bytes;
-use catalog::{ApiKey, Route, ServiceName, WeightsVersion, WorkspacePolicy};
+use catalog::{ApiKey, Route, ServiceName, Urgency, WeightsVersion, WorkspacePolicy, urgency};
 use decide::DeadlineClass;
 use decide::priority::Rank;
 use decide::residency::is_allowed;
@@ -168,6 +168,14 @@
         expected.unwrap_or(self.metadata.max_tokens)
     }
 
+    /// Returns the urgency by which it is admitted.
+    pub fn urgency(&self) -> Urgency {
+        urgency(
+            &self.route,
+            self.workspace.as_ref().and_then(|w| w.priority),
+        )
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_duration_since(clock::now())
