--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -9,9 +9,11 @@
 //! - [`denial`]: whether the local replica of the configuration may deny a request.
 //! - [`draining`]: whether a draining upstream gets new requests.
 //! - [`engine_model`]: choice of engines of varying speed.
+//! - [`fairness`]: workspaces that have been admitted more than their share of short capacity.
 //! - [`fanout`]: gateways of a failure domain that a change of load is sent to at once.
 //! - [`load_balancing`]: choice of the upstream for a request.
 //! - [`outlier_detection`]: upstreams that are avoided because they fail most of their requests.
+//! - [`priority`]: whether a request may take a slot while more urgent ones may need it.
 //! - [`quarantine`]: requests that run on trial or are quarantined because upstreams exited under
 //!   them.
 //! - [`queue`]: order and maximum wait of queued requests.
@@ -32,9 +34,11 @@
 pub mod denial;
 pub mod draining;
 pub mod engine_model;
+pub mod fairness;
 pub mod fanout;
 pub mod load_balancing;
 pub mod outlier_detection;
+pub mod priority;
 pub mod quarantine;
 pub mod queue;
 pub mod rate_limit;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -9,6 +9,8 @@
 
 use base::Map;
 use catalog::{Service, ServiceName};
+use decide::DeadlineClass;
+use decide::priority::Standing;
 use decide::quarantine::Isolation;
 use decide::queue::{Queue, Ticket, max_wait};
 use decide::retry_after::{Reason, delay_until_available, jittered_delay};
@@ -17,6 +19,7 @@
 
 use crate::Cx;
 use crate::balance::{Pick, pick};
+use crate::rank;
 use crate::refusal::Refusal;
 use crate::request::RoutedRequest;
 use crate::upstream::{Slot, SlotNotifier, Upstream};
@@ -71,13 +74,23 @@
         }
     }
 
-    fn enqueue<'a>(&'a self, service: &'a ServiceName, req: &RoutedRequest) -> QueueGuard<'a> {
+    fn enqueue<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        req: &RoutedRequest,
+        standing: Option<Standing>,
+    ) -> QueueGuard<'a> {
+        let (class, priority) = match standing {
+            // Late ranks follow all others, so the class is part of the rank.
+            Some(standing) => (DeadlineClass::OnTime, standing.queue_priority()),
+            None => (req.deadline_class, req.priority()),
+        };
         let mut queues = self.queues();
         let queue = queues.entry(service.clone()).or_default();
         QueueGuard {
             admission: self,
             service,
-            ticket: queue.enqueue(req.deadline_class, req.priority()),
+            ticket: queue.enqueue(class, priority),
         }
     }
 
@@ -90,7 +103,7 @@
 
 /// Returns until when a request that has just arrived may be queued.
 pub fn queue_deadline(req: &RoutedRequest) -> Instant {
-    (req.arrived + max_wait(req.route.objective)).min(req.deadline)
+    (req.arrived + max_wait(req.bound_objective)).min(req.deadline)
 }
 
 /// Waits until `until` for a slot at an upstream that isn't among `tried`. `isolation` is set for a suspect, and
@@ -103,12 +116,14 @@
     isolation: Option<Isolation>,
     until: Instant,
 ) -> Result<Slot, Refusal> {
-    let guard = cx.admission.enqueue(&req.service, req);
-    let mut has_waited = false;
+    let standing = rank::standing(cx, req, tried.len());
+    let guard = cx.admission.enqueue(&req.service, req, standing);
+    let (mut has_waited, mut is_reserved) = (false, false);
     loop {
         if cx.admission.is_next(&guard) {
-            match pick_isolated(isolation, cx, req, service, tried, has_waited) {
+            match pick_isolated(isolation, cx, req, service, tried, has_waited, standing) {
                 Pick::Chosen(upstream, version) => {
+                    rank::record_admitted(cx, req, tried.len());
                     // There may be free capacity for the next request too.
                     cx.admission.slot_freed.notify_one();
                     let unread = service
@@ -122,7 +137,11 @@
                         cx.admission.notifier(),
                     ));
                 }
-                Pick::Full => has_waited = true,
+                Pick::Full => (has_waited, is_reserved) = (true, false),
+                Pick::Reserved { lasts: true } => {
+                    return Err(Refusal::Reserved(retry_delay(Reason::Busy)));
+                }
+                Pick::Reserved { lasts: false } => (has_waited, is_reserved) = (true, true),
                 Pick::NotBefore(at) if at < until => has_waited = true,
                 Pick::NotBefore(at) => {
                     let remaining = at.saturating_duration_since(clock::now());
@@ -136,7 +155,11 @@
         }
         let now = clock::now();
         if now >= until {
-            return Err(Refusal::Busy(retry_delay(Reason::Busy)));
+            let delay = retry_delay(Reason::Busy);
+            return match is_reserved {
+                true => Err(Refusal::Reserved(delay)),
+                false => Err(Refusal::Busy(delay)),
+            };
         }
         let recheck_at = (now + RECHECK_INTERVAL).min(until);
         tokio::select! {
@@ -155,14 +178,15 @@
     service: &Service,
     tried: &[Arc<Upstream>],
     has_waited: bool,
+    standing: Option<Standing>,
 ) -> Pick {
     let Some(isolation) = isolation else {
-        return pick(cx, req, service, tried, &[], has_waited);
+        return pick(cx, req, service, tried, &[], has_waited, standing);
     };
     let trials = cx.suspects.active_trials(clock::now());
-    match pick(cx, req, service, tried, &trials, has_waited) {
+    match pick(cx, req, service, tried, &trials, has_waited, standing) {
         Pick::Full if isolation == Isolation::Preferred => {
-            pick(cx, req, service, tried, &[], has_waited)
+            pick(cx, req, service, tried, &[], has_waited, standing)
         }
         picked => picked,
     }
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -36,6 +36,7 @@
     drop(feedback);
     let slow = cx.paces.slow_engines(clock::now());
     metrics::gauge!("driftnotch_slow_engines").set(slow as f64);
+    cx.pools.report();
     let (open, quarantined) = cx.suspects.counts();
     metrics::gauge!("driftnotch_suspects", "of" => "known").set(open as f64);
     metrics::gauge!("driftnotch_suspects", "of" => "held").set(quarantined as f64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,8 @@
 mod loss;
 pub mod membership;
 pub mod paces;
+pub mod pools;
+mod rank;
 mod rate_limit_updates;
 pub mod rate_limits;
 mod record;
@@ -66,6 +68,7 @@
 use crate::loads::LoadTable;
 use crate::membership::UpstreamTable;
 use crate::paces::PaceTable;
+use crate::pools::Pools;
 use crate::release::Releases;
 use crate::request::Codec;
 use crate::suspects::Suspects;
@@ -90,6 +93,8 @@
     pub releases: Releases,
     /// Queues of requests that wait for a slot.
     pub admission: Admission,
+    /// Free capacity of services whose routes differ in priority.
+    pub pools: Pools,
     /// Attempt ages of callers, by route.
     pub attempt_ages: AttemptAges,
     /// Retry budget.
@@ -180,6 +185,7 @@
             feedback: Feedback::default(),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
+            pools: Pools::default(),
             attempt_ages: AttemptAges::default(),
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -118,6 +118,18 @@
         "Whether requests are kept from engines that are slow now, and from those where they would make running \
          streams pause for too long. Turn it off where engines report a wrong speed.",
     ),
+    field(
+        "priority_admission",
+        Flag(true),
+        "Whether requests of less urgent routes leave some capacity of a service's engines to more urgent ones. Turn \
+         it off where all routes are to be refused alike.",
+    ),
+    field(
+        "min_share",
+        Ratio(0.25, 0.0, 1.0),
+        "Part of the requests of each less urgent route that counts as most urgent, so that none is starved. Raise \
+         it where less urgent routes get too little in overload.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -248,6 +248,8 @@
         cold_overage: f64 = ratio,
         cold_slack: f64 = ratio,
         speed_aware: bool = flag,
+        priority_admission: bool = flag,
+        min_share: f64 = ratio,
         hold_time: Duration = duration,
         stop_notice: Duration = duration,
         drain_timeout: Duration = duration,
