Predict whether a version in progress is worth completing before its successor

Loaders dropped a version that was less than 0.75 obtainable when its successor arrived. On kiosks that left 5 s in which no version could begin a request, where completing it would have shortened that time. decide::rollout predicts the time without a version under either choice, from the missing chunks, the rates and the releases, and takes the shorter one. Not yet called by loaders.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`restore`]: entries of a restored store that are out of date.
 //! - [`retry_after`]: time after which a refused caller should retry.
 //! - [`retry_budget`]: budget of retries.
+//! - [`rollout`]: whether a version of weights in progress is completed before its successor.
 //! - [`senders`]: gateways that send to an upstream limited to a few requests a second.
 //! - [`slow_start`]: request rate to a cold upstream.
 
@@ -41,6 +42,7 @@
 pub mod restore;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod rollout;
 pub mod senders;
 pub mod slow_start;
 
