Decide by prediction whether loaders complete a version before its successor

Loaders kept a version in progress beside its successor if they held 0.75 of it, and otherwise dropped it, whatever that meant for the time without a version that may begin requests. Where two releases follow each other within the bound, the manifest of the successor is now fetched at once, and decide::rollout decides when it arrives. An older version that is completed first has precedence at the origin and in the window. On a tie it is dropped, or suspended if it is nearly held: then it takes nothing from the origin while its successor makes progress.

An engine whose version may begin no requests any more takes a complete older version at once if that can serve for at least 500 ms, and doesn't wait for its slot.

--- a/crates/decide/src/rollout.rs
+++ b/crates/decide/src/rollout.rs
@@ -33,6 +33,10 @@
 /// dominate.
 const MIN_OBSERVED: u32 = 8;
 
+/// Fraction of an older version's chunks that loaders must hold together for it to be suspended, not dropped: little of
+/// it is left to fetch if its successor turns out to be unavailable.
+const MIN_HELD: f64 = 0.75;
+
 /// Time without a new chunk from which on the origin counts as unreachable, not as slow: several times the 45 ms that
 /// a chunk takes on the origin's link, and more than the interval of announcements.
 const MAX_PAUSE: Duration = Duration::from_millis(300);
@@ -77,6 +81,8 @@
 pub struct Candidate {
     /// Version.
     pub version: WeightsVersion,
+    /// Number of chunks.
+    pub chunks: usize,
     /// Number of chunks that no loader holds.
     pub missing: usize,
 }
@@ -112,7 +118,7 @@
     }
 
     /// Returns when all loaders hold a version whose missing chunks are fetched from `start` on.
-    fn complete_at(&self, start: Instant, missing: usize) -> Instant {
+    pub fn complete_at(&self, start: Instant, missing: usize) -> Instant {
         start + self.fetch_time(missing) + self.distribution_time()
     }
 
@@ -147,6 +153,8 @@
 pub enum Decision {
     /// The version in progress is completed, its successor is fetched afterwards.
     CompleteOlder,
+    /// The version in progress is fetched from the origin only while its successor is stalled.
+    SuspendOlder,
     /// The version in progress is dropped.
     DropOlder,
 }
@@ -156,6 +164,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Decision::CompleteOlder => "complete_older",
+            Decision::SuspendOlder => "suspend_older",
             Decision::DropOlder => "drop_older",
         }
     }
@@ -222,40 +231,49 @@
         .saturating_sub(covered)
 }
 
-/// Decides whether the version in progress is completed before its successor. On a tie it is dropped, which saves
-/// origin bytes, unless loaders hold all its chunks together and it can still be served: completing it then takes
+/// Decides whether the version in progress is completed before its successor. On a tie it is dropped or suspended, which
+/// saves origin bytes, unless loaders hold all its chunks together and it can still be served: completing it then takes
 /// nothing from the origin.
 pub fn decide(inputs: &Inputs, prediction: &Prediction) -> Decision {
     let is_shorter = prediction.gap_completed + TIE < prediction.gap_dropped;
     let until = may_begin_until(inputs.releases, inputs.older.version, inputs.bound);
     let is_useful = until.is_none_or(|until| prediction.older_ready + MIN_USEFUL < until);
     let is_free = inputs.older.missing == 0 && prediction.gap_completed <= prediction.gap_dropped;
-    match is_useful && (is_shorter || is_free) {
-        true => Decision::CompleteOlder,
-        false => Decision::DropOlder,
+    let difference = prediction.gap_completed.abs_diff(prediction.gap_dropped);
+    let max_missing = inputs.older.chunks as f64 * (1.0 - MIN_HELD);
+    let is_nearly_held = inputs.older.missing as f64 <= max_missing;
+    match is_useful {
+        true if is_shorter || is_free => Decision::CompleteOlder,
+        true if difference <= TIE && is_nearly_held => Decision::SuspendOlder,
+        _ => Decision::DropOlder,
     }
 }
 
-/// Inputs of the decision of an engine that serves a version which may not begin requests any more.
+/// Inputs of an engine's decision between a complete older version and a newer one that is being fetched.
 #[derive(Debug, Clone, Copy)]
-pub struct Expired {
+pub struct Complete {
     /// Current time.
     pub now: Instant,
-    /// Time until which the complete older version may begin requests; `None` if it is the newest release.
+    /// Time until which the version that the engine serves may begin requests; `None` if no newer one is released.
+    pub held_until: Option<Instant>,
+    /// The same for the complete version.
     pub older_until: Option<Instant>,
-    /// When this loader is expected to hold the newer version completely.
-    pub newer_complete_at: Instant,
+    /// When this loader is expected to hold the newer version completely; `None` if its fetch is stalled.
+    pub newer_complete_at: Option<Instant>,
     /// Time from a complete version until the engine serves it.
     pub switch: Duration,
 }
 
-/// Returns whether an engine without a version that may begin requests takes a complete older version at once,
-/// instead of waiting for a newer one: the older version would serve for a useful time until the newer one is complete.
-pub fn takes_older(inputs: &Expired) -> bool {
-    let ready = inputs.now + inputs.switch;
-    let until = inputs.older_until.unwrap_or(inputs.newer_complete_at);
-    let until = until.min(inputs.newer_complete_at);
-    until.saturating_duration_since(ready) >= MIN_USEFUL
+/// Returns whether an engine takes a complete older version instead of waiting for a newer one: between the end of the
+/// version that it serves and the arrival of the newer one, the older version would serve for a useful time.
+pub fn takes_older(inputs: &Complete) -> bool {
+    let Some(held_until) = inputs.held_until else {
+        return false;
+    };
+    let useful_from = held_until.max(inputs.now + inputs.switch);
+    let until = inputs.older_until.into_iter();
+    let until = until.chain(inputs.newer_complete_at).min();
+    until.is_none_or(|until| until.saturating_duration_since(useful_from) >= MIN_USEFUL)
 }
 
 /// Observed time per chunk at which the loaders together obtain a version. Pauses while the origin is unreachable
--- a/crates/decide/tests/rollout.rs
+++ b/crates/decide/tests/rollout.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use decide::rollout::{
-    Candidate, Decision, Expired, GATEWAY_MARGIN, Inputs, Links, MIN_USEFUL, ObservedRate,
+    Candidate, Complete, Decision, GATEWAY_MARGIN, Inputs, Links, MIN_USEFUL, ObservedRate,
     Prediction, Release, TIE, decide, follows_within_bound, may_begin_until, predict, takes_older,
 };
 use proptest::prelude::*;
@@ -87,7 +87,11 @@
     start: Instant,
     releases: &'a [Release],
 ) -> Inputs<'a> {
-    let candidate = |version, missing| Candidate { version, missing };
+    let candidate = |version, missing| Candidate {
+        version,
+        chunks: fleet.chunks,
+        missing,
+    };
     Inputs {
         now: start + ms(outage.end),
         serving: 1,
@@ -153,7 +157,7 @@
     let (mut second_at, mut third_at) = (None, None);
     let ahead = match decision {
         Decision::CompleteOlder => missing,
-        Decision::DropOlder => 0.0,
+        Decision::SuspendOlder | Decision::DropOlder => 0.0,
     };
     loop {
         if carried >= ahead && decision == Decision::CompleteOlder {
@@ -196,7 +200,7 @@
                     let decision = decide(&inputs, &prediction);
                     let other = match decision {
                         Decision::CompleteOlder => Decision::DropOlder,
-                        Decision::DropOlder => Decision::CompleteOlder,
+                        Decision::SuspendOlder | Decision::DropOlder => Decision::CompleteOlder,
                     };
                     let chosen = simulated_gap(&fleet, &outage, decision);
                     let other = simulated_gap(&fleet, &outage, other);
@@ -254,6 +258,23 @@
     assert_eq!(decision, Decision::DropOlder);
 }
 
+/// Guards against engines without a version after the origin fails, or provides only the older version, right after a
+/// nearly complete version was dropped.
+#[test]
+fn nearly_held_version_is_suspended_on_a_tie() {
+    let outage = Outage {
+        first: 0,
+        second: 2_500,
+        end: 2_600,
+        held: 48,
+        observed: None,
+    };
+
+    assert_eq!(run(&kiosks(), &outage).0, Decision::SuspendOlder);
+    let fewer = Outage { held: 47, ..outage };
+    assert_eq!(run(&kiosks(), &fewer).0, Decision::DropOlder);
+}
+
 #[test]
 fn version_that_can_serve_no_more_is_dropped() {
     let outage = Outage {
@@ -322,24 +343,46 @@
     );
 }
 
+/// Returns whether an engine takes an older version; times in ms from now.
+fn takes(held_until: u64, older_until: u64, newer_in: Option<u64>) -> bool {
+    let start = Instant::now();
+    let now = start + ms(1000);
+    takes_older(&Complete {
+        now,
+        held_until: Some(start + ms(held_until + 1000)),
+        older_until: Some(now + ms(older_until)),
+        newer_complete_at: newer_in.map(|newer_in| now + ms(newer_in)),
+        switch: SWITCH,
+    })
+}
+
 /// Guards against engines that wait without a version until the bound of the running one, although gateways stop
 /// sending requests for it 1.5 s earlier.
 #[test]
 fn engine_without_a_version_takes_an_older_one_that_is_useful() {
-    let now = Instant::now();
-    let takes = |older_until, newer_in| {
-        takes_older(&Expired {
-            now,
-            older_until: Some(now + ms(older_until)),
-            newer_complete_at: now + ms(newer_in),
-            switch: SWITCH,
-        })
-    };
+    assert!(takes(0, 2100, Some(4500)));
+    assert!(takes(0, 2100, None), "the newer one is stalled");
+    assert!(!takes(0, 1000, Some(4500)), "it serves too briefly");
+    assert!(
+        !takes(0, 2100, Some(1000)),
+        "the newer one is about to be complete"
+    );
+    assert!(
+        !takes(0, 300, Some(4500)),
+        "it expires before the switch is over"
+    );
+}
 
-    assert!(takes(2100, 4500));
-    assert!(!takes(1000, 4500), "it serves too briefly");
-    assert!(!takes(2100, 1000), "the newer one is about to be complete");
-    assert!(!takes(300, 4500), "it expires before the switch is over");
+/// Guards against all engines that switch at once when the running version expires.
+#[test]
+fn engine_takes_an_older_version_before_its_own_expires() {
+    assert!(takes(1800, 4800, Some(4500)));
+    assert!(takes(1800, 4800, None), "the newer one is stalled");
+    assert!(
+        !takes(1800, 4800, Some(2000)),
+        "the newer one arrives in time"
+    );
+    assert!(!takes(1800, 2000, None), "it serves too briefly");
 }
 
 #[test]
--- a/crates/loader/src/chunk_set.rs
+++ b/crates/loader/src/chunk_set.rs
@@ -7,6 +7,7 @@
 use base::Model;
 use bytes::Bytes;
 use catalog::WeightsVersion;
+use decide::rollout::ObservedRate;
 use sha2::{Digest, Sha256};
 
 use crate::api::Manifest;
@@ -26,6 +27,10 @@
     chunks: Mutex<Vec<Option<Bytes>>>,
     /// Number of chunks that this loader or another holds.
     available: AtomicUsize,
+    /// Rate at which that number has increased.
+    rate: Mutex<ObservedRate>,
+    /// Newer version that has precedence over this one, until the fetch of this one has taken notice.
+    successor: Mutex<Option<Arc<ChunkSet>>>,
     /// When the last chunk arrived, or the set was created.
     last_progress: Mutex<Instant>,
     /// Whether chunks staged at the engine have been read back.
@@ -42,6 +47,8 @@
             manifest,
             chunks,
             available: AtomicUsize::new(0),
+            rate: Mutex::default(),
+            successor: Mutex::default(),
             last_progress: Mutex::new(clock::now()),
             read_back: AtomicBool::new(false),
         }
@@ -96,13 +103,52 @@
     /// Records how many chunks this loader or another holds.
     pub fn set_available(&self, chunks: usize) {
         self.available.store(chunks, Relaxed);
+        self.rate().record(chunks, clock::now());
+    }
+
+    fn successor(&self) -> MutexGuard<'_, Option<Arc<ChunkSet>>> {
+        self.successor
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives a newer version precedence over this one, whose fetch continues.
+    pub fn set_successor(&self, newer: Arc<ChunkSet>) {
+        *self.successor() = Some(newer);
+    }
+
+    /// Returns the newer version once after it has been given precedence.
+    pub fn take_successor(&self) -> Option<Arc<ChunkSet>> {
+        self.successor().take()
+    }
+
+    fn rate(&self) -> MutexGuard<'_, ObservedRate> {
+        self.rate.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the observed time per chunk that no loader held, if enough have arrived.
+    pub fn observed_chunk_time(&self) -> Option<Duration> {
+        self.rate().chunk_time()
+    }
+
+    /// Returns the time since a chunk has arrived that no loader held.
+    pub fn unavailable_stalled_for(&self, now: Instant) -> Duration {
+        self.rate().stalled_for(now)
+    }
+
+    fn available(&self) -> usize {
+        let own = self.len() - self.missing();
+        self.available.load(Relaxed).max(own)
+    }
+
+    /// Returns the number of chunks that no loader holds.
+    pub fn unavailable(&self) -> usize {
+        self.len().saturating_sub(self.available())
     }
 
     /// Returns the fraction of chunks that this loader or another holds.
     pub fn available_fraction(&self) -> f64 {
-        let own = self.len() - self.missing();
-        let chunks = self.available.load(Relaxed).max(own);
-        chunks as f64 / self.len().max(1) as f64
+        self.available() as f64 / self.len().max(1) as f64
     }
 
     /// Returns a chunk, if it is held.
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -19,8 +19,10 @@
 use crate::chunk::{ChunkError, Fetched, fetch_chunk};
 use crate::chunk_set::ChunkSet;
 use crate::peers::{PeerChunks, Scope, announce, loaders};
+use crate::precedence::{Access, MAX_STALL};
 use crate::presence::Presence;
 use crate::schedule::OriginSchedule;
+use crate::succession::{Predecessor, Preferred};
 
 /// Log prefix of this part.
 const PART: &str = "fetch";
@@ -66,6 +68,10 @@
     from_origin: usize,
     max_origin_fetches: usize,
     schedule: OriginSchedule,
+    /// Version that has precedence over this one.
+    preferred: Option<Preferred>,
+    /// What may be fetched from the origin, see [`Preferred::access`].
+    access: Access,
     /// Whether the last request to the origin failed, and no chunk has been fetched from it since.
     origin_unreachable: bool,
     /// Number of chunks that any loader held when the origin failed.
@@ -91,7 +97,13 @@
 }
 
 /// Fetches all chunks of a set; returns once it is complete.
-pub(crate) async fn fetch(cx: Arc<Cx>, set: Arc<ChunkSet>, origin: OriginVersion, client: Client) {
+pub(crate) async fn fetch(
+    cx: Arc<Cx>,
+    set: Arc<ChunkSet>,
+    origin: OriginVersion,
+    client: Client,
+    predecessor: Option<Predecessor>,
+) {
     let now = clock::now();
     let policy = policy(&cx);
     let max_origin_fetches = max_origin_fetches(&cx);
@@ -106,6 +118,11 @@
         from_origin: 0,
         max_origin_fetches,
         schedule,
+        access: match predecessor {
+            Some(_) => Access::Wait,
+            None => Access::Full,
+        },
+        preferred: predecessor.map(Preferred::Older),
         origin_unreachable: false,
         available_at_failure: 0,
         origin_back_off_until: now,
@@ -159,7 +176,7 @@
 }
 
 /// Returns the time in which the origin's link carries a chunk; zero if its rate is unknown.
-fn chunk_time(cx: &Cx) -> Duration {
+pub(crate) fn chunk_time(cx: &Cx) -> Duration {
     let catalog = cx.catalog.borrow();
     let origin = catalog.as_ref().and_then(|c| c.origin());
     let service = catalog.as_ref().and_then(|c| c.service(&cx.service));
@@ -225,6 +242,50 @@
         if self.origin_unreachable && available > self.available_at_failure {
             self.resume_origin();
         }
+        self.update_access(available);
+    }
+
+    /// Updates what may be fetched from the origin while another version has precedence.
+    fn update_access(&mut self, available: usize) {
+        if let Some(newer) = self.set.take_successor() {
+            self.preferred = Some(Preferred::successor(newer));
+            self.access = Access::Wait;
+        }
+        let Some(preferred) = &mut self.preferred else {
+            return;
+        };
+        let access = match self.access {
+            Access::Full => Access::Full,
+            _ => preferred.access(&self.cx, &self.set, available),
+        };
+        let now = clock::now();
+        if access != Access::Full {
+            // Waiting isn't a stall, after which this loader would take over the chunks of others.
+            self.last_progress = now;
+        }
+        if access != self.access {
+            let other = preferred.set();
+            info!(target: PART, "{PART}: event=origin_access version={} access={access:?} preferred={} missing={}", self.set.version, other.version, other.unavailable());
+            let chunk_time = match access {
+                Access::Full => chunk_time(&self.cx),
+                _ => MAX_STALL,
+            };
+            self.access = access;
+            self.schedule = OriginSchedule::new(chunk_time, &self.available_chunks(), now);
+        }
+        let needs_link = self.preferred.as_ref().is_some_and(Preferred::needs_link);
+        if access == Access::Full && !needs_link {
+            self.preferred = None;
+        }
+    }
+
+    /// Returns whether another chunk may be requested.
+    fn has_capacity(&self) -> bool {
+        let own = self.in_flight.len();
+        match self.preferred.as_ref().is_some_and(Preferred::needs_link) {
+            true => self.cx.window.has_spare_capacity(own),
+            false => self.cx.window.has_capacity(own),
+        }
     }
 
     fn announced(&self, since: Option<Instant>) -> Map<SocketAddr, PeerChunks> {
@@ -257,7 +318,7 @@
 
     /// Starts as many chunk fetches as the window permits, the most urgent first.
     fn start(&mut self, fetching: &mut JoinSet<Fetched>) {
-        if !self.cx.window.has_capacity(self.in_flight.len()) {
+        if !self.has_capacity() {
             return;
         }
         let (waited, stalled) = (clock::since(self.started), clock::since(self.last_progress));
@@ -274,7 +335,7 @@
         ready.shuffle(&mut rand::rng());
         ready.sort_by_key(|(urgency, ..)| *urgency);
         for (_, i, source) in ready {
-            if !self.cx.window.has_capacity(self.in_flight.len()) {
+            if !self.has_capacity() {
                 return;
             }
             match source {
@@ -316,7 +377,8 @@
     /// Returns whether no chunks may be fetched from the origin now.
     fn is_origin_paused(&self) -> bool {
         let may_be_staged = !self.set.is_read_back() && clock::since(self.started) < ENGINE_WAIT;
-        may_be_staged || clock::now() < self.origin_back_off_until
+        let must_wait = !matches!(self.access, Access::Full | Access::Probe);
+        must_wait || may_be_staged || clock::now() < self.origin_back_off_until
     }
 
     fn origin_back_off(&self) -> Duration {
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -6,6 +6,8 @@
 //! - `fetch` fetches missing chunks from other loaders and, by [`schedule`], from the origin into [`chunk_set`],
 //!   as many concurrently as [`window`] permits. `announcer` announces them to other loaders; `presence` decides
 //!   by such announcements which loaders count as present.
+//! - `succession` decides whether a version in progress is completed before its successor, and [`precedence`] what the
+//!   successor may fetch meanwhile.
 //! - `stage` stages the chunks at the engine and verifies them.
 //! - [`slot`] decides when the engine may leave service to switch.
 //!
@@ -21,6 +23,7 @@
 mod fetch;
 mod manifest;
 mod peers;
+pub mod precedence;
 mod presence;
 mod rollout;
 mod run;
@@ -28,6 +31,7 @@
 pub mod slot;
 mod stage;
 mod status;
+mod succession;
 pub mod window;
 
 use std::sync::atomic::AtomicBool;
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -19,6 +19,7 @@
 use crate::peers::{BYTES_PER_MBIT, Scope, announce, loaders};
 use crate::slot::{PendingVersion, can_skip, last_slot_start, should_complete, slot_start};
 use crate::stage::{read_back, stage, verify};
+use crate::succession::{OlderFetch, Releases, choose_predecessor, takes_older_version};
 
 /// Log prefix of this part.
 const PART: &str = "rollout";
@@ -52,13 +53,6 @@
     older: Vec<OlderFetch>,
 }
 
-/// Fetch of an older version that may still be running.
-#[derive(Debug, Clone)]
-struct OlderFetch {
-    version: WeightsVersion,
-    task: AbortHandle,
-}
-
 /// An order that may not have taken effect yet.
 #[derive(Debug, Clone, Copy)]
 struct PendingOrder {
@@ -143,7 +137,9 @@
         let mut older = Vec::new();
         if let Some(current) = self.fetches.get(model) {
             let done = current.task.is_finished();
-            if current.version >= version || !(done || self.can_skip(model, current.version)) {
+            if current.version >= version
+                || !(done || self.can_start(model, current.version, version))
+            {
                 return;
             }
             info!(target: PART, "{PART}: event=left version={} done={done} for={version}", current.version);
@@ -168,6 +164,7 @@
             origin,
             client,
             older.clone(),
+            self.state.clone(),
         ));
         let current = CurrentFetch {
             version,
@@ -177,6 +174,13 @@
         self.fetches.insert(model.clone(), current);
     }
 
+    /// Returns whether the manifest of a newer version is fetched while an older version is in progress. Once it has
+    /// arrived, a prediction decides which of competing versions is fetched first.
+    fn can_start(&self, model: &Model, older: WeightsVersion, newer: WeightsVersion) -> bool {
+        let competes = Releases::of(&self.cx, model).compete(older, newer);
+        (self.cx.cfg.predict_rollout && competes) || self.can_skip(model, older)
+    }
+
     /// Returns whether a newer version can be on all engines before the bound of a version that is skipped. Otherwise
     /// engines would hold no version that may start requests for a while.
     fn can_skip(&self, model: &Model, version: WeightsVersion) -> bool {
@@ -195,7 +199,8 @@
         let held = held.and_then(|h| h.version);
         let set = self.cx.sets.newest_complete(model);
         let wanted = set.filter(|set| held < Some(set.version));
-        let wanted = wanted.filter(|set| held.is_none() || !self.should_wait_for_newer(set));
+        let has_expired = held.is_some_and(|held| self.has_expired(model, held));
+        let wanted = wanted.filter(|set| held.is_none_or(|held| !self.should_wait(set, held)));
         // An engine that has just switched and is still idle switches to a newer version at once.
         let is_idle = state.running == 0 && self.cx.leaving.load(Ordering::Relaxed);
         let next = wanted.as_ref().map(|set| set.version);
@@ -215,6 +220,7 @@
             Some(set)
                 if is_idle
                     || held.is_none()
+                    || has_expired
                     || clock::now() >= self.slot(&set.model, set.version) =>
             {
                 self.order(&set, held.is_some()).await;
@@ -235,11 +241,7 @@
     }
 
     /// Returns whether a serving engine should wait for a newer version instead of switching to a complete older one.
-    fn should_wait_for_newer(&self, older: &ChunkSet) -> bool {
-        let newer = self.fetches.get(&older.model).map(|f| f.version);
-        let Some(newer) = newer.filter(|version| *version > older.version) else {
-            return false;
-        };
+    fn should_wait_for_newer(&self, older: &ChunkSet, newer: WeightsVersion) -> bool {
         let bound = self.cx.cfg.node.version_time;
         let (Some(since), Some(older_since)) = (
             self.known_since(&older.model, newer),
@@ -258,6 +260,29 @@
         !pending.is_too_late(needed, expired, bound, clock::now())
     }
 
+    /// Returns whether the engine's version may begin no requests any more while newer ones compete. The engine then
+    /// loses nothing by leaving service before its slot.
+    fn has_expired(&self, model: &Model, held: WeightsVersion) -> bool {
+        let releases = Releases::of(&self.cx, model);
+        self.cx.cfg.predict_rollout && releases.has_expired(held, clock::now())
+    }
+
+    /// Returns whether an engine that serves `held` should wait for a newer version instead of switching to a complete
+    /// older one. Once its version may begin no requests any more, that depends on the prediction alone.
+    fn should_wait(&self, older: &ChunkSet, held: WeightsVersion) -> bool {
+        let newer = self.fetches.get(&older.model).map(|f| f.version);
+        let Some(newer) = newer.filter(|version| *version > older.version) else {
+            return false;
+        };
+        let competes = Releases::of(&self.cx, &older.model).compete(older.version, newer);
+        let takes = || takes_older_version(&self.cx, held, older, newer);
+        match self.cx.cfg.predict_rollout && competes {
+            true if self.has_expired(&older.model, held) => !takes(),
+            true => self.should_wait_for_newer(older, newer) && !takes(),
+            false => self.should_wait_for_newer(older, newer),
+        }
+    }
+
     /// Returns the start of the engine's slot for a version.
     fn slot(&self, model: &Model, version: WeightsVersion) -> Instant {
         let others: Vec<VmId> = loaders(&self.cx).into_iter().map(|m| m.vm).collect();
@@ -336,14 +361,28 @@
     }
 }
 
-/// Fetches a version: reads back chunks that are staged at the engine and fetches the others meanwhile. Fetches of older
-/// versions are aborted once the manifest has arrived or, if they are almost complete, once this version is
+/// Fetches a version: reads back chunks that are staged at the engine and fetches the others meanwhile. Once the manifest
+/// has arrived, it is decided which older versions in progress are completed first; the others are aborted. Fetches of
+/// older versions that don't compete are aborted then too or, if they are almost complete, once this version is
 /// complete: while the origin is unreachable, other loaders may still provide them, but not this version.
-async fn fetch_version(cx: Arc<Cx>, origin: OriginVersion, client: Client, older: Vec<OlderFetch>) {
+async fn fetch_version(
+    cx: Arc<Cx>,
+    origin: OriginVersion,
+    client: Client,
+    older: Vec<OlderFetch>,
+    state: watch::Receiver<Option<EngineState>>,
+) {
     let manifest = manifest(&cx, &origin, &client).await;
-    let remaining = abort_older(&cx, &origin.model, older);
+    let releases = Releases::of(&cx, &origin.model);
+    let competes = |older: &OlderFetch| {
+        cx.cfg.predict_rollout && releases.compete(older.version, origin.version)
+    };
+    let (competing, others) = older.into_iter().partition(competes);
+    let mut remaining = abort_older(&cx, &origin.model, others);
     let set = ChunkSet::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
+    let succession = choose_predecessor(&cx, &set, competing, &state);
+    remaining.extend(succession.remaining);
     // Aborts the read-back when this task ends.
     let mut read_back_task = JoinSet::new();
     match origin.version == FIRST_VERSION || cx.sets.newest_complete(&origin.model).is_none() {
@@ -352,7 +391,7 @@
         }
         false => set.set_read_back(),
     }
-    fetch(cx, set, origin, client).await;
+    fetch(cx, set, origin, client, succession.predecessor).await;
     remaining.iter().for_each(AbortHandle::abort);
 }
 
--- a/crates/loader/src/window.rs
+++ b/crates/loader/src/window.rs
@@ -47,6 +47,13 @@
         own == 0 || state.in_flight < state.limit as usize
     }
 
+    /// Returns whether a version with `own` chunks in flight may request another while an older version has precedence:
+    /// at most one, if the window isn't full, which delays a chunk of the older version by the time of one chunk.
+    pub fn has_spare_capacity(&self, own: usize) -> bool {
+        let state = self.state();
+        own == 0 && state.in_flight < state.limit as usize
+    }
+
     /// Counts a chunk as in flight until the guard is dropped.
     pub fn begin(&self) -> InFlight {
         self.state().in_flight += 1;
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Declares the fields of gateways and loaders.
 
 use crate::Field;
-use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Map, Name, Ratio};
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Flag, Map, Name, Ratio};
 use crate::field::field;
 
 /// Fields of gateways and loaders, which are configured by the platform's store.
@@ -182,6 +182,11 @@
         Duration("30ms", "0ms", "10s"),
         "Time after a release in which nothing is drawn from the origin, so that all know of it.",
     ),
+    field(
+        "predict_rollout",
+        Flag(true),
+        "Whether a version that is being fetched when the next one is released is completed first if that leaves engines without a version that may begin requests for a shorter time. Turn it off to decide by the part of its chunks that loaders hold.",
+    ),
     field(
         "origin_patience",
         Duration("900ms", "0ms", "1m"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -268,6 +268,7 @@
         link_mbps: f64 = ratio,
         weight_share: u64 = number,
         settle_time: Duration = duration,
+        predict_rollout: bool = flag,
         origin_patience: Duration = duration,
         bad_chunks: u64 = number,
         bad_time: Duration = duration,
