--- a/crates/loader/tests/window.rs
+++ b/crates/loader/tests/window.rs
@@ -121,3 +121,16 @@
 
     assert!(window.has_capacity(1));
 }
+
+/// Guards against chunks of a successor that delay those of an older version that is completed first.
+#[test]
+fn version_without_precedence_takes_at_most_one_free_place() {
+    let window = Window::new(2);
+    assert!(window.has_spare_capacity(0));
+    assert!(!window.has_spare_capacity(1));
+
+    let _older = [window.begin(), window.begin()];
+
+    assert!(!window.has_spare_capacity(0));
+    assert!(window.has_capacity(0));
+}
