Let loaders that start late catch up with the origin's schedule

Each loader schedules its chunks from the time at which it received the manifest, so the origin's link is idle at the chunks of late loaders.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -68,6 +68,8 @@
     from_origin: usize,
     max_origin_fetches: usize,
     schedule: OriginSchedule,
+    /// Whether the version was released within the bound of an older one that was in progress.
+    competes: bool,
     /// Version that has precedence over this one.
     preferred: Option<Preferred>,
     /// What may be fetched from the origin, see [`Preferred::access`].
@@ -96,12 +98,14 @@
     failed: u32,
 }
 
-/// Fetches all chunks of a set; returns once it is complete.
+/// Fetches all chunks of a set; returns once it is complete. `competes` states whether the version was released within the
+/// bound of an older one that was in progress, `predecessor` which older version is completed first.
 pub(crate) async fn fetch(
     cx: Arc<Cx>,
     set: Arc<ChunkSet>,
     origin: OriginVersion,
     client: Client,
+    competes: bool,
     predecessor: Option<Predecessor>,
 ) {
     let now = clock::now();
@@ -118,6 +122,7 @@
         from_origin: 0,
         max_origin_fetches,
         schedule,
+        competes,
         access: match predecessor {
             Some(_) => Access::Wait,
             None => Access::Full,
@@ -239,6 +244,9 @@
         }
         let available = self.available();
         self.set.set_available(available);
+        if self.competes && self.access == Access::Full {
+            self.schedule.advance(available, clock::now());
+        }
         if self.origin_unreachable && available > self.available_at_failure {
             self.resume_origin();
         }
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -377,10 +377,11 @@
     let competes = |older: &OlderFetch| {
         cx.cfg.predict_rollout && releases.compete(older.version, origin.version)
     };
-    let (competing, others) = older.into_iter().partition(competes);
+    let (competing, others): (Vec<_>, Vec<_>) = older.into_iter().partition(competes);
     let mut remaining = abort_older(&cx, &origin.model, others);
     let set = ChunkSet::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
+    let has_competitors = !competing.is_empty();
     let succession = choose_predecessor(&cx, &set, competing, &state);
     remaining.extend(succession.remaining);
     // Aborts the read-back when this task ends.
@@ -391,7 +392,15 @@
         }
         false => set.set_read_back(),
     }
-    fetch(cx, set, origin, client, succession.predecessor).await;
+    fetch(
+        cx,
+        set,
+        origin,
+        client,
+        has_competitors,
+        succession.predecessor,
+    )
+    .await;
     remaining.iter().for_each(AbortHandle::abort);
 }
 
