--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -36,7 +36,8 @@
 struct EngineStandIn {
     staged: Map<usize, Bytes>,
     version: WeightsVersion,
-    orders: u64,
+    /// Versions that it was ordered to switch to.
+    orders: Vec<WeightsVersion>,
 }
 
 /// Shares of the stand-ins that the loaders' calls and the test use.
@@ -73,7 +74,7 @@
             let engine = lock(&state);
             Ok(EngineState {
                 switching: false,
-                orders: engine.orders,
+                orders: engine.orders.len() as u64,
                 holdings: vec![Holding {
                     model: MODEL.to_owned(),
                     version: Some(engine.version),
@@ -90,7 +91,7 @@
         get: call(move |(_, i): (String, usize)| Ok(lock(&get).staged.get(&i).cloned())),
         start: call(move |order: SwitchOrder| {
             let mut engine = lock(&start);
-            engine.orders += 1;
+            engine.orders.push(order.version);
             engine.version = order.version;
             Ok(OrderResult::Taken)
         }),
@@ -319,6 +320,19 @@
     assert!(fleet.served(3) <= CHUNKS + DUPLICATES, "{served:?}");
 }
 
+/// Guards against engines that wait for the successor, and serve no version, although the older one is complete.
+#[test]
+fn engines_serve_the_older_version_until_its_successor_arrives() {
+    let fleet = Fleet::release_during_outage(CHUNKS - 4);
+
+    fleet.open(usize::MAX);
+
+    wait_until("all engines hold version 3", || fleet.all_hold(3));
+    for engine in &fleet.engines {
+        assert_eq!(lock(engine).orders, [2, 3]);
+    }
+}
+
 /// Guards against origin bytes for a version that no engine will serve.
 #[test]
 fn dropped_version_is_not_fetched_again() {
