--- a/crates/loader/src/schedule.rs
+++ b/crates/loader/src/schedule.rs
@@ -41,7 +41,7 @@
 
     /// Makes chunks due earlier if loaders hold more than this schedule expects: other loaders have started earlier, and
     /// the origin's link would be idle at the chunks of those that started late. The link has carried `held` chunks,
-    /// and [`IN_TRANSIT`] more since the announcement of the last one was sent.
+    /// and a few more since the announcement of the last one was sent.
     pub fn advance(&mut self, held: usize, now: Instant) {
         let carried = u32::try_from(held.saturating_sub(self.held)).unwrap_or(u32::MAX);
         if carried == 0 {
