--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -206,6 +206,11 @@
         Duration("30ms", "0ms", "10s"),
         "Time after a release in which nothing is drawn from the origin, so that all know of it.",
     ),
+    field(
+        "predict_rollout",
+        Flag(true),
+        "Whether a version that is being fetched when the next one is released is completed first if that leaves engines without a version that may begin requests for a shorter time. Turn it off to decide by the part of its chunks that loaders hold.",
+    ),
     field(
         "origin_patience",
         Duration("900ms", "0ms", "1m"),
