--- a/crates/decide/tests/overload.rs
+++ b/crates/decide/tests/overload.rs
@@ -1,28 +1,21 @@
 //! Results of callers at a pool of engines that gets more requests than it can serve.
 //!
-//! The simulated engines work in passes over all running requests. In each pass, each request gets some
-//! tokens, and prompts that arrived in between are read. Callers arrive at random and retry once after
-//! the delay in the refusal.
+//! Callers arrive at random and retry once after the delay in the refusal.
+
+mod common;
 
 use std::time::{Duration, Instant};
 
+use common::{ANSWER_TOKENS, Engine, PROMPT_RATE};
 use decide::DeadlineClass;
 use decide::attempt_age::AttemptAgeEstimator;
-use decide::load_balancing::{Candidate, JITTER, Requirements};
+use decide::load_balancing::{JITTER, Requirements};
 use decide::queue::max_wait;
 use decide::retry_after::{Reason, jittered_delay};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
 const ENGINES: usize = 12;
-const SLOTS: u32 = 16;
-/// Tokens that a request gets in a pass.
-const PASS_TOKENS: u64 = 6;
-/// Seconds of a pass that reads no prompt.
-const PASS_SECONDS: f64 = 0.043;
-const PROMPT_RATE: f64 = 30_600.0;
-const PROMPT_TOKENS: u64 = 960;
-const ANSWER_TOKENS: u64 = 120;
 const OBJECTIVE: Duration = Duration::from_millis(400);
 const TIMEOUT: Duration = Duration::from_secs(6);
 const TICK: Duration = Duration::from_millis(1);
@@ -36,20 +29,6 @@
     is_retry: bool,
 }
 
-/// Request at an engine.
-#[derive(Debug)]
-struct Running {
-    request: Request,
-    read: bool,
-    tokens: u64,
-}
-
-#[derive(Debug, Default)]
-struct Engine {
-    running: Vec<Running>,
-    pass_ends: Duration,
-}
-
 /// Counts of callers by result.
 #[derive(Debug, Default, Clone, Copy)]
 struct Results {
@@ -69,41 +48,6 @@
     }
 }
 
-impl Engine {
-    fn candidate(&self) -> Candidate {
-        let unread = self.running.iter().filter(|r| !r.read).count() as u64;
-        Candidate {
-            slots: SLOTS,
-            requests: self.running.len() as u32,
-            unread: unread * PROMPT_TOKENS,
-            own_unread: 0,
-            is_far: false,
-            leaves_in: None,
-        }
-    }
-
-    /// Completes a pass: requests that were read get tokens, and those with all of their tokens complete.
-    fn step(&mut self, now: Duration, results: &mut Results) {
-        if now < self.pass_ends {
-            return;
-        }
-        for running in self.running.iter_mut().filter(|r| r.read) {
-            if running.tokens == 0 {
-                match now - running.request.first <= OBJECTIVE {
-                    true => results.in_time += 1,
-                    false => results.late += 1,
-                }
-            }
-            running.tokens += PASS_TOKENS;
-        }
-        self.running.retain(|r| r.tokens < ANSWER_TOKENS);
-        let unread = self.running.iter_mut().filter(|r| !r.read);
-        let reads = unread.map(|r| r.read = true).count();
-        let reading = reads as f64 * PROMPT_TOKENS as f64 / PROMPT_RATE;
-        self.pass_ends = now + Duration::from_secs_f64(PASS_SECONDS + reading);
-    }
-}
-
 /// Simulates `rate` requests a second over `span`, with requests ranked by `classify`. The callers'
 /// timeouts differ by up to a fraction `spread` of the longest.
 fn simulate(
@@ -116,7 +60,7 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let mut timeout_rng = StdRng::seed_from_u64(seed);
     let start = Instant::now();
-    let mut engines: Vec<Engine> = (0..ENGINES).map(|_| Engine::default()).collect();
+    let mut engines: Vec<Engine<Request>> = (0..ENGINES).map(|_| Engine::new()).collect();
     let (mut queued, mut retrying): (Vec<Request>, Vec<Request>) = (Vec::new(), Vec::new());
     let (mut estimator, mut results) = (AttemptAgeEstimator::new(start), Results::default());
     let mut now = Duration::ZERO;
@@ -143,11 +87,7 @@
         ranked.sort_by_key(|(class, r)| (*class, r.arrived));
         for (class, request) in ranked {
             match place(&mut engines, class, &mut rng) {
-                Some(engine) => engine.running.push(Running {
-                    request,
-                    read: false,
-                    tokens: 0,
-                }),
+                Some(engine) => engine.start(request),
                 None if now < request.arrived + max_wait(OBJECTIVE) => queued.push(request),
                 None if request.is_retry => results.refused += 1,
                 None => retrying.push(Request {
@@ -158,7 +98,10 @@
             }
         }
         for engine in &mut engines {
-            engine.step(now, &mut results);
+            engine.step(now, |request| match now - request.first <= OBJECTIVE {
+                true => results.in_time += 1,
+                false => results.late += 1,
+            });
         }
         now += TICK;
     }
@@ -166,10 +109,10 @@
 }
 
 fn place<'a>(
-    engines: &'a mut [Engine],
+    engines: &'a mut [Engine<Request>],
     deadline_class: DeadlineClass,
     rng: &mut StdRng,
-) -> Option<&'a mut Engine> {
+) -> Option<&'a mut Engine<Request>> {
     let requirements = Requirements {
         deadline_class,
         objective: OBJECTIVE,
