Schedule the retries of refused callers

Cause: Retry-After is independent of load, so retries return into the burst that refused them, and a caller that retries early is served ahead of those that wait.

Change: decide::returns keeps buckets of 100 ms over 4 s for each service and gives a refused caller a bucket where capacity is expected, or the longest delay of the range. Retries whose age no caller was told get a slot only while a quarter of the warm slots is free.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`restore`]: entries of a restored store that are out of date.
 //! - [`retry_after`]: time after which a refused caller should retry.
 //! - [`retry_budget`]: budget of retries.
+//! - [`returns`]: schedule of the retries of refused callers.
 //! - [`senders`]: gateways that send to an upstream limited to a few requests a second.
 //! - [`slow_start`]: request rate to a cold upstream.
 
@@ -41,6 +42,7 @@
 pub mod restore;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod returns;
 pub mod senders;
 pub mod slow_start;
 
--- a/crates/decide/src/retry_after.rs
+++ b/crates/decide/src/retry_after.rs
@@ -1,5 +1,6 @@
 //! Delays after which refused callers should retry.
 
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 /// Mean delay while all upstreams are busy: the time in which an engine completes about a third of
@@ -36,6 +37,11 @@
     mean.mul_f64(1.0 - JITTER + 2.0 * JITTER * draw)
 }
 
+/// Returns the shortest and the longest jittered delay for a refusal.
+pub fn delay_range(reason: Reason) -> RangeInclusive<Duration> {
+    jittered_delay(reason, 0.0)..=jittered_delay(reason, 1.0)
+}
+
 /// Returns the delay where no upstream may be sent a request for `remaining`, for a random `draw` in
 /// 0..1. It is never shorter than `remaining`, up to the maximum, and jittered so that callers
 /// refused at the same time don't retry at the same time.
