Tell refused callers when to retry by the schedule

Cause: the gateway told all refused callers a random delay of a constant range, whatever capacity was expected.

A promise and "no capacity is expected" are different texts of Refusal with the same status and reason. Requests out of turn count as late and are queued last. The setting paced_returns (default true) brings the constant delays back.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -11,7 +11,8 @@
 use catalog::{Service, ServiceName};
 use decide::quarantine::Isolation;
 use decide::queue::{Queue, Ticket, max_wait};
-use decide::retry_after::{Reason, delay_until_available, jittered_delay};
+use decide::retry_after::{Reason, delay_until_available};
+use decide::returns::LateOutcome;
 use rand::RngExt;
 use tokio::sync::Notify;
 
@@ -19,6 +20,7 @@
 use crate::balance::{Pick, pick};
 use crate::refusal::Refusal;
 use crate::request::RoutedRequest;
+use crate::returns::{constant_refusal, must_wait, record_outcome, refusal};
 use crate::upstream::{Slot, SlotNotifier, Upstream};
 
 /// Interval at which a queued request checks for a slot even if none was freed here: another gateway may have freed
@@ -72,12 +74,17 @@
     }
 
     fn enqueue<'a>(&'a self, service: &'a ServiceName, req: &RoutedRequest) -> QueueGuard<'a> {
+        // A request out of turn may have to wait although there is a slot, which others then take.
+        let priority = match req.is_out_of_turn {
+            true => u8::MAX,
+            false => req.priority(),
+        };
         let mut queues = self.queues();
         let queue = queues.entry(service.clone()).or_default();
         QueueGuard {
             admission: self,
             service,
-            ticket: queue.enqueue(req.deadline_class, req.priority()),
+            ticket: queue.enqueue(req.deadline_class, priority),
         }
     }
 
@@ -106,11 +113,14 @@
     let guard = cx.admission.enqueue(&req.service, req);
     let mut has_waited = false;
     loop {
-        if cx.admission.is_next(&guard) {
+        if cx.admission.is_next(&guard) && !must_wait(cx, req, service) {
             match pick_isolated(isolation, cx, req, service, tried, has_waited) {
                 Pick::Chosen(upstream, version) => {
                     // There may be free capacity for the next request too.
                     cx.admission.slot_freed.notify_one();
+                    if tried.is_empty() {
+                        record_outcome(cx, req, service, LateOutcome::Served);
+                    }
                     let unread = service
                         .engine
                         .as_ref()
@@ -130,13 +140,13 @@
                     return Err(Refusal::NotBefore(delay_until_available(remaining, draw)));
                 }
                 Pick::NoUpstream => {
-                    return Err(Refusal::NoUpstream(retry_delay(Reason::NoUpstream)));
+                    return Err(refuse(cx, req, service, tried, Reason::NoUpstream));
                 }
             }
         }
         let now = clock::now();
         if now >= until {
-            return Err(Refusal::Busy(retry_delay(Reason::Busy)));
+            return Err(refuse(cx, req, service, tried, Reason::Busy));
         }
         let recheck_at = (now + RECHECK_INTERVAL).min(until);
         tokio::select! {
@@ -168,6 +178,20 @@
     }
 }
 
-fn retry_delay(reason: Reason) -> Duration {
-    jittered_delay(reason, rand::rng().random_range(0.0..1.0))
+/// Returns the refusal of a request. One that was sent to an upstream before gets the constant delay, since its caller
+/// may be answered otherwise. A lack of upstreams says nothing about what late requests get.
+fn refuse(
+    cx: &Cx,
+    req: &RoutedRequest,
+    service: &Service,
+    tried: &[Arc<Upstream>],
+    reason: Reason,
+) -> Refusal {
+    if !tried.is_empty() {
+        return constant_refusal(reason);
+    }
+    if reason == Reason::Busy {
+        record_outcome(cx, req, service, LateOutcome::Refused);
+    }
+    refusal(cx, req, service, reason)
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -20,6 +20,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{self, EventStream};
 use crate::request::{RequestMetadata, RoutedRequest};
+use crate::returns;
 use crate::send::{SendOutcome, UpstreamResponse, read_to_end, record_health, send};
 use crate::spans::Span;
 use crate::suspects::wait_until_permitted;
@@ -45,10 +46,12 @@
 pub async fn handle(cx: Arc<Cx>, req: Request) -> Response {
     let arrived = clock::now();
     let mut record = RequestRecord::new(arrived);
-    match admit(&cx, req, arrived, &mut record).await {
+    let res = match admit(&cx, req, arrived, &mut record).await {
         Ok((req, service)) => dispatch(&cx, req, service, record).await,
         Err(refusal) => refuse(&refusal, record),
-    }
+    };
+    cx.returns.record_response(&res);
+    res
 }
 
 /// Looks up route, workspace and service, and reads the body.
@@ -83,9 +86,15 @@
         .service(&service)
         .ok_or(Refusal::NoUpstream(NOT_READY_RETRY))?
         .clone();
-    let deadline_class = deadline_class(&metadata, &route, &service, attempt_age);
+    let is_out_of_turn = returns::is_out_of_turn(cx, &service, attempt_age, timeout);
+    let deadline_class = match is_out_of_turn {
+        true => DeadlineClass::Late,
+        false => deadline_class(&metadata, &route, &service, attempt_age),
+    };
+    returns::record_arrival(cx, &service, deadline_class);
     let req = RoutedRequest {
         deadline_class,
+        is_out_of_turn,
         metadata,
         head,
         body,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -36,6 +36,7 @@
 mod relay;
 pub mod release;
 pub mod request;
+pub mod returns;
 mod send;
 mod serve;
 pub mod spans;
@@ -65,6 +66,7 @@
 use crate::membership::UpstreamTable;
 use crate::release::Releases;
 use crate::request::Codec;
+use crate::returns::Returns;
 use crate::suspects::Suspects;
 
 pub use serve::run;
@@ -87,6 +89,8 @@
     pub releases: Releases,
     /// Queues of requests that wait for a slot.
     pub admission: Admission,
+    /// Schedules of the retries of refused callers.
+    pub returns: Returns,
     /// Attempt ages of callers, by route.
     pub attempt_ages: AttemptAges,
     /// Retry budget.
@@ -175,6 +179,7 @@
             feedback: Feedback::default(),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
+            returns: Returns::default(),
             attempt_ages: AttemptAges::default(),
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -34,6 +34,14 @@
     Busy(Duration),
     /// no upstream can run the request now; come back later
     NoUpstream(Duration),
+    /// all upstreams are busy; capacity is expected after the stated delay
+    BusyPromised(Duration),
+    /// all upstreams are busy and no capacity is expected; come back later
+    BusyUnpromised(Duration),
+    /// no upstream can run the request now; capacity is expected after the stated delay
+    NoUpstreamPromised(Duration),
+    /// no upstream can run the request now and no capacity is expected; come back later
+    NoUpstreamUnpromised(Duration),
     /// all upstreams are rate limited or in a back-off; come back later
     NotBefore(Duration),
     /// no upstream took the request; come back later
@@ -65,6 +73,10 @@
             Refusal::NotReady(_)
             | Refusal::Unconfirmed(_)
             | Refusal::Busy(_)
+            | Refusal::BusyPromised(_)
+            | Refusal::BusyUnpromised(_)
+            | Refusal::NoUpstreamPromised(_)
+            | Refusal::NoUpstreamUnpromised(_)
             | Refusal::NoUpstream(_)
             | Refusal::NotBefore(_)
             | Refusal::NotTaken(_)
@@ -81,6 +93,10 @@
             Refusal::NotReady(delay)
             | Refusal::Unconfirmed(delay)
             | Refusal::Busy(delay)
+            | Refusal::BusyPromised(delay)
+            | Refusal::BusyUnpromised(delay)
+            | Refusal::NoUpstreamPromised(delay)
+            | Refusal::NoUpstreamUnpromised(delay)
             | Refusal::NoUpstream(delay)
             | Refusal::NotBefore(delay)
             | Refusal::NotTaken(delay)
@@ -101,8 +117,10 @@
             Refusal::BrokenBody => "broken_body",
             Refusal::NotReady(_) => "not_ready",
             Refusal::Unconfirmed(_) => "unconfirmed",
-            Refusal::Busy(_) => "busy",
-            Refusal::NoUpstream(_) => "no_upstream",
+            Refusal::Busy(_) | Refusal::BusyPromised(_) | Refusal::BusyUnpromised(_) => "busy",
+            Refusal::NoUpstream(_)
+            | Refusal::NoUpstreamPromised(_)
+            | Refusal::NoUpstreamUnpromised(_) => "no_upstream",
             Refusal::NotBefore(_) => "not_before",
             Refusal::NotTaken(_) => "not_taken",
             Refusal::Suspect(_) => "suspect",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -135,6 +135,8 @@
     pub workspace: Option<Arc<WorkspacePolicy>>,
     /// Whether it can still be served within its objective.
     pub deadline_class: DeadlineClass,
+    /// Whether its caller retries sooner or more often than it was told.
+    pub is_out_of_turn: bool,
     /// When the head was read.
     pub arrived: Instant,
     /// Latest time for the final response.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -119,6 +119,10 @@
         Refusal::NotReady(after),
         Refusal::Busy(after),
         Refusal::NoUpstream(after),
+        Refusal::BusyPromised(after),
+        Refusal::BusyUnpromised(after),
+        Refusal::NoUpstreamPromised(after),
+        Refusal::NoUpstreamUnpromised(after),
         Refusal::NotTaken(after),
         Refusal::NoTime(after),
     ];
@@ -132,6 +136,25 @@
     }
 }
 
+/// Guards against callers that are told to expect capacity where none is expected.
+#[test]
+fn only_promises_tell_callers_to_expect_capacity() {
+    let after = Duration::from_secs(1);
+    let promise = "capacity is expected after the stated delay";
+    for refusal in [
+        Refusal::BusyPromised(after),
+        Refusal::NoUpstreamPromised(after),
+    ] {
+        assert!(refusal.to_string().ends_with(promise), "{refusal}");
+    }
+    for refusal in [
+        Refusal::BusyUnpromised(after),
+        Refusal::NoUpstreamUnpromised(after),
+    ] {
+        assert!(refusal.to_string().contains("no capacity is expected"));
+    }
+}
+
 /// Returns a stream of `n` events, as an engine writes it.
 fn stream(n: usize) -> Vec<u8> {
     (1..=n)
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Declares the fields of gateways and loaders.
 
 use crate::Field;
-use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Map, Name, Ratio};
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Flag, Map, Name, Ratio};
 use crate::field::field;
 
 /// Fields of gateways and loaders, which are configured by the platform's store.
@@ -112,6 +112,12 @@
         Ratio(0.0, 0.0, 1e6),
         "Requests to a cold upstream in any second that are allowed beside `cold_overage`.",
     ),
+    field(
+        "paced_returns",
+        Flag(true),
+        "Whether refused callers of services with engines are told when to retry by expected capacity. \
+         Turn it off for delays that don't depend on load.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -247,6 +247,7 @@
         retry_slack: f64 = ratio,
         cold_overage: f64 = ratio,
         cold_slack: f64 = ratio,
+        paced_returns: bool = flag,
         hold_time: Duration = duration,
         stop_notice: Duration = duration,
         drain_timeout: Duration = duration,
