Let resumed streams take a slot although they came out of turn

Cause: a stream whose request came out of turn waited for free slots again when it had to be resumed, and would have been cut off.

Change: only a request that was sent to no upstream waits. A resume out of turn has no test of its own yet.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -113,7 +113,9 @@
     let guard = cx.admission.enqueue(&req.service, req);
     let mut has_waited = false;
     loop {
-        if cx.admission.is_next(&guard) && !must_wait(cx, req, service) {
+        // A request that was sent before, such as a stream to be resumed, has had its slot.
+        let must_wait = tried.is_empty() && must_wait(cx, req, service);
+        if cx.admission.is_next(&guard) && !must_wait {
             match pick_isolated(isolation, cx, req, service, tried, has_waited) {
                 Pick::Chosen(upstream, version) => {
                     // There may be free capacity for the next request too.
