--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -24,6 +24,7 @@
 //! - [`retry_after`]: time after which a refused caller should retry.
 //! - [`retry_budget`]: budget of retries.
 //! - [`rollout`]: whether a version of weights in progress is completed before its successor.
+//! - [`returns`]: schedule of the retries of refused callers.
 //! - [`senders`]: gateways that send to an upstream limited to a few requests a second.
 //! - [`slow_start`]: request rate to a cold upstream.
 
@@ -48,6 +49,7 @@
 pub mod restore;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod returns;
 pub mod rollout;
 pub mod senders;
 pub mod slow_start;
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -13,7 +13,8 @@
 use decide::priority::Standing;
 use decide::quarantine::Isolation;
 use decide::queue::{Queue, Ticket, max_wait};
-use decide::retry_after::{Reason, delay_until_available, jittered_delay};
+use decide::retry_after::{Reason, delay_until_available};
+use decide::returns::LateOutcome;
 use rand::RngExt;
 use tokio::sync::Notify;
 
@@ -22,6 +23,7 @@
 use crate::rank;
 use crate::refusal::Refusal;
 use crate::request::RoutedRequest;
+use crate::returns::{constant_refusal, must_wait, record_outcome, refusal};
 use crate::upstream::{Slot, SlotNotifier, Upstream};
 
 /// Interval at which a queued request checks for a slot even if none was freed here: another gateway may have freed
@@ -81,6 +83,8 @@
         standing: Option<Standing>,
     ) -> QueueGuard<'a> {
         let (class, priority) = match standing {
+            // A request out of turn may have to wait although there is a slot, which others then take.
+            _ if req.is_out_of_turn => (DeadlineClass::Late, u8::MAX),
             // Late ranks follow all others, so the class is part of the rank.
             Some(standing) => (DeadlineClass::OnTime, standing.queue_priority()),
             None => (req.deadline_class, req.priority()),
@@ -120,12 +124,17 @@
     let guard = cx.admission.enqueue(&req.service, req, standing);
     let (mut has_waited, mut is_reserved) = (false, false);
     loop {
-        if cx.admission.is_next(&guard) {
+        // A request that was sent before, such as a stream to be resumed, has had its slot.
+        let must_wait = tried.is_empty() && must_wait(cx, req, service);
+        if cx.admission.is_next(&guard) && !must_wait {
             match pick_isolated(isolation, cx, req, service, tried, has_waited, standing) {
                 Pick::Chosen(upstream, version) => {
                     rank::record_admitted(cx, req, tried.len());
                     // There may be free capacity for the next request too.
                     cx.admission.slot_freed.notify_one();
+                    if tried.is_empty() {
+                        record_outcome(cx, req, service, LateOutcome::Served);
+                    }
                     let unread = service
                         .engine
                         .as_ref()
@@ -139,7 +148,8 @@
                 }
                 Pick::Full => (has_waited, is_reserved) = (true, false),
                 Pick::Reserved { lasts: true } => {
-                    return Err(Refusal::Reserved(retry_delay(Reason::Busy)));
+                    let refusal = refuse(cx, req, service, tried, Reason::Busy);
+                    return Err(refusal.reserved());
                 }
                 Pick::Reserved { lasts: false } => (has_waited, is_reserved) = (true, true),
                 Pick::NotBefore(at) if at < until => has_waited = true,
@@ -149,17 +159,17 @@
                     return Err(Refusal::NotBefore(delay_until_available(remaining, draw)));
                 }
                 Pick::NoUpstream => {
-                    return Err(Refusal::NoUpstream(retry_delay(Reason::NoUpstream)));
+                    return Err(refuse(cx, req, service, tried, Reason::NoUpstream));
                 }
             }
         }
         let now = clock::now();
         if now >= until {
-            let delay = retry_delay(Reason::Busy);
-            return match is_reserved {
-                true => Err(Refusal::Reserved(delay)),
-                false => Err(Refusal::Busy(delay)),
-            };
+            let refusal = refuse(cx, req, service, tried, Reason::Busy);
+            return Err(match is_reserved {
+                true => refusal.reserved(),
+                false => refusal,
+            });
         }
         let recheck_at = (now + RECHECK_INTERVAL).min(until);
         tokio::select! {
@@ -192,6 +202,20 @@
     }
 }
 
-fn retry_delay(reason: Reason) -> Duration {
-    jittered_delay(reason, rand::rng().random_range(0.0..1.0))
+/// Returns the refusal of a request. One that was sent to an upstream before gets the constant delay, since its caller
+/// may be answered otherwise. A lack of upstreams says nothing about what late requests get.
+fn refuse(
+    cx: &Cx,
+    req: &RoutedRequest,
+    service: &Service,
+    tried: &[Arc<Upstream>],
+    reason: Reason,
+) -> Refusal {
+    if !tried.is_empty() {
+        return constant_refusal(reason);
+    }
+    if reason == Reason::Busy {
+        record_outcome(cx, req, service, LateOutcome::Refused);
+    }
+    refusal(cx, req, service, reason)
 }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -21,6 +21,7 @@
 use crate::refusal::Refusal;
 use crate::relay::{self, EventStream};
 use crate::request::{RequestMetadata, RoutedRequest, priority};
+use crate::returns;
 use crate::send::{SendOutcome, UpstreamResponse, read_to_end, record_health, send};
 use crate::spans::Span;
 use crate::suspects::wait_until_permitted;
@@ -46,10 +47,12 @@
 pub async fn handle(cx: Arc<Cx>, req: Request) -> Response {
     let arrived = clock::now();
     let mut record = RequestRecord::new(arrived);
-    match admit(&cx, req, arrived, &mut record).await {
+    let res = match admit(&cx, req, arrived, &mut record).await {
         Ok((req, service)) => dispatch(&cx, req, service, record).await,
         Err(refusal) => refuse(&refusal, record),
-    }
+    };
+    cx.returns.record_response(&res);
+    res
 }
 
 /// Looks up route, workspace and service, and reads the body.
@@ -84,7 +87,12 @@
         .service(&service)
         .ok_or(Refusal::NoUpstream(NOT_READY_RETRY))?
         .clone();
-    let deadline_class = deadline_class(&metadata, &route, &service, attempt_age);
+    let is_out_of_turn = returns::is_out_of_turn(cx, &service, attempt_age, timeout);
+    let deadline_class = match is_out_of_turn {
+        true => DeadlineClass::Late,
+        false => deadline_class(&metadata, &route, &service, attempt_age),
+    };
+    returns::record_arrival(cx, &service, deadline_class);
     let priority = priority(&route, workspace.as_deref());
     record.priority = Some(priority);
     let urgency = urgency(&route, workspace.as_ref().and_then(|w| w.priority));
@@ -103,6 +111,7 @@
         deadline_class,
         rank,
         bound_objective,
+        is_out_of_turn,
         metadata,
         head,
         body,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 mod relay;
 pub mod release;
 pub mod request;
+pub mod returns;
 mod send;
 mod serve;
 pub mod spans;
@@ -71,6 +72,7 @@
 use crate::pools::Pools;
 use crate::release::Releases;
 use crate::request::Codec;
+use crate::returns::Returns;
 use crate::suspects::Suspects;
 
 pub use serve::run;
@@ -95,6 +97,8 @@
     pub admission: Admission,
     /// Free capacity of services whose routes differ in priority.
     pub pools: Pools,
+    /// Schedules of the retries of refused callers.
+    pub returns: Returns,
     /// Attempt ages of callers, by route.
     pub attempt_ages: AttemptAges,
     /// Retry budget.
@@ -186,6 +190,7 @@
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
             admission: Admission::default(),
             pools: Pools::default(),
+            returns: Returns::default(),
             attempt_ages: AttemptAges::default(),
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -36,6 +36,14 @@
     Reserved(Duration),
     /// no upstream can run the request now; come back later
     NoUpstream(Duration),
+    /// all upstreams are busy; capacity is expected after the stated delay
+    BusyPromised(Duration),
+    /// all upstreams are busy and no capacity is expected; come back later
+    BusyUnpromised(Duration),
+    /// no upstream can run the request now; capacity is expected after the stated delay
+    NoUpstreamPromised(Duration),
+    /// no upstream can run the request now and no capacity is expected; come back later
+    NoUpstreamUnpromised(Duration),
     /// all upstreams are rate limited or in a back-off; come back later
     NotBefore(Duration),
     /// no upstream took the request; come back later
@@ -68,6 +76,10 @@
             | Refusal::Unconfirmed(_)
             | Refusal::Busy(_)
             | Refusal::Reserved(_)
+            | Refusal::BusyPromised(_)
+            | Refusal::BusyUnpromised(_)
+            | Refusal::NoUpstreamPromised(_)
+            | Refusal::NoUpstreamUnpromised(_)
             | Refusal::NoUpstream(_)
             | Refusal::NotBefore(_)
             | Refusal::NotTaken(_)
@@ -85,6 +97,10 @@
             | Refusal::Unconfirmed(delay)
             | Refusal::Busy(delay)
             | Refusal::Reserved(delay)
+            | Refusal::BusyPromised(delay)
+            | Refusal::BusyUnpromised(delay)
+            | Refusal::NoUpstreamPromised(delay)
+            | Refusal::NoUpstreamUnpromised(delay)
             | Refusal::NoUpstream(delay)
             | Refusal::NotBefore(delay)
             | Refusal::NotTaken(delay)
@@ -94,6 +110,14 @@
         }
     }
 
+    /// Returns the refusal of a request for which only capacity reserved for more urgent ones is free.
+    pub fn reserved(self) -> Refusal {
+        match self.retry_after() {
+            Some(delay) => Refusal::Reserved(delay),
+            None => self,
+        }
+    }
+
     /// Returns the short name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
@@ -105,9 +129,11 @@
             Refusal::BrokenBody => "broken_body",
             Refusal::NotReady(_) => "not_ready",
             Refusal::Unconfirmed(_) => "unconfirmed",
-            Refusal::Busy(_) => "busy",
+            Refusal::Busy(_) | Refusal::BusyPromised(_) | Refusal::BusyUnpromised(_) => "busy",
             Refusal::Reserved(_) => "reserved",
-            Refusal::NoUpstream(_) => "no_upstream",
+            Refusal::NoUpstream(_)
+            | Refusal::NoUpstreamPromised(_)
+            | Refusal::NoUpstreamUnpromised(_) => "no_upstream",
             Refusal::NotBefore(_) => "not_before",
             Refusal::NotTaken(_) => "not_taken",
             Refusal::Suspect(_) => "suspect",
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -146,6 +146,8 @@
     pub rank: Option<Rank>,
     /// Objective that bounds its queueing time and the prompts ahead of it.
     pub bound_objective: Duration,
+    /// Whether its caller retries sooner or more often than it was told.
+    pub is_out_of_turn: bool,
     /// When the head was read.
     pub arrived: Instant,
     /// Estimated time since the caller's first attempt when the head was read.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -130,6 +130,12 @@
         "Part of the requests of each less urgent route that counts as most urgent, so that none is starved. Raise \
          it where less urgent routes get too little in overload.",
     ),
+    field(
+        "paced_returns",
+        Flag(true),
+        "Whether refused callers of engines' services whose routes differ in priority are told when to retry by expected capacity. \
+         Turn it off for delays that don't depend on load.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -250,6 +250,7 @@
         speed_aware: bool = flag,
         priority_admission: bool = flag,
         min_share: f64 = ratio,
+        paced_returns: bool = flag,
         hold_time: Duration = duration,
         stop_notice: Duration = duration,
         drain_timeout: Duration = duration,
