Take ports of the succession test from outside the ephemeral range

A loader couldn't bind its port, and the test waited for it in vain, if an outgoing connection of another test had taken the port. That is the probable cause of one failure in 16 trials of the restart test with 12 loaders; it wasn't reproduced. A loader that ends with an error is now reported.

--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -1,6 +1,7 @@
 //! Loaders that fetch a version while its successor is released, between engines and an origin in this process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -128,9 +129,20 @@
     stop: watch::Sender<bool>,
 }
 
+/// Returns an address below the range of ephemeral ports, so that no outgoing connection takes its port before a loader
+/// starts or restarts there.
 fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let addr = || {
+        let n = NEXT
+            .fetch_add(1, Relaxed)
+            .wrapping_add(std::process::id().wrapping_mul(97));
+        SocketAddr::from(([127, 0, 0, 1], 20_000 + (n % 12_000) as u16))
+    };
+    let is_free =
+        |addr: &SocketAddr| TcpListener::bind(addr).is_ok() && UdpSocket::bind(addr).is_ok();
+    let mut addrs = std::iter::repeat_with(addr);
+    addrs.find(is_free).expect("a free port")
 }
 
 /// Returns a catalog in which the origin's link takes 100 ms for each chunk.
@@ -226,7 +238,10 @@
             members: self.listed.subscribe(),
             stop: self.stop.subscribe(),
         };
-        runtime.spawn(loader::run(deps));
+        runtime.spawn(async move {
+            let run = loader::run(deps).await;
+            run.expect("a loader that binds its addresses");
+        });
         self.loaders[i] = Some(runtime);
     }
 
