--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -9,7 +9,8 @@
 use beacon::{Holding, Member, Role};
 use bytes::Bytes;
 use catalog::{
-    Access, Catalog, Engine, Origin, Release, ReleaseList, RequestLimits, Service, WeightsVersion,
+    Access, Catalog, Engine, Iteration, Origin, Priorities, Release, ReleaseList, RequestLimits,
+    Service, WeightsVersion,
 };
 use loader::api::{Api, ApiError, Call, EngineState, Manifest, OrderResult, SwitchOrder};
 use loader::{Dependencies, KnownReleases};
@@ -83,6 +84,7 @@
                 running: 0,
                 queued: 0,
                 start_time: Some(1),
+                pace: 1.0,
             })
         }),
         put: call(move |chunk: loader::api::StagedChunk| {
@@ -152,12 +154,14 @@
         engine,
         origin,
         cold_rate: None,
+        priorities: Priorities::default(),
     };
     let engine = Engine {
         models: vec![MODEL.to_owned()],
         layers: 1,
         prompt_rate: 1000.0,
         chunk_bytes: 10_000,
+        iteration: Iteration::default(),
     };
     let origin = Origin {
         addr: free_addr(),
