Plan shares of demand between failure domains

Gateways choose a far engine only once their own domain is short of capacity. The new module computes from demand and capacity of each domain which share of its demand is to run in each other domain, by water-filling to an equal utilization, bounded by links and allowed regions; shares follow by bounded steps. Not wired yet.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`back_off`]: time for which an upstream that rejected a request gets no others.
 //! - [`contention`]: whether to try an engine that other gateways see as equally free.
 //! - [`denial`]: whether the local replica of the configuration may deny a request.
+//! - [`domain_shares`]: planned share of each failure domain's demand for the others.
 //! - [`draining`]: whether a draining upstream gets new requests.
 //! - [`fanout`]: gateways of a failure domain that a change of load is sent to at once.
 //! - [`load_balancing`]: choice of the upstream for a request.
@@ -29,6 +30,7 @@
 pub mod back_off;
 pub mod contention;
 pub mod denial;
+pub mod domain_shares;
 pub mod draining;
 pub mod fanout;
 pub mod load_balancing;
