Exchange the demand of failure domains and send surplus by plan

No gateway knew the demand of its domain relative to others. Gateways now observe their arrivals over a second, weighted by expected time in a slot, and send them to the leaders of the domain; the first gateway sends the sum to all gateways of its domain and to one of each other, which relays it. Each gateway plans by the sums, and a request drawn for another domain prefers the engines there. Without a plan the choice of an upstream is computed as before. Settings domain_shares, link_share, region_link_mbps.

--- a/crates/base/src/place.rs
+++ b/crates/base/src/place.rs
@@ -57,6 +57,12 @@
         self.names().any(|name| name == domain)
     }
 
+    /// Returns the region of a failure domain; `None` if it isn't one of these.
+    pub fn region(&self, domain: &str) -> Option<&RegionName> {
+        let known = self.list.iter().find(|(name, _)| name == domain);
+        known.map(|(_, region)| region)
+    }
+
     /// Returns whether the place has at least one of these failure domains.
     pub fn contains_place(&self, place: &Place) -> bool {
         self.names().any(|name| self.is_within(name, place))
--- a/crates/beacon/src/lib.rs
+++ b/crates/beacon/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub use member::{Member, Role};
 pub use msg::{
-    ChunkMap, EngineStatus, Holding, Load, LoadChange, LoadUpdate, Msg, RateLimitUpdate,
-    SuspectUpdate, TrialUpdate,
+    ChunkMap, Demand, DemandUpdate, EngineStatus, Holding, Load, LoadChange, LoadUpdate, Msg,
+    RateLimitUpdate, SuspectUpdate, TrialUpdate,
 };
 pub use socket::{Beacon, MAX_DATAGRAM, batch_messages, decode, encode};
--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -11,7 +11,7 @@
 use base::{
     DomainName, Era, Fingerprint, Incarnation, Model, StoreRevision, UpstreamIncarnation, VmId,
 };
-use catalog::{Release, ReleaseList, StartTime};
+use catalog::{Release, ReleaseList, ServiceName, StartTime};
 use serde::{Deserialize, Serialize};
 
 /// Weights of one model that an engine holds.
@@ -146,6 +146,35 @@
     pub loads: Vec<Load>,
 }
 
+/// Demand of one gateway, or of one failure domain, for a service, observed over a second.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Service.
+    pub service: ServiceName,
+    /// Thousandths of slots that its requests need: requests per second, each weighted by its expected
+    /// milliseconds in a slot.
+    pub millislots: u32,
+    /// Bytes per second of the requests and their expected responses.
+    pub bytes: u32,
+    /// Part of the demand, in thousandths of slots, that may not run in a failure domain, by domain.
+    pub barred: Vec<(DomainName, u32)>,
+}
+
+/// Demand of one gateway, or of all gateways of a failure domain. A service that is omitted has none.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DemandUpdate {
+    /// VM of the sending gateway.
+    pub from: VmId,
+    /// Failure domain of that gateway.
+    pub domain: DomainName,
+    /// Incarnation of that gateway.
+    pub incarnation: Incarnation,
+    /// Sequence number within that incarnation.
+    pub sequence: u64,
+    /// Demand by service.
+    pub demands: Vec<Demand>,
+}
+
 /// A gateway's record of a request during which upstreams exited. Durations are times elapsed since the event.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectUpdate {
@@ -245,6 +274,9 @@
             Msg::FarSuspects(_) => "far_suspects",
             Msg::RateLimits(_) => "rate_limits",
             Msg::FarRateLimits(_) => "far_rate_limits",
+            Msg::Demand(_) => "demand",
+            Msg::DomainDemand(_) => "domain_demand",
+            Msg::RelayedDemand(_) => "relayed_demand",
         }
     }
 }
@@ -274,4 +306,10 @@
     RateLimits(Vec<RateLimitUpdate>),
     /// [`Msg::RateLimits`] to a gateway of another failure domain, which relays those that are new to it.
     FarRateLimits(Vec<RateLimitUpdate>),
+    /// From a gateway to the leaders of its failure domain: its own demand.
+    Demand(DemandUpdate),
+    /// From one gateway of a failure domain to one gateway of each other domain: the demand of its whole domain.
+    DomainDemand(DemandUpdate),
+    /// A [`Msg::DomainDemand`] of any failure domain, to the gateways of the sender's failure domain.
+    RelayedDemand(DemandUpdate),
 }
--- a/crates/beacon/tests/messages.rs
+++ b/crates/beacon/tests/messages.rs
@@ -5,9 +5,11 @@
 
 use base::{Era, Fingerprint, StoreRevision};
 use beacon::{
-    LoadUpdate, MAX_DATAGRAM, Msg, SuspectUpdate, TrialUpdate, batch_messages, decode, encode,
+    Beacon, Demand, DemandUpdate, LoadUpdate, MAX_DATAGRAM, Msg, SuspectUpdate, TrialUpdate,
+    batch_messages, decode, encode,
 };
 use proptest::prelude::*;
+use tokio::net::UdpSocket;
 
 fn upstream(n: u16) -> SocketAddr {
     ([10, 0, 0, 1], n).into()
@@ -108,3 +110,89 @@
 
     assert_eq!(decode(&buf), Ok(msg));
 }
+
+fn demand_update() -> DemandUpdate {
+    DemandUpdate {
+        from: "g-1".to_owned(),
+        domain: "recife".to_owned(),
+        incarnation: 7,
+        sequence: 9,
+        demands: vec![Demand {
+            service: "llm".to_owned(),
+            millislots: 260_000,
+            bytes: 1_300_000,
+            barred: vec![("natal".to_owned(), 20_000)],
+        }],
+    }
+}
+
+#[test]
+fn demand_is_transmitted() {
+    for msg in [Msg::Demand, Msg::DomainDemand, Msg::RelayedDemand] {
+        let msg = msg(demand_update());
+
+        let received = decode(&encode(&msg).expect("a datagram"));
+
+        assert_eq!(received, Ok(msg));
+    }
+}
+
+#[tokio::test]
+async fn datagram_of_an_unknown_kind_is_skipped() {
+    // Guards against a process that stops receiving once newer processes send messages that it doesn't know.
+    let any_port = ([127, 0, 0, 1], 0).into();
+    let receiver_addr = free_addr().await;
+    let receiver = Beacon::bind(receiver_addr).await.expect("a receiver");
+    let sender = UdpSocket::bind::<SocketAddr>(any_port)
+        .await
+        .expect("a sender");
+    let msg = Msg::DomainDemand(demand_update());
+    let mut unknown = encode(&msg).expect("a datagram");
+    unknown[0] = 100;
+
+    sender
+        .send_to(&unknown, receiver_addr)
+        .await
+        .expect("a datagram");
+    let known = encode(&msg).expect("a datagram");
+    sender
+        .send_to(&known, receiver_addr)
+        .await
+        .expect("a datagram");
+    let (received, _) = receiver.recv().await;
+
+    assert!(decode(&unknown).is_err());
+    assert_eq!(received, msg);
+}
+
+/// Returns an address with a free port.
+async fn free_addr() -> SocketAddr {
+    let any_port: SocketAddr = ([127, 0, 0, 1], 0).into();
+    let socket = UdpSocket::bind(any_port).await.expect("a socket");
+    socket.local_addr().expect("an address")
+}
+
+#[test]
+fn sizes_of_demand_updates_are_as_documented() {
+    // docs/design/domain-shares.md derives the load of links from it.
+    let size = |update| {
+        encode(&Msg::DomainDemand(update))
+            .expect("a datagram")
+            .len()
+    };
+    let update = DemandUpdate {
+        from: "front-rec-a-12".to_owned(),
+        incarnation: 1_764_780_000_000,
+        sequence: 100_000,
+        demands: vec![Demand {
+            barred: Vec::new(),
+            ..demand_update().demands[0].clone()
+        }],
+        ..demand_update()
+    };
+
+    let bytes = size(update);
+    println!("{bytes} bytes");
+
+    assert!(bytes <= 60, "{bytes}");
+}
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -185,6 +185,11 @@
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
+    /// Returns all services.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.services.values()
+    }
+
     /// Returns a service by name.
     pub fn service(&self, name: &str) -> Option<&Arc<Service>> {
         self.services.get(name)
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -76,6 +76,8 @@
     let drained = cx.drains.current();
     let peer_loads = cx.loads.peer_loads();
     let feedback = cx.feedback.current();
+    let target = cx.plans.target(cx, req, tried);
+    let home = target.as_ref().unwrap_or(&cx.upstreams.domain);
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_current(now)) {
@@ -122,7 +124,8 @@
             continue;
         }
         search.has_healthy |= is_healthy;
-        let candidate = candidate(&snapshot, peer_load, is_far);
+        let is_home = upstream.domain == *home;
+        let candidate = candidate(&snapshot, peer_load, !is_home);
         let gateways = match is_far {
             true => all_gateways,
             false => near_gateways,
@@ -134,7 +137,9 @@
             && !should_try(
                 requirements.free_capacity(&candidate),
                 gateways,
-                is_far,
+                // Only the planned share of requests tries a far target, about as many as arrive at
+                // near gateways in the time until a request is known.
+                is_far && !is_home,
                 has_waited,
                 draw,
             )
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -16,6 +16,7 @@
 use web::{Client, DialOptions};
 
 use crate::announcements::Scope;
+use crate::demand_updates::{apply_demand, relay_demand};
 use crate::load_updates::hello;
 use crate::rate_limit_updates::sync_rate_limits;
 use crate::send::record_health;
@@ -55,6 +56,9 @@
             Msg::FarSuspects(updates) => apply_suspects(&cx, updates, Some(Scope::Near)),
             Msg::RateLimits(updates) => apply_rate_limits(&cx, updates, None),
             Msg::FarRateLimits(updates) => apply_rate_limits(&cx, updates, Some(Scope::Near)),
+            Msg::Demand(update) => apply_demand(&cx, update),
+            Msg::DomainDemand(update) => relay_demand(&cx, &beacon, update),
+            Msg::RelayedDemand(update) => cx.demand.apply_domain_update(update, clock::now()),
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -15,6 +15,7 @@
 use crate::Cx;
 use crate::admission::{acquire_slot, queue_deadline};
 use crate::confirm::{decision, wait_for_confirmation};
+use crate::demand::record_arrival;
 use crate::loss::{self, ResponseLoss};
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::refusal::Refusal;
@@ -258,6 +259,7 @@
     mut record: RequestRecord,
 ) -> Response {
     cx.retry_budget.deposit(&req.service, clock::now());
+    record_arrival(cx, &req, &service);
     let req = Arc::new(req);
     let mut attempts = Attempts::default();
     loop {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,9 @@
 mod balance;
 mod confirm;
 mod connection;
+pub mod demand;
+mod demand_updates;
+pub mod domain_plans;
 pub mod drain;
 pub mod events;
 pub mod feedback;
@@ -58,6 +61,8 @@
 use crate::admission::Admission;
 use crate::attempt_ages::AttemptAges;
 use crate::confirm::Confirmations;
+use crate::demand::DemandTable;
+use crate::domain_plans::DomainPlans;
 use crate::drain::Drains;
 use crate::feedback::Feedback;
 use crate::introduction::Introductions;
@@ -95,6 +100,10 @@
     pub suspects: Arc<Suspects>,
     /// Requests that other gateways have in flight.
     pub loads: LoadTable,
+    /// Demand of this gateway, of others, and of failure domains.
+    pub demand: DemandTable,
+    /// Planned shares of the own failure domain's demand for others.
+    pub plans: DomainPlans,
     /// Processes that introduced themselves to this gateway.
     pub introductions: Introductions,
     /// Replicas of documents.
@@ -178,6 +187,8 @@
             attempt_ages: AttemptAges::default(),
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
+            demand: DemandTable::default(),
+            plans: DomainPlans::default(),
             introductions: Introductions::new(deps.registered_members),
             incarnation: base::unix_ms(),
             started: clock::now(),
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -15,6 +15,8 @@
 
 use crate::Cx;
 use crate::confirm::confirm_before_serving;
+use crate::demand_updates::send_demand;
+use crate::domain_plans::update_plans;
 use crate::gauges::update_gauges;
 use crate::gossip::listen;
 use crate::handle::handle;
@@ -76,6 +78,8 @@
     tokio::spawn(send_updates(cx.clone(), beacon.clone()));
     tokio::spawn(relay_changes(cx.clone(), beacon.clone()));
     tokio::spawn(send_domain_updates(cx.clone(), beacon.clone()));
+    tokio::spawn(send_demand(cx.clone(), beacon.clone()));
+    tokio::spawn(update_plans(cx.clone()));
     tokio::spawn(send_releases(cx.clone(), beacon.clone()));
     tokio::spawn(send_suspects(cx.clone(), beacon.clone()));
     tokio::spawn(send_rate_limits(cx.clone(), beacon.clone()));
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -91,7 +91,10 @@
                 | Msg::Suspects(_)
                 | Msg::FarSuspects(_)
                 | Msg::RateLimits(_)
-                | Msg::FarRateLimits(_),
+                | Msg::FarRateLimits(_)
+                | Msg::Demand(_)
+                | Msg::DomainDemand(_)
+                | Msg::RelayedDemand(_),
                 _,
             ) => {}
         }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -1,7 +1,7 @@
 //! Declares the fields of gateways and loaders.
 
 use crate::Field;
-use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Map, Name, Ratio};
+use crate::field::Kind::{Addr, Addrs, Bytes, Count, Duration, Flag, Map, Name, Ratio};
 use crate::field::field;
 
 /// Fields of gateways and loaders, which are configured by the platform's store.
@@ -112,6 +112,25 @@
         Ratio(0.0, 0.0, 1e6),
         "Requests to a cold upstream in any second that are allowed beside `cold_overage`.",
     ),
+    field(
+        "domain_shares",
+        Flag(true),
+        "Whether the surplus of a failure domain with more callers than engines is sent to others by a plan, \
+         before its own engines are full. Turn it off where links between failure domains cost more than \
+         requests that are late.",
+    ),
+    field(
+        "link_share",
+        Ratio(0.25, 0.0, 1.0),
+        "Part of `region_link_mbps` that requests sent by `domain_shares` may take. Lower it where weights or \
+         other traffic need the link.",
+    ),
+    field(
+        "region_link_mbps",
+        Ratio(0.0, 0.0, 1_000_000.0),
+        "Rate of the link between two regions in Mbit/s; 0 if unknown: at most half of the requests of a \
+         failure domain then leave by `domain_shares`. Set it where the link is narrow.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
