--- a/crates/beacon/tests/messages.rs
+++ b/crates/beacon/tests/messages.rs
@@ -5,10 +5,11 @@
 
 use base::{Era, Fingerprint, StoreRevision};
 use beacon::{
-    Beacon, LoadUpdate, MAX_DATAGRAM, Msg, PaceUpdate, SuspectUpdate, TrialUpdate, batch_messages,
-    decode, encode,
+    Beacon, Demand, DemandUpdate, LoadUpdate, MAX_DATAGRAM, Msg, PaceUpdate, SuspectUpdate,
+    TrialUpdate, batch_messages, decode, encode,
 };
 use proptest::prelude::*;
+use tokio::net::UdpSocket;
 
 fn upstream(n: u16) -> SocketAddr {
     ([10, 0, 0, 1], n).into()
@@ -141,11 +142,11 @@
 #[tokio::test]
 async fn datagram_of_an_unknown_kind_is_skipped() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let probe = tokio::net::UdpSocket::bind(any).await.expect("a socket");
+    let probe = UdpSocket::bind(any).await.expect("a socket");
     let addr = probe.local_addr().expect("an address");
     drop(probe);
     let receiver = Beacon::bind(addr).await.expect("a free port");
-    let sender = tokio::net::UdpSocket::bind(any).await.expect("a socket");
+    let sender = UdpSocket::bind(any).await.expect("a socket");
     let msg = Msg::Pace(pace_update(3));
     let mut unknown = encode(&msg).expect("a datagram");
     unknown[0] = 120;
@@ -157,3 +158,54 @@
 
     assert_eq!(receiver.recv().await.0, msg);
 }
+
+fn demand_update() -> DemandUpdate {
+    DemandUpdate {
+        from: "g-1".to_owned(),
+        domain: "recife".to_owned(),
+        incarnation: 7,
+        sequence: 9,
+        demands: vec![Demand {
+            service: "llm".to_owned(),
+            millislots: 260_000,
+            bytes: 1_300_000,
+            barred: vec![("natal".to_owned(), 20_000)],
+        }],
+    }
+}
+
+#[test]
+fn demand_is_transmitted() {
+    for msg in [Msg::Demand, Msg::DomainDemand, Msg::RelayedDemand] {
+        let msg = msg(demand_update());
+
+        let received = decode(&encode(&msg).expect("a datagram"));
+
+        assert_eq!(received, Ok(msg));
+    }
+}
+
+#[test]
+fn sizes_of_demand_updates_are_as_documented() {
+    // docs/design/domain-shares.md derives the load of links from it.
+    let size = |update| {
+        encode(&Msg::DomainDemand(update))
+            .expect("a datagram")
+            .len()
+    };
+    let update = DemandUpdate {
+        from: "front-rec-a-12".to_owned(),
+        incarnation: 1_764_780_000_000,
+        sequence: 100_000,
+        demands: vec![Demand {
+            barred: Vec::new(),
+            ..demand_update().demands[0].clone()
+        }],
+        ..demand_update()
+    };
+
+    let bytes = size(update);
+    println!("{bytes} bytes");
+
+    assert!(bytes <= 60, "{bytes}");
+}
--- a/crates/catalog/tests/priorities.rs
+++ b/crates/catalog/tests/priorities.rs
@@ -5,8 +5,8 @@
 
 use base::Map;
 use catalog::{
-    Access, Catalog, Engine, Priorities, RequestLimits, Route, RouteKind, Service, Share,
-    WorkspacePolicy, urgency,
+    Access, Catalog, Engine, Iteration, Priorities, RequestLimits, Route, RouteKind, Service,
+    Share, WorkspacePolicy, urgency,
 };
 
 fn route(priority: u8, objective_ms: u64, services: &[&str]) -> Route {
@@ -24,6 +24,7 @@
         max_attempts: 1,
         priority,
         public: true,
+        gap_objective: None,
         allowed_places: Vec::new(),
         shares: services.iter().map(share).collect(),
     }
@@ -37,6 +38,7 @@
             layers: 1,
             prompt_rate: 30_000.0,
             chunk_bytes: 0,
+            iteration: Iteration::default(),
         }),
         origin: None,
         cold_rate: None,
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`back_off`]: time for which an upstream that rejected a request gets no others.
 //! - [`contention`]: whether to try an engine that other gateways see as equally free.
 //! - [`denial`]: whether the local replica of the configuration may deny a request.
+//! - [`domain_shares`]: planned share of each failure domain's demand for the others.
 //! - [`draining`]: whether a draining upstream gets new requests.
 //! - [`engine_model`]: choice of engines of varying speed.
 //! - [`fairness`]: workspaces that have been admitted more than their share of short capacity.
@@ -34,6 +35,7 @@
 pub mod back_off;
 pub mod contention;
 pub mod denial;
+pub mod domain_shares;
 pub mod draining;
 pub mod engine_model;
 pub mod fairness;
--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -125,6 +125,8 @@
     let drained = cx.drains.current();
     let peer_loads = cx.loads.peer_loads();
     let feedback = cx.feedback.current();
+    let target = cx.plans.target(cx, req, tried);
+    let home = target.as_ref().unwrap_or(&cx.upstreams.domain);
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_current(now)) {
@@ -171,7 +173,8 @@
             continue;
         }
         search.has_healthy |= is_healthy;
-        let candidate = candidate(&snapshot, peer_load, is_far);
+        let is_home = upstream.domain == *home;
+        let candidate = candidate(&snapshot, peer_load, !is_home);
         let gateways = match is_far {
             true => all_gateways,
             false => near_gateways,
@@ -184,7 +187,10 @@
             let idle = speeds.free_capacity(&upstream.addr, &idle(&candidate));
             search.add_to_pool(candidate.slots, idle, free_capacity, is_healthy);
         }
-        if is_contended && !should_try(free_capacity, gateways, is_far, has_waited, draw) {
+        // Only the planned share of requests tries a far target, about as many as arrive at near gateways in the time
+        // until a request is known.
+        let is_scattered = is_far && !is_home;
+        if is_contended && !should_try(free_capacity, gateways, is_scattered, has_waited, draw) {
             continue;
         }
         if let Some(cost) = speeds.cost(&upstream.addr, &candidate) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -18,6 +18,7 @@
 use web::{Client, DialOptions};
 
 use crate::announcements::Scope;
+use crate::demand_updates::{apply_demand, relay_demand};
 use crate::load_updates::hello;
 use crate::rate_limit_updates::sync_rate_limits;
 use crate::send::record_health;
@@ -63,6 +64,9 @@
                 let to: Vec<_> = cx.peers.borrow().near_gateways.values().copied().collect();
                 beacon.send(&Msg::Pace(update), to);
             }
+            Msg::Demand(update) => apply_demand(&cx, update),
+            Msg::DomainDemand(update) => relay_demand(&cx, &beacon, update),
+            Msg::RelayedDemand(update) => cx.demand.apply_domain_update(update, clock::now()),
             Msg::Chunks(_) | Msg::Releases(_) => {}
         }
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,9 @@
 mod balance;
 mod confirm;
 mod connection;
+pub mod demand;
+mod demand_updates;
+pub mod domain_plans;
 pub mod drain;
 pub mod events;
 pub mod feedback;
@@ -63,6 +66,8 @@
 use crate::admission::Admission;
 use crate::attempt_ages::AttemptAges;
 use crate::confirm::Confirmations;
+use crate::demand::DemandTable;
+use crate::domain_plans::DomainPlans;
 use crate::drain::Drains;
 use crate::feedback::Feedback;
 use crate::introduction::Introductions;
@@ -109,6 +114,10 @@
     pub loads: LoadTable,
     /// Paces of engines.
     pub paces: PaceTable,
+    /// Demand of this gateway, of others, and of failure domains.
+    pub demand: DemandTable,
+    /// Planned shares of the own failure domain's demand for others.
+    pub plans: DomainPlans,
     /// Processes that introduced themselves to this gateway.
     pub introductions: Introductions,
     /// Replicas of documents.
@@ -195,6 +204,8 @@
             suspects: Arc::new(Suspects::new(cfg.hold_time)),
             loads: LoadTable::default(),
             paces: PaceTable::default(),
+            demand: DemandTable::default(),
+            plans: DomainPlans::default(),
             introductions: Introductions::new(deps.registered_members),
             incarnation: base::unix_ms(),
             started: clock::now(),
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -93,7 +93,10 @@
                 | Msg::RateLimits(_)
                 | Msg::FarRateLimits(_)
                 | Msg::Pace(_)
-                | Msg::FarPace(_),
+                | Msg::FarPace(_)
+                | Msg::Demand(_)
+                | Msg::DomainDemand(_)
+                | Msg::RelayedDemand(_),
                 _,
             ) => {}
         }
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -13,6 +13,7 @@
     Service, WeightsVersion,
 };
 use loader::api::{Api, ApiError, Call, EngineState, Manifest, OrderResult, SwitchOrder};
+use loader::pace::Pace;
 use loader::{Dependencies, KnownReleases};
 use sha2::{Digest, Sha256};
 use tokio::runtime::{Builder, Runtime};
@@ -84,7 +85,7 @@
                 running: 0,
                 queued: 0,
                 start_time: Some(1),
-                pace: 1.0,
+                pace: Pace::NORMAL,
             })
         }),
         put: call(move |chunk: loader::api::StagedChunk| {
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -136,6 +136,25 @@
         "Whether refused callers of engines' services whose routes differ in priority are told when to retry by expected capacity. \
          Turn it off for delays that don't depend on load.",
     ),
+    field(
+        "domain_shares",
+        Flag(false),
+        "Whether the surplus of a failure domain with more callers than engines is sent to others by a plan, \
+         before its own engines are full. Turn it on where the callers of a failure domain often find its \
+         engines full while others have capacity.",
+    ),
+    field(
+        "link_share",
+        Ratio(0.25, 0.0, 1.0),
+        "Part of `region_link_mbps` that requests sent by `domain_shares` may take. Lower it where weights or \
+         other traffic need the link.",
+    ),
+    field(
+        "region_link_mbps",
+        Ratio(0.0, 0.0, 1_000_000.0),
+        "Rate of the link between two regions in Mbit/s; 0 if unknown: at most half of the requests of a \
+         failure domain then leave by `domain_shares`. Set it where the link is narrow.",
+    ),
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
