--- a/crates/cli/src/commands/operator.rs
+++ b/crates/cli/src/commands/operator.rs
@@ -1,23 +1,24 @@
-//! Shared by the operators' commands: settings, a runtime, and requests to the entries' admin addresses.
+//! Shared by the operators' commands: settings, a runtime, and requests to processes.
 
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
+use displaydoc::Display;
 use entry::admin::Status;
 use serde::de::DeserializeOwned;
 use settings::{OperatorCfg, Settings};
 use store::{Kv, Tables};
 use tokio::runtime::{Builder, Runtime};
-use web::{Client, DialOptions, read_body};
+use web::{BodyError, Client, DialOptions, SendError, read_body};
 
 use super::process;
 use crate::error::Error;
 
-/// Timeout of a request to an entry.
-const ENTRY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout of a request to a process.
+const PROCESS_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum size of an entry's response, in bytes.
+/// Maximum size of a process's response, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
 /// Loads an operator's settings.
@@ -41,20 +42,47 @@
     Tables::new(Kv::new(cfg.platform.table, cfg.platform.dial_options()))
 }
 
-/// Sends a GET request to an admin address; `None` on failure.
-pub async fn get(addr: SocketAddr, path: &str) -> Option<Vec<u8>> {
-    let req = hyper::Request::builder()
-        .uri(path)
-        .body(web::empty())
-        .ok()?;
-    let res = Client::new(DialOptions::with_timeout(ENTRY_TIMEOUT))
-        .send(addr, req, ENTRY_TIMEOUT)
-        .await
-        .ok()?;
-    let buf = read_body(res.into_body(), MAX_RESPONSE_BYTES, ENTRY_TIMEOUT)
+/// Why a GET request to a process failed.
+#[derive(Debug, Display)]
+pub enum GetError {
+    /// no connection ({0})
+    NoConnection(String),
+    /// the connection broke before the response ({0})
+    Broken(String),
+    /// no response within {0:?}
+    TimedOut(Duration),
+    /// status {0}, where 200 is expected
+    Status(u16),
+    /// {0}
+    Body(BodyError),
+}
+
+impl std::error::Error for GetError {}
+
+impl From<SendError> for GetError {
+    fn from(e: SendError) -> GetError {
+        match e {
+            SendError::NotSent(_, cause) => GetError::NoConnection(cause),
+            SendError::ResponseLost(_, cause) => GetError::Broken(cause),
+            SendError::TimedOut(_, timeout) => GetError::TimedOut(timeout),
+        }
+    }
+}
+
+/// Sends a GET request to an admin or metrics address, and reads the body of a response with status 200.
+pub async fn get(addr: SocketAddr, path: &'static str) -> Result<Vec<u8>, GetError> {
+    let mut req = hyper::Request::new(web::empty());
+    *req.uri_mut() = hyper::Uri::from_static(path);
+    let res = Client::new(DialOptions::with_timeout(PROCESS_TIMEOUT))
+        .send(addr, req, PROCESS_TIMEOUT)
+        .await?;
+    if res.status() != hyper::StatusCode::OK {
+        return Err(GetError::Status(res.status().as_u16()));
+    }
+    let buf = read_body(res.into_body(), MAX_RESPONSE_BYTES, PROCESS_TIMEOUT)
         .await
-        .ok()?;
-    Some(buf.to_vec())
+        .map_err(GetError::Body)?;
+    Ok(buf.to_vec())
 }
 
 /// Sends a GET request to all entries concurrently. Returns each address with the decoded response,
@@ -70,7 +98,7 @@
         .collect();
     let mut responses = Vec::new();
     for (addr, request) in requests {
-        let buf = request.await.ok().flatten();
+        let buf = request.await.ok().and_then(Result::ok);
         let response = buf.and_then(|buf| serde_json::from_slice(&buf).ok());
         responses.push((addr, response));
     }
