--- a/crates/cli/src/commands/mod.rs
+++ b/crates/cli/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod check;
 pub mod entry;
 pub mod gateway;
+pub mod load;
 pub mod loader;
 pub mod operator;
 pub mod process;
--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -37,6 +37,8 @@
     NotInForce(String),
     /// no entry responded; check `admins` in the settings and that the entries run
     NoEntry,
+    /// no process answered; check that they run and that --from names their `metrics` addresses
+    NoMetrics,
 }
 
 impl std::error::Error for Error {}
--- a/crates/cli/src/help.rs
+++ b/crates/cli/src/help.rs
@@ -23,6 +23,8 @@
     Status,
     /// `burn`
     Burn,
+    /// `load`
+    Load,
 }
 
 impl Topic {
@@ -38,6 +40,7 @@
             "publish" => Some(Topic::Publish),
             "status" => Some(Topic::Status),
             "burn" => Some(Topic::Burn),
+            "load" => Some(Topic::Load),
             _ => None,
         }
     }
@@ -56,6 +59,7 @@
         Topic::Publish => PUBLISH,
         Topic::Status => STATUS,
         Topic::Burn => BURN,
+        Topic::Load => LOAD,
     }
 }
 
@@ -76,6 +80,7 @@
   check     validate settings files and tables
   status    show which processes are up, and the progress of each rollout
   burn      show how much of the error budget is used, and how fast
+  load      show who is refused and why, the free capacity and slow engines
 
   -h, --help     print this text, or that of a command
   -V, --version  print the version
@@ -177,3 +182,16 @@
 Usage: driftnotch burn --settings FILE [--json]
 
 Example: driftnotch burn --settings operator.yaml";
+
+const LOAD: &str = "\
+Shows, by the metrics of gateways and loaders: refusals by reason, and by route and priority; the free
+fraction of the capacity and the rank from which on requests are refused; engines that are slow, rate
+limited or draining; demand, capacity and shares of failure domains; and how many promised retries came.
+
+Usage: driftnotch load --from IP:PORT[,IP:PORT...]
+
+--from takes the `metrics` addresses of the processes. Counters are summed over the processes since each
+started; gauges are shown as lowest and highest. Metrics that no process serves are left out. A process
+that doesn't answer is named with the cause, and the others are shown.
+
+Example: driftnotch load --from 10.0.0.1:8304,10.0.0.2:8304,10.0.1.1:8403";
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod logs;
 mod options;
 mod output;
+mod prometheus;
 mod resources;
 mod signals;
 
@@ -36,5 +37,6 @@
         Command::Publish(publish) => commands::publish::run(&publish),
         Command::Status(status) => commands::status::run(&status),
         Command::Burn(burn) => commands::burn::run(&burn),
+        Command::Load(load) => commands::load::run(&load),
     }
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,6 +1,7 @@
 //! Parses the command line into typed options.
 
 use std::ffi::OsString;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -10,8 +11,8 @@
 use crate::help::Topic;
 
 /// All commands, for suggestions on a misspelt one.
-const COMMANDS: [&str; 9] = [
-    "entry", "agent", "gateway", "loader", "table", "check", "publish", "status", "burn",
+const COMMANDS: [&str; 10] = [
+    "entry", "agent", "gateway", "loader", "table", "check", "publish", "status", "burn", "load",
 ];
 
 /// All commands of `table`, for suggestions on a misspelt one.
@@ -49,6 +50,8 @@
     Status(StatusOptions),
     /// Show the burn of the error budget.
     Burn(BurnOptions),
+    /// Show refusals, free capacity and slow engines.
+    Load(LoadOptions),
 }
 
 /// Options of `check`.
@@ -126,6 +129,13 @@
     pub json: bool,
 }
 
+/// Options of `load`.
+#[derive(Debug)]
+pub struct LoadOptions {
+    /// Metrics addresses of gateways and loaders, each once.
+    pub from: Vec<SocketAddr>,
+}
+
 impl Options {
     /// Parses the arguments.
     pub fn parse(args: Vec<OsString>) -> Result<Options, Error> {
@@ -154,6 +164,9 @@
                 json: args.contains("--json"),
                 settings: settings(&mut args)?,
             }),
+            Some("load") => Command::Load(LoadOptions {
+                from: from(&mut args)?,
+            }),
             Some(other) => return Err(unknown_name_error("command", other, &COMMANDS)),
         };
         finish(args)?;
@@ -179,6 +192,33 @@
         .ok_or_else(|| Error::Usage("--settings FILE is missing; see --help".into()))
 }
 
+/// Parses the addresses of `--from`. An address that is named twice would count twice in sums, so it is an error.
+fn from(args: &mut Arguments) -> Result<Vec<SocketAddr>, Error> {
+    let lists: Vec<String> = args.values_from_str("--from").map_err(usage_error)?;
+    if lists.is_empty() {
+        return Err(Error::Usage(
+            "--from IP:PORT[,IP:PORT...] is missing; name the `metrics` addresses of gateways; see --help".into(),
+        ));
+    }
+    let mut from = Vec::new();
+    for text in lists.iter().flat_map(|list| list.split(',')) {
+        match text.trim().parse::<SocketAddr>() {
+            Err(_) => {
+                return Err(Error::Usage(format!(
+                    "--from: {text:?} is not an IP address with a port; write as 10.0.0.1:8304, with commas between addresses"
+                )));
+            }
+            Ok(addr) if from.contains(&addr) => {
+                return Err(Error::Usage(format!(
+                    "--from names {addr} twice; name each process once"
+                )));
+            }
+            Ok(addr) => from.push(addr),
+        }
+    }
+    Ok(from)
+}
+
 fn check(args: &mut Arguments) -> Result<CheckOptions, Error> {
     let json = args.contains("--json");
     let fields: Option<String> = args.opt_value_from_str("--fields").map_err(usage_error)?;
@@ -288,7 +328,7 @@
 }
 
 /// Options of all commands, for suggestions on a misspelt one.
-const OPTIONS: [&str; 10] = [
+const OPTIONS: [&str; 11] = [
     "--settings",
     "--json",
     "--fields",
@@ -297,6 +337,7 @@
     "--wait",
     "--last",
     "--chunk",
+    "--from",
     "--help",
     "--version",
 ];
--- a/crates/cli/tests/cli.rs
+++ b/crates/cli/tests/cli.rs
@@ -27,6 +27,7 @@
 fn prints_usage_and_an_example_in_the_help_of_every_command() {
     for name in [
         "entry", "agent", "gateway", "loader", "table", "check", "publish", "status", "burn",
+        "load",
     ] {
         let out = run(&[name, "--help"]);
         assert_eq!(out.status.code(), Some(0), "{name}");
