Count promises broken for lack of an upstream, and sum buckets without overflow

A promised retry that found no upstream was neither counted as broken nor kept further promises from being made, so an outage longer than expected broke all of them. The longest delay without an upstream is also remembered when it was told without a promise. Counts of several buckets are summed in 32 bits.

--- a/crates/decide/src/returns.rs
+++ b/crates/decide/src/returns.rs
@@ -149,6 +149,8 @@
     Served,
     /// It was refused.
     Refused,
+    /// It found no upstream. That says nothing about what late requests get, unless it was promised capacity.
+    NoUpstream,
 }
 
 /// State of the upstreams of a service, from the load sums.
@@ -230,8 +232,8 @@
         self.scheduled.iter().sum()
     }
 
-    fn expected(&self) -> u16 {
-        self.scheduled() + self.declined
+    fn expected(&self) -> u32 {
+        u32::from(self.scheduled()) + u32::from(self.declined)
     }
 }
 
@@ -286,10 +288,17 @@
 
     /// Records the result of a late request. Returns whether it is counted against a promise.
     pub fn record_late(&mut self, outcome: LateOutcome, now: Instant) -> bool {
+        let is_promised = self.settle(now);
         match outcome {
             LateOutcome::Served => self.late_served.record(now),
-            LateOutcome::Refused => self.late_refused.record(now),
+            LateOutcome::NoUpstream if !is_promised => {}
+            LateOutcome::Refused | LateOutcome::NoUpstream => self.late_refused.record(now),
         }
+        is_promised
+    }
+
+    /// Settles an open promise for now; returns whether there was one.
+    fn settle(&mut self, now: Instant) -> bool {
         let number = self.number(now);
         // A request that was queued ends in the bucket after its own.
         for number in [number.saturating_sub(1), number] {
@@ -346,6 +355,7 @@
 
     /// Returns the longest delay, for a caller for whom no capacity is expected.
     pub fn decline(&mut self, now: Instant, range: DelayRange, draw: f64) -> Promise {
+        self.record_refusal(range, now);
         let delay = range
             .longest
             .saturating_sub(UNPROMISED_SPREAD.mul_f64(draw));
@@ -378,11 +388,11 @@
     /// longest, given the time since its first attempt and its remaining time. While no caller is expected back, none
     /// does.
     pub fn is_out_of_turn(&self, attempt_age: Duration, remaining: Duration, now: Instant) -> bool {
-        if attempt_age.is_zero() || !self.is_expecting(Bucket::expected, now) {
+        if attempt_age.is_zero() || !self.is_expecting(|b| b.expected() > 0, now) {
             return false;
         }
         // Other gateways schedule much as this one does.
-        let shortest = match self.is_expecting(Bucket::scheduled, now) {
+        let shortest = match self.is_expecting(|b| b.scheduled() > 0, now) {
             true => min_busy_delay(),
             false => *delay_range(Reason::Busy).end() - UNPROMISED_SPREAD,
         };
@@ -404,10 +414,10 @@
     }
 
     /// Returns whether any current bucket has a count.
-    fn is_expecting(&self, count: fn(&Bucket) -> u16, now: Instant) -> bool {
+    fn is_expecting(&self, has_count: fn(&Bucket) -> bool, now: Instant) -> bool {
         let earliest = self.number(now).saturating_sub(BUCKETS as u32);
         let mut recent = self.buckets.iter().filter(|b| b.number >= earliest);
-        recent.any(|b| count(b) > 0)
+        recent.any(has_count)
     }
 
     /// Returns the late requests a second that this gateway's share of the pool is expected to serve.
@@ -436,7 +446,7 @@
         let rate = SCHEDULED_FRACTION * self.expected_rate(now) - more_urgent;
         let period = BUCKET.as_secs_f64();
         let near = number.saturating_sub(BOUND_BUCKETS / 2)..number + BOUND_BUCKETS / 2;
-        let total: u16 = near.map(|n| self.get(n).map_or(0, Bucket::expected)).sum();
+        let total: u32 = near.map(|n| self.get(n).map_or(0, Bucket::expected)).sum();
         f64::from(total) + 1.0 <= rate * period * BOUND_BUCKETS as f64
             && f64::from(self.get(number).map_or(0, Bucket::expected)) < (rate * period).ceil()
     }
--- a/crates/decide/tests/returns.rs
+++ b/crates/decide/tests/returns.rs
@@ -246,8 +246,12 @@
                 gateway.queue.push(request);
                 continue;
             }
-            if let (true, Reason::Busy, Some(schedule)) = (is_late, reason, &mut gateway.schedule) {
-                schedule.record_late(LateOutcome::Refused, at);
+            if let (true, Some(schedule)) = (is_late, &mut gateway.schedule) {
+                let outcome = match reason {
+                    Reason::Busy => LateOutcome::Refused,
+                    Reason::NoUpstream => LateOutcome::NoUpstream,
+                };
+                schedule.record_late(outcome, at);
             }
             self.refuse(gateway, request, reason);
         }
@@ -648,6 +652,43 @@
     assert!(promise.delay > Duration::from_millis(2900), "{promise:?}");
 }
 
+/// Guards against promises in an outage that lasts longer than expected: upstreams are listed, but those who retried as
+/// told found none.
+#[test]
+fn broken_promise_without_upstream_ends_promises() {
+    let created = Instant::now();
+    let mut schedule = returning(created, 60.0);
+    let now = created + Duration::from_secs(3);
+    assert!(
+        !schedule.record_late(LateOutcome::NoUpstream, now),
+        "none was promised"
+    );
+    let promise = schedule.promise(now, 0, range(), 0.5);
+    assert!(promise.is_expected);
+
+    let due = now + promise.delay;
+    assert!(schedule.record_late(LateOutcome::NoUpstream, due));
+
+    let next = schedule.promise(due, 0, range(), 0.5);
+    assert!(!next.is_expected, "{next:?}");
+}
+
+/// Guards against an overflow of the sum of several buckets.
+#[test]
+fn many_refusals_are_counted_without_overflow() {
+    let created = Instant::now();
+    let mut schedule = returning(created, 60.0);
+    let now = created + Duration::from_secs(3);
+    for i in 0..200_000 {
+        schedule.decline(now, range(), f64::from(i % 3) / 3.0);
+    }
+
+    let mut is_expected = || schedule.promise(now, 0, range(), 0.5).is_expected;
+    let promised = (0..100).filter(|_| is_expected()).count();
+
+    assert!((1..100).contains(&promised), "{promised}");
+}
+
 /// Guards against honest callers treated as early: one with little time retries after a third of it.
 #[test]
 fn only_retries_that_no_caller_was_told_are_out_of_turn() {
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -181,7 +181,7 @@
 }
 
 /// Returns the refusal of a request. One that was sent to an upstream before gets the constant delay, since its caller
-/// may be answered otherwise. A lack of upstreams says nothing about what late requests get.
+/// may be answered otherwise.
 fn refuse(
     cx: &Cx,
     req: &RoutedRequest,
@@ -192,8 +192,10 @@
     if !tried.is_empty() {
         return constant_refusal(reason);
     }
-    if reason == Reason::Busy {
-        record_outcome(cx, req, service, LateOutcome::Refused);
-    }
+    let outcome = match reason {
+        Reason::Busy => LateOutcome::Refused,
+        Reason::NoUpstream => LateOutcome::NoUpstream,
+    };
+    record_outcome(cx, req, service, outcome);
     refusal(cx, req, service, reason)
 }
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -114,7 +114,7 @@
     if cx.returns.with(cx, service, record) == Some(true) {
         let name = match outcome {
             LateOutcome::Served => "driftnotch_retries_kept_total",
-            LateOutcome::Refused => "driftnotch_retries_broken_total",
+            LateOutcome::Refused | LateOutcome::NoUpstream => "driftnotch_retries_broken_total",
         };
         metrics::counter!(name).increment(1);
     }
