Promise capacity only to requests that have upstreams of their own

The schedule's pool may be that of a request that may run elsewhere: one that may run only in a drained failure domain was told to expect capacity.

--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -135,7 +135,12 @@
     let promise = cx.returns.with(cx, service, |schedule, now| {
         update_pool(cx, req, service, schedule, now);
         let range = DelayRange::new(reason, req.remaining());
-        match req.is_out_of_turn {
+        // The schedule's pool may be that of a request that may run elsewhere.
+        let has_upstream = reason == Reason::Busy || {
+            let own = pool(cx, req, service, now);
+            own.slots > 0.0 || own.returning_rate > 0.0
+        };
+        match req.is_out_of_turn || !has_upstream {
             true => schedule.decline(now, range, draw),
             false => schedule.promise(now, rank(req.priority()), range, draw),
         }
