--- a/crates/gateway/tests/pools.rs
+++ b/crates/gateway/tests/pools.rs
@@ -35,13 +35,13 @@
     let [llm, other] = ["llm", "other"].map(str::to_owned);
     let [large, small] = ["large", "small"].map(str::to_owned);
     for _ in 0..10 {
-        pools.arrive((&llm, 0), &large, 1_000.0, now);
-        pools.admit((&llm, 0), &large, 1_000.0, now);
+        pools.arrive((&llm, (0, 0)), &large, 1_000.0, now);
+        pools.admit((&llm, (0, 0)), &large, 1_000.0, now);
     }
-    pools.arrive((&llm, 0), &small, 5_000.0, now);
+    pools.arrive((&llm, (0, 0)), &small, 5_000.0, now);
 
-    assert!(pools.arrive((&llm, 0), &large, 1_000.0, now));
-    assert!(!pools.arrive((&llm, 0), &small, 1_000.0, now));
-    assert!(!pools.arrive((&llm, 1), &large, 1_000.0, now));
-    assert!(!pools.arrive((&other, 0), &large, 1_000.0, now));
+    assert!(pools.arrive((&llm, (0, 0)), &large, 1_000.0, now));
+    assert!(!pools.arrive((&llm, (0, 0)), &small, 1_000.0, now));
+    assert!(!pools.arrive((&llm, (1, 1)), &large, 1_000.0, now));
+    assert!(!pools.arrive((&other, (0, 0)), &large, 1_000.0, now));
 }
