Let a suspect use other upstreams where those kept apart are reserved

The pool of a suspect that is kept apart from others excludes upstreams on trial, so it may be below a reserve while the service has free capacity.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -185,7 +185,7 @@
     };
     let trials = cx.suspects.active_trials(clock::now());
     match pick(cx, req, service, tried, &trials, has_waited, standing) {
-        Pick::Full if isolation == Isolation::Preferred => {
+        Pick::Full | Pick::Reserved { .. } if isolation == Isolation::Preferred => {
             pick(cx, req, service, tried, &[], has_waited, standing)
         }
         picked => picked,
