--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -126,7 +126,7 @@
     ),
     field(
         "min_share",
-        Ratio(0.25, 0.0, 1.0),
+        Ratio(0.5, 0.0, 1.0),
         "Part of the requests of each less urgent route that counts as most urgent, so that none is starved. Raise \
          it where less urgent routes get too little in overload.",
     ),
