Limit updates of an engine whose pace changes at every poll

Cause: each change was sent at once, up to 20 a second to each gateway of the failure domain. Change: within 200 ms of an update a change isn't sent at once but repeated 60 ms later. Tested: 51 updates at most in 10 s of changes at every poll, and the last change is sent within 100 ms.

--- a/crates/loader/src/pace.rs
+++ b/crates/loader/src/pace.rs
@@ -2,7 +2,7 @@
 //!
 //! Load: an engine that is slow for 600 ms at a time changes its pace less than once a second, and a slow period is
 //! over before a second update would be due. A change is therefore sent at once, and again twice within 250 ms in
-//! case datagrams are lost. An engine that always has the normal pace is polled as often as without this module, and
+//! case datagrams are lost. Where changes follow each other faster, updates are limited to five a second. An engine that always has the normal pace is polled as often as without this module, and
 //! nothing is sent.
 
 use std::net::SocketAddr;
@@ -30,6 +30,10 @@
 /// which an engine stays slow.
 const REPEAT_DELAYS: [Duration; 2] = [Duration::from_millis(60), Duration::from_millis(250)];
 
+/// Minimum time after an update for which a further change isn't sent at once but repeated later: an engine whose pace
+/// changes at each poll sends at most five updates a second.
+const MIN_CHANGE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval of the summary in the log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(60);
 
@@ -114,7 +118,11 @@
             && self
                 .last_update
                 .is_none_or(|at| since(at) >= UPDATE_INTERVAL);
-        if !(is_changed || is_repetition_due || is_update_due) {
+        let is_change_due = is_changed
+            && self
+                .last_update
+                .is_none_or(|at| since(at) >= MIN_CHANGE_INTERVAL);
+        if !(is_change_due || is_repetition_due || is_update_due) {
             return None;
         }
         self.last_update = Some(now);
--- a/crates/loader/tests/pace.rs
+++ b/crates/loader/tests/pace.rs
@@ -94,3 +94,21 @@
         [1_000, 1_100, 1_250, 2_250, 3_250, 4_000, 4_100, 4_250]
     );
 }
+
+/// Guards against an engine whose pace changes at every poll and that floods the gateways with updates, or whose last
+/// change isn't sent.
+#[test]
+fn updates_of_rapid_changes_are_limited_and_the_last_change_is_sent() {
+    let start = Instant::now();
+    let mut paces = PaceTracker::new(start);
+    let alternating = |ms: u32| match ms % 100 {
+        0 => slow(),
+        _ => Pace::from_report(Some(2.0)),
+    };
+
+    let rapid = updates(&mut paces, start, 0..10_000, alternating);
+    let after = updates(&mut paces, start, 10_000..10_500, |_| Pace::NORMAL);
+
+    assert!(rapid.len() <= 51, "{} updates in 10 s", rapid.len());
+    assert!(after.first().is_some_and(|ms| *ms <= 10_100), "{after:?}");
+}
