--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -126,7 +126,7 @@
     let peer_loads = cx.loads.peer_loads();
     let feedback = cx.feedback.current();
     let target = cx.plans.target(cx, req, tried);
-    let home = target.as_ref().unwrap_or(&cx.upstreams.domain);
+    let target = target.as_ref().unwrap_or(&cx.upstreams.domain);
     let mut rng = rand::rng();
     let mut search = Search::default();
     for entry in entries.iter().filter(|e| e.is_current(now)) {
@@ -173,8 +173,8 @@
             continue;
         }
         search.has_healthy |= is_healthy;
-        let is_home = upstream.domain == *home;
-        let candidate = candidate(&snapshot, peer_load, !is_home);
+        let is_target = upstream.domain == *target;
+        let candidate = candidate(&snapshot, peer_load, !is_target);
         let gateways = match is_far {
             true => all_gateways,
             false => near_gateways,
@@ -189,8 +189,8 @@
         }
         // Only the planned share of requests tries a far target, about as many as arrive at near gateways in the time
         // until a request is known.
-        let is_scattered = is_far && !is_home;
-        if is_contended && !should_try(free_capacity, gateways, is_scattered, has_waited, draw) {
+        let is_unplanned = is_far && !is_target;
+        if is_contended && !should_try(free_capacity, gateways, is_unplanned, has_waited, draw) {
             continue;
         }
         if let Some(cost) = speeds.cost(&upstream.addr, &candidate) {
