Draw by hash in one place, and use the request's expected tokens

Cause: the conversion of a seeded hash to a draw stood in load balancing, in the rank of a request and in the plan of failure domains, and the expected tokens of a request were derived again for retry pacing. Change: Cx::draw and RoutedRequest::expected_tokens serve all; one impl block of Returns instead of two. The values are the same.

--- a/crates/gateway/src/balance.rs
+++ b/crates/gateway/src/balance.rs
@@ -6,7 +6,6 @@
 //! requests are chosen only if there is no healthy one. Cold upstreams get requests by [`decide::slow_start`], those
 //! that advertise a rate limit by [`decide::rate_limit`], those that ask for a back-off by [`decide::back_off`].
 
-use std::hash::BuildHasher;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
@@ -350,9 +349,7 @@
 fn draw(cx: &Cx, upstream: &Upstream, is_far: bool, now: Instant) -> f64 {
     let since_start = now.saturating_duration_since(cx.started);
     let period = since_start.as_millis() / draw_period(is_far).as_millis();
-    // The upper half of the hash converts to a float exactly.
-    let hash = cx.random_state.hash_one((upstream.addr, period)) >> 32;
-    hash as f64 / f64::from(u32::MAX)
+    cx.draw((upstream.addr, period))
 }
 
 fn requirements(cx: &Cx, req: &RoutedRequest, service: &Service) -> Requirements {
--- a/crates/gateway/src/domain_plans.rs
+++ b/crates/gateway/src/domain_plans.rs
@@ -4,7 +4,6 @@
 //! capacity of listed upstreams. A failure domain whose sum has expired is left out, so a partitioned one neither
 //! sends nor receives. A gateway that has just started plans nothing until it knows the sums.
 
-use std::hash::BuildHasher;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -71,9 +70,7 @@
     ) -> Option<DomainName> {
         let shares = self.lock().get(&req.service).cloned()?;
         let id = (&req.metadata.attempt_id, req.arrived);
-        // The upper half of the hash converts to a float exactly.
-        let hash = cx.random_state.hash_one(id) >> 32;
-        let draw = hash as f64 / f64::from(u32::MAX);
+        let draw = cx.draw(id);
         let is_allowed = |domain: &str| req.can_run_in(&cx.cfg.domains, domain);
         let target = target(&shares, draw, is_allowed)?;
         let is_tried = tried.iter().any(|upstream| upstream.domain == *target);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -52,6 +52,7 @@
 mod unconfirmed;
 pub mod upstream;
 
+use std::hash::{BuildHasher, Hash};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::time::Instant;
@@ -227,6 +228,13 @@
         }
     }
 
+    /// Returns a draw in 0..=1 that is fixed for a value and differs from that of other gateways.
+    pub(crate) fn draw(&self, value: impl Hash) -> f64 {
+        // The upper half of the hash converts to a float exactly.
+        let hash = self.random_state.hash_one(value) >> 32;
+        hash as f64 / f64::from(u32::MAX)
+    }
+
     /// Returns the number of gateways that share the retry budget, including this one.
     pub fn gateways(&self) -> usize {
         let peers = self.peers.borrow();
--- a/crates/gateway/src/rank.rs
+++ b/crates/gateway/src/rank.rs
@@ -1,6 +1,5 @@
 //! Rank and standing by which a request is admitted.
 
-use std::hash::BuildHasher;
 use std::time::Instant;
 
 use catalog::{Service, Urgency};
@@ -25,9 +24,7 @@
         return None;
     }
     // The hash has a random seed: a caller can't choose an attempt id that counts as most urgent.
-    let hash = cx.random_state.hash_one(attempt) >> 32;
-    let draw = hash as f64 / f64::from(u32::MAX);
-    let urgency = match priority::is_promoted(draw, cx.cfg.min_share) {
+    let urgency = match priority::is_promoted(cx.draw(attempt), cx.cfg.min_share) {
         true => priorities.most_urgent(),
         false => urgency,
     };
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -54,9 +54,7 @@
         let new = ReturnSchedule::new(now);
         Some(f(schedules.entry(service.name.clone()).or_insert(new), now))
     }
-}
 
-impl Returns {
     /// Records the delay that a response tells.
     pub(crate) fn record_response(&self, res: &Response) {
         let told = res.headers().get(RETRY_AFTER);
@@ -185,8 +183,7 @@
 fn pool(cx: &Cx, req: &RoutedRequest, service: &Service, now: Instant) -> Pool {
     let model = req.metadata.model.as_ref();
     let oldest_allowed = model.map_or(0, |model| cx.releases.oldest_allowed(model, now));
-    let tokens = req.metadata.expected_tokens;
-    let tokens = tokens.unwrap_or(req.metadata.max_tokens);
+    let tokens = req.expected_tokens();
     let entries = cx.upstreams.entries(&req.service);
     let drained = cx.drains.current();
     let peer_loads = cx.loads.peer_loads();
