Tell silent upstreams from broken connections in logs and metrics

A response lost to an upstream that sent nothing and one lost to a closed connection were both 'broke', cut streams weren't counted by reason, and neither the silence before a cut nor a panicking handler showed, so the hypotheses on the lost requests couldn't be told apart.

- tries: 'silent' beside 'broke'; driftnotch_lost_answers_total by 'why'.
- driftnotch_cut_responses_total by 'why'.
- request line: silent_ms, the time from the last event to the end, and ending=panicked.

--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -47,11 +47,26 @@
 
 impl std::error::Error for ResponseLoss {}
 
+impl ResponseLoss {
+    /// Returns the short name for metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            ResponseLoss::Disconnected(_) => "disconnected",
+            ResponseLoss::Unresponsive => "silent",
+            ResponseLoss::WrongAttempt => "wrong_attempt",
+            ResponseLoss::Unsigned => "unsigned",
+            ResponseLoss::AmbiguousStatus(_) => "status",
+        }
+    }
+}
+
 /// State of an upstream after a response of it was lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum UpstreamOutcome {
     /// No process listens at its address any more.
     Exited,
+    /// The upstream sends nothing, on a connection that is still open.
+    Silent,
     /// The upstream is alive, or its state is unknown.
     Unknown,
 }
@@ -61,6 +76,7 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             UpstreamOutcome::Exited => "ended",
+            UpstreamOutcome::Silent => "silent",
             UpstreamOutcome::Unknown => "broke",
         }
     }
@@ -75,6 +91,7 @@
 ) -> UpstreamOutcome {
     let outcome = match loss {
         ResponseLoss::Disconnected(_) if has_exited(upstream).await => UpstreamOutcome::Exited,
+        ResponseLoss::Unresponsive => UpstreamOutcome::Silent,
         _ => UpstreamOutcome::Unknown,
     };
     match (outcome, loss) {
@@ -89,12 +106,13 @@
         }
         // A server error was already recorded as a failure when its head arrived.
         (UpstreamOutcome::Unknown, ResponseLoss::AmbiguousStatus(_)) => {}
-        (UpstreamOutcome::Unknown, _) => {
+        (UpstreamOutcome::Silent | UpstreamOutcome::Unknown, _) => {
             record_health(upstream, Health::Failed);
             cx.suspects.record_lost_response(req, upstream);
         }
     }
-    metrics::counter!("driftnotch_lost_answers_total", "upstream" => outcome.name()).increment(1);
+    metrics::counter!("driftnotch_lost_answers_total", "upstream" => outcome.name(), "why" => loss.name())
+        .increment(1);
     outcome
 }
 
--- a/crates/gateway/src/record.rs
+++ b/crates/gateway/src/record.rs
@@ -51,6 +51,8 @@
     pub first_event_ms: Option<u64>,
     /// Longest time between two events, in milliseconds.
     pub max_gap_ms: u64,
+    /// When the last event was relayed.
+    pub last_event: Option<Instant>,
     /// Time spent in each span.
     pub spans: Arc<Spans>,
     /// Outcome.
@@ -74,6 +76,7 @@
             attempts: String::new(),
             first_event_ms: None,
             max_gap_ms: 0,
+            last_event: None,
             spans: Arc::default(),
             outcome: RequestOutcome::CallerLeft,
         }
@@ -89,6 +92,15 @@
         self.attempts.push_str(result);
     }
 
+    /// Records that events were relayed.
+    pub fn record_event(&mut self) {
+        let now = clock::now();
+        if let Some(last) = self.last_event.replace(now) {
+            let gap = now.saturating_duration_since(last).as_millis() as u64;
+            self.max_gap_ms = self.max_gap_ms.max(gap);
+        }
+    }
+
     /// Returns the milliseconds since the request arrived.
     pub fn elapsed_ms(&self) -> u64 {
         clock::since(self.arrived).as_millis() as u64
@@ -99,11 +111,18 @@
     fn drop(&mut self) {
         let elapsed_ms = self.elapsed_ms();
         let (ending, status, why) = match self.outcome {
+            RequestOutcome::CallerLeft if std::thread::panicking() => ("panicked", 0, "-"),
             RequestOutcome::CallerLeft => ("caller_left", 0, "-"),
             RequestOutcome::Answered(status) => ("answered", status, "-"),
             RequestOutcome::Refused(status, why) => ("refused", status, why),
             RequestOutcome::Cut(why) => ("cut", 0, why),
         };
+        if let RequestOutcome::Cut(why) = self.outcome {
+            metrics::counter!("driftnotch_cut_responses_total", "why" => why).increment(1);
+        }
+        let silent_ms = self
+            .last_event
+            .map_or(-1, |at| clock::since(at).as_millis() as i64);
         let first = self.first_event_ms.map_or(-1, |ms| ms as i64);
         let route = self.route.clone();
         metrics::counter!("driftnotch_requests_total", "route" => route.clone(), "ending" => ending)
@@ -125,7 +144,7 @@
         self.spans.record(&self.route);
         info!(
             target: PART,
-            "{PART}: id={} route={} service={} workspace={} revision={} confirmed_ms={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} took_ms={elapsed_ms} spans_ms={}",
+            "{PART}: id={} route={} service={} workspace={} revision={} confirmed_ms={} patience_ms={} waited_ms={} tries={} ending={ending} status={status} why=\"{why}\" first_event_ms={first} longest_gap_ms={} silent_ms={silent_ms} took_ms={elapsed_ms} spans_ms={}",
             self.attempt_id, self.route, self.service, self.workspace, self.config_revision, self.config_age_ms, self.timeout_ms, self.attempt_age_ms, self.attempts, self.max_gap_ms, self.spans,
         );
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -169,7 +169,6 @@
     first: Option<Bytes>,
     tried: Vec<Arc<Upstream>>,
     sent: u32,
-    last_relayed: Instant,
     record: RequestRecord,
 }
 
@@ -183,6 +182,7 @@
             sent,
         } = self;
         record.first_event_ms = Some(record.elapsed_ms());
+        record.record_event();
         let mut res = hyper::Response::new(());
         *res.status_mut() = stream.head.status;
         *res.headers_mut() = (stream.cx.codec.response_headers)(&stream.head.headers);
@@ -191,7 +191,6 @@
             first: Some(first),
             tried,
             sent,
-            last_relayed: clock::now(),
             record,
         };
         let events = stream::unfold(Some(relayed), |relayed| async move {
@@ -220,9 +219,7 @@
             let deadline = self.stream.req.deadline;
             match self.stream.source.next(deadline, timeout).await {
                 Item::Events(bytes) => {
-                    let gap = clock::since(self.last_relayed).as_millis() as u64;
-                    self.record.max_gap_ms = self.record.max_gap_ms.max(gap);
-                    self.last_relayed = clock::now();
+                    self.record.record_event();
                     return Ok(Some(bytes));
                 }
                 Item::End => {
