Keep a silent upstream until another one goes on

Callers saw streams that ended without their last event, and 502 before the first one, while the upstream that ran their request was sound: a pause of a second or so was enough.

Cause: silence was taken for loss. The relay and the dispatch gave an upstream up after stall_time and only then looked for another. Each of the ways in which that can fail (no attempt left, no free slot, no retry in the budget, a refusal or failure of the other one, the deadline) ended the caller's response, although the first source was still open.

Now nothing ends an attempt but its upstream, the deadline, or another attempt that has gone on:

- dispatch and relay poll the first attempt on; after stall_time of silence, or half of the time that was left, a second attempt begins beside it if attempts, the retry budget and a free slot at a responsive upstream allow it.
It doesn't wait in the queue, where it would hold up new requests.
The first to complete (a stream: to deliver an event) serves the request, the other is cancelled.
- Silence is measured in bytes on the connection, so a slow response isn't silent, and the time in which the caller doesn't read isn't either.
- A silent upstream isn't ejected as failing.
If all of its requests are silent it counts as unhealthy until it is heard again, for a second at most; if it serves others meanwhile, it has failed this request, as before.
- A deadline that passes while events arrive is no failure of the upstream.
Nor is the moment from which a version may begin nothing more; such an attempt is cancelled before its first event only, and logged as 'outdated'.

--- /dev/null
+++ b/crates/decide/src/hedging.rs
@@ -0,0 +1,54 @@
+//! Second attempts beside an upstream that is silent.
+//!
+//! Silence doesn't tell a paused upstream, which goes on, from one that never answers. The first attempt therefore
+//! stays open while a second one is made, and the first of the two to go on serves the request.
+
+use std::time::Duration;
+
+/// Time between two tries to begin a second attempt, if no other upstream can take it yet.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Returns the silence of an upstream after which a second attempt begins: at most `max`, and at most half of the time
+/// from the last byte until the deadline, so that the second attempt has as long as the first one.
+pub fn delay(max: Duration, until_deadline: Duration) -> Duration {
+    max.min(until_deadline / 2)
+}
+
+/// What the silence of an upstream on one request shows about the upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silence {
+    /// The upstream is silent on all requests: it is paused, or can't be reached.
+    Upstream,
+    /// The upstream has meanwhile sent bytes on other requests: it fails this one.
+    Request,
+}
+
+impl Silence {
+    /// Classifies a silence by its duration, and by the time since the upstream was last heard on any request. Requests
+    /// of an upstream that pauses fall silent within an interval of events of each other, not at the same moment.
+    pub fn classify(silence: Duration, since_heard: Duration) -> Silence {
+        match since_heard < silence / 2 {
+            true => Silence::Request,
+            false => Silence::Upstream,
+        }
+    }
+}
+
+/// Attempts of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct AttemptCount {
+    /// Attempts that reached an upstream, or are in progress.
+    pub sent: u32,
+    /// Maximum number of attempts.
+    pub max: u32,
+    /// Attempts in progress.
+    pub in_progress: usize,
+}
+
+impl AttemptCount {
+    /// Returns whether a second attempt may begin beside the one in progress. `is_repeatable` states whether the
+    /// request may run twice.
+    pub fn allows_second(self, is_repeatable: bool) -> bool {
+        is_repeatable && self.in_progress == 1 && self.sent < self.max
+    }
+}
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`engine_model`]: choice of engines of varying speed.
 //! - [`fairness`]: workspaces that have been admitted more than their share of short capacity.
 //! - [`fanout`]: gateways of a failure domain that a change of load is sent to at once.
+//! - [`hedging`]: second attempts beside an upstream that is silent.
 //! - [`load_balancing`]: choice of the upstream for a request.
 //! - [`outlier_detection`]: upstreams that are avoided because they fail most of their requests.
 //! - [`priority`]: whether a request may take a slot while more urgent ones may need it.
@@ -40,6 +41,7 @@
 pub mod engine_model;
 pub mod fairness;
 pub mod fanout;
+pub mod hedging;
 pub mod load_balancing;
 pub mod outlier_detection;
 pub mod priority;
--- /dev/null
+++ b/crates/gateway/src/activity.rs
@@ -0,0 +1,153 @@
+//! When bytes last arrived from an upstream, for one attempt and for the upstream as a whole.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+
+use decide::hedging::{self, Silence};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use crate::upstream::Upstream;
+
+/// Activity of an attempt, shared by its connection and by the request.
+#[derive(Debug, Default)]
+pub(crate) struct Activity(Mutex<State>);
+
+#[derive(Debug, Default)]
+struct State {
+    /// Upstream, once the attempt has a slot there.
+    upstream: Option<Arc<Upstream>>,
+    /// When bytes last arrived, or the wait for them began.
+    last: Option<Instant>,
+    /// Whether the silence since then was reported.
+    is_reported: bool,
+}
+
+impl Activity {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts the activity of an attempt that is about to be sent.
+    pub(crate) fn start(&self, upstream: &Arc<Upstream>) {
+        let mut state = self.state();
+        state.upstream = Some(upstream.clone());
+        state.last = Some(clock::now());
+    }
+
+    /// Returns the upstream, if the attempt has a slot.
+    pub(crate) fn upstream(&self) -> Option<Arc<Upstream>> {
+        self.state().upstream.clone()
+    }
+
+    /// Records that bytes arrived.
+    fn record_bytes(&self) {
+        let now = clock::now();
+        let mut state = self.state();
+        state.last = Some(now);
+        state.is_reported = false;
+        if let Some(upstream) = &state.upstream {
+            upstream.record_heard(now);
+        }
+    }
+
+    /// Begins a new wait for bytes: the time in which the caller didn't read isn't silence of the upstream.
+    pub(crate) fn restart_wait(&self) {
+        self.state().last = Some(clock::now());
+    }
+
+    /// Waits until the upstream has been silent for so long that a second attempt is due.
+    pub(crate) async fn wait_for_silence(&self, max: Duration, deadline: Instant) {
+        loop {
+            let last = self.state().last;
+            let remaining = last.map_or(max, |last| {
+                let delay = hedging::delay(max, deadline.saturating_duration_since(last));
+                delay.saturating_sub(clock::since(last))
+            });
+            if remaining.is_zero() {
+                return;
+            }
+            tokio::time::sleep(remaining).await;
+        }
+    }
+
+    /// Returns how long the upstream has been silent, and what that shows; `None` if it was reported before, or for less
+    /// than `min`.
+    pub(crate) fn report_silence(
+        &self,
+        min: Duration,
+    ) -> Option<(Arc<Upstream>, Duration, Silence)> {
+        let mut state = self.state();
+        let upstream = state.upstream.clone()?;
+        let silence = clock::since(state.last?);
+        if silence < min {
+            return None;
+        }
+        if std::mem::replace(&mut state.is_reported, true) {
+            return None;
+        }
+        let since_heard = upstream.since_heard(clock::now());
+        let shown = Silence::classify(silence, since_heard);
+        Some((upstream, silence, shown))
+    }
+}
+
+/// Connection that records when bytes arrive.
+#[derive(Debug)]
+pub(crate) struct Monitored<S> {
+    inner: S,
+    activity: Arc<Activity>,
+}
+
+impl<S> Monitored<S> {
+    pub(crate) fn new(inner: S, activity: Arc<Activity>) -> Monitored<S> {
+        Monitored { inner, activity }
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for Monitored<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.activity.record_bytes();
+        }
+        read
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for Monitored<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+}
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,6 +5,7 @@
 //! belong to another request.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
+use crate::activity::{Activity, Monitored};
+
 /// TCP user timeout: a connection whose packets stay unacknowledged for this long is closed, since nothing ever
 /// answers behind a network partition.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,15 +36,20 @@
 }
 
 impl Connection {
-    /// Opens a connection to `addr` within `timeout`.
-    pub async fn open(addr: SocketAddr, timeout: Duration) -> std::io::Result<Connection> {
+    /// Opens a connection to `addr` within `timeout`; `activity` records when bytes arrive on it.
+    pub(crate) async fn open(
+        addr: SocketAddr,
+        timeout: Duration,
+        activity: Arc<Activity>,
+    ) -> std::io::Result<Connection> {
         let stream = tokio::time::timeout(timeout, TcpStream::connect(addr)).await??;
         stream.set_nodelay(true)?;
         let socket = socket2::SockRef::from(&stream);
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         // Closing resets the connection: bytes in transit must not arrive once a request is cancelled.
         socket.set_linger(Some(Duration::ZERO))?;
-        let (sender, conn) = http1::handshake(TokioIo::new(stream))
+        let stream = TokioIo::new(Monitored::new(stream, activity));
+        let (sender, conn) = http1::handshake(stream)
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
--- /dev/null
+++ b/crates/gateway/src/dispatch.rs
@@ -0,0 +1,317 @@
+//! Sends a request to upstreams until one responds or the request is given up.
+//!
+//! An attempt stays open while its upstream is silent: a second one is made beside it if attempts, the retry budget and
+//! free slots allow it, and the first of the two to complete serves the request.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use catalog::Service;
+use decide::hedging::{self, AttemptCount};
+use futures_util::future::select_all;
+use web::Response;
+
+use crate::Cx;
+use crate::activity::Activity;
+use crate::admission::{acquire_slot, queue_deadline};
+use crate::attempt::{Attempt, AttemptKind, AttemptOutcome};
+use crate::demand::record_arrival;
+use crate::loss::{ResponseLoss, record_silence};
+use crate::record::{RequestOutcome, RequestRecord};
+use crate::refusal::Refusal;
+use crate::relay;
+use crate::request::RoutedRequest;
+use crate::spans::Span;
+use crate::suspects::wait_until_permitted;
+use crate::upstream::{Slot, Upstream};
+
+/// Retry delay if no upstream accepted the request.
+const NOT_ACCEPTED_RETRY: Duration = Duration::from_millis(400);
+
+/// Number of failed connections after which a request is given up. Nothing was sent on them, so they don't count as
+/// attempts.
+const MAX_UNREACHABLE: u32 = 4;
+
+/// Maximum wait of a retry for a slot at another upstream.
+const RETRY_SLOT_WAIT: Duration = Duration::from_millis(50);
+
+/// Request that is being sent to upstreams.
+pub(crate) struct Dispatch {
+    pub(crate) cx: Arc<Cx>,
+    pub(crate) req: Arc<RoutedRequest>,
+    pub(crate) service: Arc<Service>,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Upstreams that were tried, including those that couldn't be reached.
+    tried: Vec<Arc<Upstream>>,
+    /// Number of upstreams that the request was sent to, or is being sent to.
+    sent: u32,
+    /// Number of retries withdrawn from the budget.
+    withdrawn: u32,
+    unreachable: u32,
+}
+
+impl Dispatch {
+    /// Creates the dispatch of a request that wasn't sent yet.
+    pub(crate) fn new(cx: Arc<Cx>, req: Arc<RoutedRequest>, service: Arc<Service>) -> Dispatch {
+        Dispatch {
+            cx,
+            req,
+            service,
+            state: Mutex::default(),
+        }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether a second attempt may begin beside those in progress.
+    pub(crate) fn allows_second(&self, in_progress: usize) -> bool {
+        let count = AttemptCount {
+            sent: self.state().sent,
+            max: self.req.route.max_attempts,
+            in_progress,
+        };
+        count.allows_second(self.req.is_retryable())
+    }
+
+    /// Returns whether another attempt may begin after one whose response was lost.
+    pub(crate) fn allows_another(&self) -> bool {
+        self.req.is_retryable() && self.state().sent < self.req.route.max_attempts
+    }
+
+    /// Waits until a second attempt is due beside an attempt whose upstream is silent, at `not_before` or later.
+    pub(crate) async fn wait_until_second_is_due(&self, first: &Activity, not_before: Instant) {
+        let wait = clock::until(not_before);
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        first
+            .wait_for_silence(self.cx.cfg.stall_time, self.req.deadline)
+            .await;
+    }
+
+    /// Records the silence of the first attempt, and begins a second one.
+    pub(crate) fn begin_second(
+        self: &Arc<Self>,
+        first: &Activity,
+        last_event_id: Option<String>,
+        record: &mut RequestRecord,
+    ) -> Attempt {
+        if let Some(upstream) = record_silence(&self.cx, &self.req, first) {
+            record.record_attempt(&upstream.instance, "silent");
+        }
+        Attempt::begin(self, last_event_id, AttemptKind::Second)
+    }
+
+    /// Waits for a slot at an upstream that wasn't tried yet.
+    pub(crate) async fn acquire_slot(&self, kind: AttemptKind) -> Result<Slot, Refusal> {
+        let (cx, req) = (&self.cx, &self.req);
+        let isolation = wait_until_permitted(cx, req).await?;
+        let now = clock::now();
+        let until = match kind {
+            AttemptKind::First => queue_deadline(req),
+            AttemptKind::Retry(max_wait) => (now + max_wait).min(req.deadline),
+            AttemptKind::Second => now,
+        };
+        let tried = self.state().tried.clone();
+        let queued_at = clock::now();
+        let chosen = acquire_slot(cx, req, &self.service, &tried, isolation, until).await;
+        req.spans.add(Span::Queue, queued_at);
+        let mut slot = chosen?;
+        if matches!(kind, AttemptKind::Second) && slot.upstream().is_ejected() {
+            return Err(Refusal::NotTaken(NOT_ACCEPTED_RETRY));
+        }
+        if let Some(refusal) = self.check_limits() {
+            return Err(refusal);
+        }
+        // Whether the request is a suspect, or on trial, may have changed while it was queued.
+        slot.trial = cx.suspects.begin_trial(req, slot.upstream().addr).await?;
+        Ok(slot)
+    }
+
+    /// Returns a refusal if the request may not be sent now because its time, attempts or retry budget are used up.
+    fn check_limits(&self) -> Option<Refusal> {
+        if self.req.remaining().is_zero() {
+            return Some(Refusal::NoTime(NOT_ACCEPTED_RETRY));
+        }
+        let mut state = self.state();
+        let is_exhausted =
+            state.sent >= self.req.route.max_attempts || state.unreachable >= MAX_UNREACHABLE;
+        // A retry that was withdrawn for an upstream that couldn't be reached is still available.
+        let needs_retry = state.sent > state.withdrawn;
+        if is_exhausted || (needs_retry && !self.withdraw()) {
+            return Some(Refusal::NotTaken(NOT_ACCEPTED_RETRY));
+        }
+        state.withdrawn += u32::from(needs_retry);
+        None
+    }
+
+    fn withdraw(&self) -> bool {
+        let gateways = self.cx.gateways();
+        self.cx
+            .retry_budget
+            .withdraw(&self.req.service, gateways, clock::now())
+    }
+
+    /// Records that the request is being sent to an upstream.
+    pub(crate) fn record_sent(&self, upstream: &Arc<Upstream>) {
+        let mut state = self.state();
+        state.tried.push(upstream.clone());
+        state.sent += 1;
+    }
+
+    /// Records that the last upstream couldn't be reached.
+    pub(crate) fn record_unreachable(&self) {
+        let mut state = self.state();
+        state.sent -= 1;
+        state.unreachable += 1;
+    }
+}
+
+/// Results of the attempts that failed.
+#[derive(Debug, Default)]
+struct Failures {
+    /// Reason why the request may have run without a response.
+    lost: Option<ResponseLoss>,
+    /// Server error that an upstream responded with.
+    response: Option<Response>,
+}
+
+impl Failures {
+    fn is_empty(&self) -> bool {
+        self.lost.is_none() && self.response.is_none()
+    }
+
+    /// Returns the final response if no upstream is left: `refusal` only if no attempt may have run.
+    fn give_up(self, refusal: Refusal, record: RequestRecord) -> Response {
+        match (self.response, self.lost) {
+            (Some(res), _) => respond(res, record),
+            (None, Some(loss)) => refuse(&Refusal::Lost(loss.to_string()), record),
+            (None, None) => refuse(&refusal, record),
+        }
+    }
+}
+
+/// Sends a request to upstreams and returns the response.
+pub(crate) async fn dispatch(
+    cx: &Arc<Cx>,
+    req: RoutedRequest,
+    service: Arc<Service>,
+    mut record: RequestRecord,
+) -> Response {
+    cx.retry_budget.deposit(&req.service, clock::now());
+    record_arrival(cx, &req, &service);
+    let dispatch = Arc::new(Dispatch::new(cx.clone(), Arc::new(req), service));
+    let mut race = Race::new(dispatch.clone());
+    let mut failures = Failures::default();
+    loop {
+        match race.next(&mut record).await {
+            AttemptOutcome::Started(stream) => {
+                race.cancel_others(&mut record);
+                return relay::respond(dispatch, *stream, record);
+            }
+            AttemptOutcome::Response(res) if res.status().is_server_error() => {
+                failures.response = Some(res);
+            }
+            AttemptOutcome::Response(res) => {
+                race.cancel_others(&mut record);
+                return respond(res, record);
+            }
+            AttemptOutcome::NotSent(refusal) if race.is_over() => {
+                return failures.give_up(refusal, record);
+            }
+            AttemptOutcome::Lost(loss, _) => failures.lost = Some(loss),
+            AttemptOutcome::NotSent(_) | AttemptOutcome::Unreached | AttemptOutcome::NotRun => {}
+        }
+        if !race.is_over() {
+            continue;
+        }
+        if !failures.is_empty() && !dispatch.req.is_retryable() {
+            return failures.give_up(Refusal::TimedOut, record);
+        }
+        race.retry();
+    }
+}
+
+/// Attempts in progress: one, or two of which the first is silent.
+struct Race {
+    dispatch: Arc<Dispatch>,
+    attempts: Vec<Attempt>,
+    second_after: Instant,
+}
+
+impl Race {
+    /// Begins the first attempt.
+    fn new(dispatch: Arc<Dispatch>) -> Race {
+        let first = Attempt::begin(&dispatch, None, AttemptKind::First);
+        Race {
+            dispatch,
+            attempts: vec![first],
+            second_after: clock::now(),
+        }
+    }
+
+    /// Returns whether no attempt is in progress.
+    fn is_over(&self) -> bool {
+        self.attempts.is_empty()
+    }
+
+    /// Begins another attempt once all others have failed.
+    fn retry(&mut self) {
+        let next = Attempt::begin(&self.dispatch, None, AttemptKind::Retry(RETRY_SLOT_WAIT));
+        self.attempts.push(next);
+    }
+
+    /// Returns the outcome of the next attempt to complete. If the only one is silent, begins a second one beside it.
+    async fn next(&mut self, record: &mut RequestRecord) -> AttemptOutcome {
+        let (i, outcome) = loop {
+            let in_progress = self.attempts.len();
+            let first = self.attempts[0].activity.clone();
+            let outcomes = self.attempts.iter_mut().map(|a| &mut a.outcome);
+            tokio::select! {
+                biased;
+                (outcome, i, _) = select_all(outcomes) => break (i, outcome),
+                () = self.dispatch.wait_until_second_is_due(&first, self.second_after),
+                    if self.dispatch.allows_second(in_progress) => {}
+            }
+            let second = self.dispatch.begin_second(&first, None, record);
+            self.attempts.push(second);
+        };
+        let completed = self.attempts.remove(i);
+        completed.record(record, &outcome);
+        if i > 0 {
+            count_second(outcome.second_result());
+            self.second_after = clock::now() + hedging::RETRY_INTERVAL;
+        }
+        outcome
+    }
+
+    /// Cancels the attempts that didn't serve the request.
+    fn cancel_others(&mut self, record: &mut RequestRecord) {
+        for attempt in self.attempts.drain(..) {
+            count_second("not_needed");
+            attempt.cancel(record);
+        }
+    }
+}
+
+/// Refuses a request.
+pub(crate) fn refuse(refusal: &Refusal, mut record: RequestRecord) -> Response {
+    record.outcome = RequestOutcome::Refused(refusal.status(), refusal.name());
+    refusal.response()
+}
+
+fn respond(res: Response, mut record: RequestRecord) -> Response {
+    record.outcome = RequestOutcome::Answered(res.status().as_u16());
+    res
+}
+
+/// Counts a second attempt that has ended.
+pub(crate) fn count_second(result: &'static str) {
+    metrics::counter!("driftnotch_second_attempts_total", "result" => result).increment(1);
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -12,6 +12,14 @@
 }
 
 impl EventBuffer {
+    /// Creates an empty buffer for a stream that is resumed after an event.
+    pub fn resumed_after(last_id: Option<EventId>) -> EventBuffer {
+        EventBuffer {
+            last_id,
+            ..EventBuffer::default()
+        }
+    }
+
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buf.extend_from_slice(bytes);
@@ -36,11 +44,6 @@
     pub fn is_complete(&self) -> bool {
         self.buf.is_empty()
     }
-
-    /// Discards a partial event.
-    pub fn discard_partial(&mut self) {
-        self.buf.clear();
-    }
 }
 
 /// Returns the end of the last complete event, after its empty line.
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -1,4 +1,4 @@
-//! Handles a request from its head to its response: authorization, attempts at upstreams, and retries.
+//! Admits a request: authorization, its body, and its rank.
 
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
@@ -10,23 +10,17 @@
 use hyper::http::request;
 use log::debug;
 use rand::RngExt;
-use web::{BodyError, Request, Response, full, read_body};
+use web::{BodyError, Request, Response, read_body};
 
 use crate::Cx;
-use crate::admission::{acquire_slot, queue_deadline};
 use crate::confirm::{decision, wait_for_confirmation};
-use crate::demand::record_arrival;
-use crate::loss::{self, ResponseLoss};
+use crate::dispatch::{dispatch, refuse};
 use crate::rank;
-use crate::record::{RequestOutcome, RequestRecord};
+use crate::record::RequestRecord;
 use crate::refusal::Refusal;
-use crate::relay::{self, EventStream};
 use crate::request::{RequestMetadata, RoutedRequest, priority};
 use crate::returns;
-use crate::send::{SendOutcome, UpstreamResponse, read_to_end, record_health, send};
 use crate::spans::Span;
-use crate::suspects::wait_until_permitted;
-use crate::upstream::{Health, Slot, Upstream};
 
 /// Log prefix of this part.
 const PART: &str = "handle";
@@ -34,16 +28,6 @@
 /// Retry delay if the gateway has no configuration yet, or can't have it confirmed.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
-/// Retry delay if no upstream accepted the request.
-const NOT_ACCEPTED_RETRY: Duration = Duration::from_millis(400);
-
-/// Maximum wait of a retry for a slot at another upstream.
-const RETRY_SLOT_WAIT: Duration = Duration::from_millis(50);
-
-/// Number of failed connections after which a request is given up. Nothing was sent on them, so they don't count as
-/// attempts.
-pub(crate) const MAX_UNREACHABLE: u32 = 4;
-
 /// Handles a request and returns its response.
 pub async fn handle(cx: Arc<Cx>, req: Request) -> Response {
     let arrived = clock::now();
@@ -252,175 +236,3 @@
         }
     })
 }
-
-/// Attempts of a request so far.
-#[derive(Debug, Default)]
-pub(crate) struct Attempts {
-    /// Upstreams that were tried, including those that couldn't be reached.
-    pub tried: Vec<Arc<Upstream>>,
-    /// Number of upstreams that the request was sent to.
-    pub sent: u32,
-    unreachable: u32,
-    /// Reason why the request may have run without a response.
-    lost: Option<ResponseLoss>,
-    /// Server error that an upstream responded with.
-    failure: Option<Response>,
-}
-
-impl Attempts {
-    /// Returns the final response if no upstream is left: `refusal` only if no attempt may have run.
-    fn give_up(self, refusal: Refusal, record: RequestRecord) -> Response {
-        match (self.failure, self.lost) {
-            (Some(res), _) => respond(res, record),
-            (None, Some(loss)) => refuse(&Refusal::Lost(loss.to_string()), record),
-            (None, None) => refuse(&refusal, record),
-        }
-    }
-}
-
-/// Sends a request to upstreams until one responds or the request is given up.
-async fn dispatch(
-    cx: &Arc<Cx>,
-    req: RoutedRequest,
-    service: Arc<Service>,
-    mut record: RequestRecord,
-) -> Response {
-    cx.retry_budget.deposit(&req.service, clock::now());
-    record_arrival(cx, &req, &service);
-    let req = Arc::new(req);
-    let mut attempts = Attempts::default();
-    loop {
-        let isolation = match wait_until_permitted(cx, &req).await {
-            Ok(isolation) => isolation,
-            Err(refusal) => return attempts.give_up(refusal, record),
-        };
-        let until = match attempts.tried.is_empty() {
-            true => queue_deadline(&req),
-            false => (clock::now() + RETRY_SLOT_WAIT).min(req.deadline),
-        };
-        let queued_at = clock::now();
-        let chosen = acquire_slot(cx, &req, &service, &attempts.tried, isolation, until).await;
-        req.spans.add(Span::Queue, queued_at);
-        let mut slot = match chosen {
-            Ok(slot) => slot,
-            Err(refusal) => return attempts.give_up(refusal, record),
-        };
-        if let Some(refusal) = check_limits(cx, &req, &attempts) {
-            return attempts.give_up(refusal, record);
-        }
-        // Whether the request is a suspect, or on trial, may have changed while it was queued.
-        slot.trial = match cx.suspects.begin_trial(&req, slot.upstream().addr).await {
-            Ok(trial) => trial,
-            Err(refusal) => return attempts.give_up(refusal, record),
-        };
-        attempts.tried.push(slot.upstream().clone());
-        let instance = slot.upstream().instance.clone();
-        let sent = send(cx, &req, &slot, None).await;
-        if !matches!(sent, SendOutcome::Lost(_)) {
-            record.record_attempt(&instance, sent.name());
-        }
-        match sent {
-            SendOutcome::Unreached(why) => {
-                debug!(target: PART, "{PART}: event=unreachable id={} upstream={instance} why=\"{why}\"", req.metadata.attempt_id);
-                attempts.unreachable += 1;
-                continue;
-            }
-            SendOutcome::NotRun(why) => {
-                debug!(target: PART, "{PART}: event=not_run id={} upstream={instance} why=\"{why}\"", req.metadata.attempt_id);
-                attempts.sent += 1;
-            }
-            SendOutcome::Lost(loss) => {
-                attempts.sent += 1;
-                let outcome = loss::record(cx, &req, slot.upstream(), &loss).await;
-                record.record_attempt(&instance, outcome.name());
-                attempts.lost = Some(loss);
-            }
-            SendOutcome::Response(response) if is_stream(&req, &response) => {
-                attempts.sent += 1;
-                let stream = EventStream::new(cx, &req, &service, *response, slot);
-                match relay::start(stream, attempts.tried.clone(), attempts.sent).await {
-                    Ok(started) => return started.respond(record),
-                    Err((loss, outcome)) => {
-                        record.record_attempt(&instance, outcome.name());
-                        attempts.lost = Some(loss);
-                    }
-                }
-            }
-            SendOutcome::Response(response) => {
-                attempts.sent += 1;
-                match read_response(cx, &req, &slot, *response).await {
-                    Ok(res) if res.status().is_server_error() => attempts.failure = Some(res),
-                    Ok(res) => return respond(res, record),
-                    Err(loss) => {
-                        let outcome = loss::record(cx, &req, slot.upstream(), &loss).await;
-                        record.record_attempt(&instance, outcome.name());
-                        attempts.lost = Some(loss);
-                    }
-                }
-            }
-        }
-        if (attempts.lost.is_some() || attempts.failure.is_some()) && !req.is_retryable() {
-            return attempts.give_up(Refusal::TimedOut, record);
-        }
-    }
-}
-
-fn refuse(refusal: &Refusal, mut record: RequestRecord) -> Response {
-    record.outcome = RequestOutcome::Refused(refusal.status(), refusal.name());
-    refusal.response()
-}
-
-fn respond(res: Response, mut record: RequestRecord) -> Response {
-    record.outcome = RequestOutcome::Answered(res.status().as_u16());
-    res
-}
-
-/// Returns a refusal if the request may not be sent now because its time, attempts or retry budget are used up.
-fn check_limits(cx: &Cx, req: &RoutedRequest, attempts: &Attempts) -> Option<Refusal> {
-    let is_exhausted =
-        attempts.sent >= req.route.max_attempts || attempts.unreachable >= MAX_UNREACHABLE;
-    if req.remaining().is_zero() {
-        return Some(Refusal::NoTime(NOT_ACCEPTED_RETRY));
-    }
-    let withdraw = || {
-        cx.retry_budget
-            .withdraw(&req.service, cx.gateways(), clock::now())
-    };
-    (is_exhausted || (attempts.sent > 0 && !withdraw()))
-        .then_some(Refusal::NotTaken(NOT_ACCEPTED_RETRY))
-}
-
-fn is_stream(req: &RoutedRequest, response: &UpstreamResponse) -> bool {
-    req.route.kind.is_stream() && response.head.status.is_success()
-}
-
-/// Reads a response to its end, so that an incomplete one is never relayed as complete.
-async fn read_response(
-    cx: &Cx,
-    req: &RoutedRequest,
-    slot: &Slot,
-    response: UpstreamResponse,
-) -> Result<Response, ResponseLoss> {
-    let UpstreamResponse {
-        head,
-        body,
-        connection,
-    } = response;
-    let buf = read_to_end(body, req.remaining()).await;
-    drop(connection);
-    let buf = buf?;
-    let status = head.status.as_u16();
-    // These statuses promise that the request has not run. If the upstream had stated so, the response would have
-    // been a rejection (`SendOutcome::NotRun`); without that statement the status isn't relayed.
-    if matches!(status, 408 | 429 | 503) && !req.is_retryable() {
-        return Err(ResponseLoss::AmbiguousStatus(status));
-    }
-    if !head.status.is_server_error() {
-        record_health(slot.upstream(), Health::Answered);
-        cx.suspects.record_completion(req);
-    }
-    let mut res = Response::new(full(buf));
-    *res.status_mut() = head.status;
-    *res.headers_mut() = (cx.codec.response_headers)(&head.headers);
-    Ok(res)
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,8 +1,8 @@
 //! Gateway: accepts callers' requests and forwards each to an upstream that may run it.
 //!
 //! A request passes through these modules: `serve` accepts its connection, `handle` looks up its route and
-//! workspace and reads its body, [`admission`] queues it for a slot at an upstream that `balance` chooses, `send`
-//! sends it and classifies the response, `relay` relays a stream, and `record` logs its outcome in one line, with
+//! workspace and reads its body, `dispatch` makes attempts until one succeeds, `attempt` is one of them: [`admission`]
+//! queues it for a slot at an upstream that `balance` chooses, `send` sends it and classifies the response. `relay` relays a stream, and `record` logs its outcome in one line, with
 //! the time spent in each phase ([`spans`]). The crate `decide` makes the decisions: the order of the queue, the choice
 //! of the upstream, and refusals.
 //!
@@ -11,14 +11,17 @@
 
 #![deny(clippy::disallowed_methods)]
 
+mod activity;
 pub mod admission;
 pub mod announcements;
+mod attempt;
 mod attempt_ages;
 mod balance;
 mod confirm;
 mod connection;
 pub mod demand;
 mod demand_updates;
+mod dispatch;
 pub mod domain_plans;
 pub mod drain;
 pub mod events;
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -1,4 +1,4 @@
-//! Lost responses, and whether the upstream exited with them.
+//! Lost responses, whether the upstream exited with them, and silent upstreams.
 //!
 //! A connection that breaks off looks the same whether the upstream exited, cut off a single response, or the network
 //! failed. A connection opened right afterwards tells these cases apart: if the process has exited and its VM is still
@@ -9,12 +9,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use decide::hedging::Silence;
 use displaydoc::Display;
 use log::info;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 
 use crate::Cx;
+use crate::activity::Activity;
 use crate::request::RoutedRequest;
 use crate::send::record_health;
 use crate::upstream::{Health, Upstream};
@@ -35,14 +37,16 @@
 pub enum ResponseLoss {
     /// the connection broke off: {0}
     Disconnected(String),
-    /// the upstream fell silent
-    Unresponsive,
+    /// the time for it was over
+    TimedOut,
     /// the answer belongs to another request
     WrongAttempt,
     /// the answer isn't signed
     Unsigned,
     /// status {0} without a refusal
     AmbiguousStatus(u16),
+    /// the version of the weights there became too old to begin it
+    Outdated,
 }
 
 impl std::error::Error for ResponseLoss {}
@@ -52,10 +56,11 @@
     pub(crate) fn name(&self) -> &'static str {
         match self {
             ResponseLoss::Disconnected(_) => "disconnected",
-            ResponseLoss::Unresponsive => "silent",
+            ResponseLoss::TimedOut => "timed_out",
             ResponseLoss::WrongAttempt => "wrong_attempt",
             ResponseLoss::Unsigned => "unsigned",
             ResponseLoss::AmbiguousStatus(_) => "status",
+            ResponseLoss::Outdated => "outdated",
         }
     }
 }
@@ -65,8 +70,10 @@
 pub(crate) enum UpstreamOutcome {
     /// No process listens at its address any more.
     Exited,
-    /// The upstream sends nothing, on a connection that is still open.
-    Silent,
+    /// The deadline passed while the connection was open.
+    TimedOut,
+    /// The gateway cancelled the request because the upstream may no longer begin it.
+    Outdated,
     /// The upstream is alive, or its state is unknown.
     Unknown,
 }
@@ -76,7 +83,8 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             UpstreamOutcome::Exited => "ended",
-            UpstreamOutcome::Silent => "silent",
+            UpstreamOutcome::TimedOut => "timed_out",
+            UpstreamOutcome::Outdated => "outdated",
             UpstreamOutcome::Unknown => "broke",
         }
     }
@@ -86,29 +94,35 @@
 pub(crate) async fn record(
     cx: &Cx,
     req: &RoutedRequest,
-    upstream: &Arc<Upstream>,
+    activity: &Activity,
     loss: &ResponseLoss,
 ) -> UpstreamOutcome {
+    let Some(upstream) = activity.upstream() else {
+        return UpstreamOutcome::Unknown;
+    };
     let outcome = match loss {
-        ResponseLoss::Disconnected(_) if has_exited(upstream).await => UpstreamOutcome::Exited,
-        ResponseLoss::Unresponsive => UpstreamOutcome::Silent,
+        ResponseLoss::Disconnected(_) if has_exited(&upstream).await => UpstreamOutcome::Exited,
+        ResponseLoss::TimedOut => UpstreamOutcome::TimedOut,
+        ResponseLoss::Outdated => UpstreamOutcome::Outdated,
         _ => UpstreamOutcome::Unknown,
     };
     match (outcome, loss) {
         (UpstreamOutcome::Exited, _) => {
-            record_health(upstream, Health::Unreachable);
+            record_health(&upstream, Health::Unreachable);
             info!(
                 target: PART,
                 "{PART}: event=upstream_ended upstream={} addr={} request={} route={} id={} why=\"{loss}\"",
                 upstream.instance, upstream.addr, req.fingerprint(), req.route.name, req.metadata.attempt_id,
             );
-            cx.suspects.record_exit(req, upstream);
+            cx.suspects.record_exit(req, &upstream);
         }
+        (UpstreamOutcome::TimedOut, _) => drop(record_silence(cx, req, activity)),
         // A server error was already recorded as a failure when its head arrived.
         (UpstreamOutcome::Unknown, ResponseLoss::AmbiguousStatus(_)) => {}
-        (UpstreamOutcome::Silent | UpstreamOutcome::Unknown, _) => {
-            record_health(upstream, Health::Failed);
-            cx.suspects.record_lost_response(req, upstream);
+        (UpstreamOutcome::Outdated, _) => {}
+        (UpstreamOutcome::Unknown, _) => {
+            record_health(&upstream, Health::Failed);
+            cx.suspects.record_lost_response(req, &upstream);
         }
     }
     metrics::counter!("driftnotch_lost_answers_total", "upstream" => outcome.name(), "why" => loss.name())
@@ -116,6 +130,37 @@
     outcome
 }
 
+/// Records that an upstream is silent on a request that is still open. If it is silent on all of its requests, others
+/// are sent elsewhere until it is heard again; if it serves others meanwhile, it has failed this one. Returns the
+/// upstream, unless the silence was recorded before or is too short to show anything.
+pub(crate) fn record_silence(
+    cx: &Cx,
+    req: &RoutedRequest,
+    activity: &Activity,
+) -> Option<Arc<Upstream>> {
+    let (upstream, silence, shown) = activity.report_silence(req.route.objective)?;
+    let of = match shown {
+        Silence::Request => {
+            record_health(&upstream, Health::Failed);
+            "request"
+        }
+        Silence::Upstream => {
+            if upstream.mark_silent(clock::now()) {
+                info!(
+                    target: PART,
+                    "{PART}: event=silent upstream={} addr={} silence_ms={}",
+                    upstream.instance, upstream.addr, silence.as_millis(),
+                );
+            }
+            "upstream"
+        }
+    };
+    // The platform's list may show later that it exited under the request.
+    cx.suspects.record_lost_response(req, &upstream);
+    metrics::counter!("driftnotch_silences_total", "of" => of).increment(1);
+    Some(upstream)
+}
+
 /// Returns whether an upstream refuses a connection, or closes it at once and refuses the next one: an exiting
 /// process closes its sockets one after the other, and its listener may be the last.
 async fn has_exited(upstream: &Upstream) -> bool {
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -185,14 +185,6 @@
         self.deadline.saturating_duration_since(clock::now())
     }
 
-    /// Returns how long to wait for an unresponsive upstream; for a retryable request at most `stall_time`.
-    pub fn response_timeout(&self, stall_time: Duration) -> Duration {
-        match self.is_retryable() {
-            true => self.remaining().min(stall_time),
-            false => self.remaining(),
-        }
-    }
-
     /// Returns the fingerprint that all attempts of this request share: of what runs, and for which workspace. The
     /// attempt id and the remaining time differ between attempts; another service or workspace makes a different
     /// request.
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -11,6 +11,7 @@
 use log::info;
 
 use crate::Cx;
+use crate::activity::Activity;
 use crate::connection::Connection;
 use crate::loss::ResponseLoss;
 use crate::request::{ForwardMetadata, ResponseMetadata, RoutedRequest};
@@ -47,29 +48,19 @@
     Lost(ResponseLoss),
 }
 
-impl SendOutcome {
-    /// Returns the short name for logs.
-    pub fn name(&self) -> &'static str {
-        match self {
-            SendOutcome::Response(_) => "answer",
-            SendOutcome::Unreached(_) => "unreached",
-            SendOutcome::NotRun(_) => "not_run",
-            SendOutcome::Lost(_) => "lost",
-        }
-    }
-}
-
 /// Sends a request to the slot's upstream and waits for the response head.
-pub async fn send(
+pub(crate) async fn send(
     cx: &Cx,
     req: &RoutedRequest,
     slot: &Slot,
     last_event_id: Option<&str>,
+    activity: &Arc<Activity>,
 ) -> SendOutcome {
     let upstream = slot.upstream();
-    let connect_timeout = cx.cfg.connect_timeout.min(response_timeout(cx, req, slot));
+    let (remaining, _) = time_to_begin(cx, req, slot);
+    let connect_timeout = cx.cfg.connect_timeout.min(remaining);
     let started = clock::now();
-    let connected = Connection::open(upstream.addr, connect_timeout).await;
+    let connected = Connection::open(upstream.addr, connect_timeout, activity.clone()).await;
     req.spans.add(Span::Connect, started);
     let mut connection = match connected {
         Ok(connection) => connection,
@@ -80,7 +71,7 @@
     };
     // The deadline or the time of the weights version may have passed while connecting, if only because the VM was
     // suspended.
-    let timeout = response_timeout(cx, req, slot);
+    let (timeout, loss) = time_to_begin(cx, req, slot);
     if timeout.is_zero() {
         return SendOutcome::Unreached("the time to begin it is over".to_owned());
     }
@@ -97,7 +88,7 @@
     match sent {
         Ok(Ok(res)) => classify(cx, req, upstream, res, connection, started),
         Ok(Err(e)) => SendOutcome::Lost(ResponseLoss::Disconnected(e.to_string())),
-        Err(_) => SendOutcome::Lost(ResponseLoss::Unresponsive),
+        Err(_) => SendOutcome::Lost(loss),
     }
 }
 
@@ -112,18 +103,19 @@
     }
 }
 
-/// Returns how long to wait for a response. A retryable request isn't left with an unresponsive upstream, nor queued
-/// at an upstream whose version is about to become too old to begin it.
-pub fn response_timeout(cx: &Cx, req: &RoutedRequest, slot: &Slot) -> Duration {
-    let timeout = req.response_timeout(cx.cfg.stall_time);
+/// Returns how long to wait for the response head, and why it is lost if it doesn't arrive by then: the deadline, or for
+/// a retryable request the time from which the upstream's version of the weights is too old to begin it.
+fn time_to_begin(cx: &Cx, req: &RoutedRequest, slot: &Slot) -> (Duration, ResponseLoss) {
     let begin_by = match (&req.metadata.model, slot.version) {
         (Some(model), Some(version)) if req.is_retryable() => {
             cx.releases.may_begin_until(model, version)
         }
         _ => None,
     };
-    let remaining = begin_by.map(|at| at.saturating_duration_since(clock::now()));
-    remaining.map_or(timeout, |remaining| remaining.min(timeout))
+    match begin_by {
+        Some(at) if at < req.deadline => (clock::until(at), ResponseLoss::Outdated),
+        _ => (req.remaining(), ResponseLoss::TimedOut),
+    }
 }
 
 fn build_request(
@@ -215,6 +207,6 @@
     match tokio::time::timeout(timeout, body.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(e)) => Err(ResponseLoss::Disconnected(e.to_string())),
-        Err(_) => Err(ResponseLoss::Unresponsive),
+        Err(_) => Err(ResponseLoss::TimedOut),
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -26,6 +26,10 @@
 /// Maximum ejection time.
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
 
+/// Time for which an upstream that is silent on all of its requests gets others only if there is no other upstream,
+/// unless it is heard before.
+const SILENCE_TIME: Duration = Duration::from_secs(1);
+
 /// Number of consecutive failed or rejected requests after which an upstream is ejected for a while.
 const EJECTION_THRESHOLD: u32 = 3;
 
@@ -124,6 +128,10 @@
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// Until when it counts as silent.
+    silent_until: Option<Instant>,
+    /// When bytes last arrived from it, on any request.
+    last_heard: Instant,
     outcomes: OutcomeTracker,
     /// Until when it is cold, as last stated in a response or an entry.
     cold_until: Option<Instant>,
@@ -134,6 +142,11 @@
 }
 
 impl State {
+    fn is_ejected(&self, now: Instant) -> bool {
+        let is_later = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        is_later(self.ejected_until) || is_later(self.silent_until)
+    }
+
     fn is_cold(&self, now: Instant) -> bool {
         self.cold_unless_after.is_some() || self.cold_until.is_some_and(|until| now < until)
     }
@@ -234,6 +247,8 @@
                 consecutive_failures: 0,
                 ejections: 0,
                 ejected_until: None,
+                silent_until: None,
+                last_heard: now,
                 outcomes: OutcomeTracker::new(now),
                 cold_until,
                 cold_unless_after: None,
@@ -318,7 +333,7 @@
         Snapshot {
             draining: state.listed.draining,
             serving_version: model.and_then(|model| state.serving_version(model, now)),
-            is_ejected: state.ejected_until.is_some_and(|until| until > now),
+            is_ejected: state.is_ejected(now),
             slots: state.listed.slots.max(1),
             requests: state.requests,
             unread: state.unread,
@@ -363,8 +378,26 @@
 
     /// Returns whether it is ejected.
     pub fn is_ejected(&self) -> bool {
-        let until = self.state().ejected_until;
-        until.is_some_and(|until| until > clock::now())
+        self.state().is_ejected(clock::now())
+    }
+
+    /// Records that bytes arrived from it.
+    pub(crate) fn record_heard(&self, now: Instant) {
+        let mut state = self.state();
+        state.last_heard = now;
+        state.silent_until = None;
+    }
+
+    /// Returns the time since bytes last arrived from it.
+    pub(crate) fn since_heard(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.state().last_heard)
+    }
+
+    /// Records that it is silent on all of its requests. Returns whether it wasn't known to be.
+    pub(crate) fn mark_silent(&self, now: Instant) -> bool {
+        let mut state = self.state();
+        let previous = state.silent_until.replace(now + SILENCE_TIME);
+        previous.is_none_or(|until| until <= now)
     }
 
     /// Records the result of a request. Returns whether the upstream is ejected from now on.
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -70,7 +70,8 @@
     field(
         "stall_time",
         Duration("1200ms", "100ms", "1m"),
-        "Silence of an upstream after which a request that may run twice is sent to another.",
+        "Silence of an upstream after which a request that may run twice is also sent to another; at most half of the time \
+         that the request had left. The first one to go on serves it.",
     ),
     field(
         "start_wait",
