Bound what is kept open, and count silence as failure until it ends

Silence is now recorded as a failure at once, with the ejection that follows and the gossip to other gateways, and withdrawn as soon as the upstream is heard again: it was only paused. - The time from which a version is too old to begin ended with the response head, and a version released after the request was sent didn't count. It is now checked until the first event, at intervals of 500 ms at most, as is the deadline, since timers rest while the VM is suspended. - A stream whose source was lost waited for its replacement alone, even if that was silent. It now has a second attempt as well. - Second attempts drew on the retries of requests that have no upstream left. Half of the budget is reserved for these; and a second attempt no longer takes a slot before it is known to be of use.

Also: the trial of a suspect ends after the probe of its lost response, not before; a 429 of the second upstream doesn't answer for the first; a second attempt that found no slot doesn't end a stream whose source is then lost; second attempts are counted by their own result.

--- a/crates/decide/src/outlier_detection.rs
+++ b/crates/decide/src/outlier_detection.rs
@@ -76,6 +76,13 @@
         self.updated = now;
     }
 
+    /// Withdraws recorded failures: the upstream was only paused.
+    pub fn withdraw_failures(&mut self, n: u32, now: Instant) {
+        self.counts = self.counts(now);
+        self.counts.failed = (self.counts.failed - f64::from(n)).max(0.0);
+        self.updated = now;
+    }
+
     /// Records a request that was answered.
     pub fn record_answer(&mut self, now: Instant) {
         self.counts = self.counts(now);
--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -15,6 +15,9 @@
 /// the bound, which differ.
 const USED_FRACTION: f64 = 0.8;
 
+/// Fraction of the retries that is reserved for requests whose only attempt has failed.
+const RESERVED_FRACTION: f64 = 0.5;
+
 /// Times of requests and retries.
 #[derive(Debug, Default)]
 struct Window {
@@ -55,13 +58,30 @@
     pub fn withdraw(&self, service: &ServiceName, gateways: usize, now: Instant) -> bool {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let window = services.entry(service.clone()).or_default();
-        window.expire(now, self.window);
-        let max = self.ratio * window.requests.len() as f64 + self.slack / gateways.max(1) as f64;
-        if window.retries.len() as f64 + 1.0 > max * USED_FRACTION {
-            return false;
+        let is_available = self.available(window, gateways, now) >= 1.0;
+        if is_available {
+            window.retries.push_back(now);
         }
-        window.retries.push_back(now);
-        true
+        is_available
+    }
+
+    /// Returns whether a retry is available beside those reserved for requests whose only attempt has failed.
+    pub fn has_spare(&self, service: &ServiceName, gateways: usize, now: Instant) -> bool {
+        let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
+        let window = services.entry(service.clone()).or_default();
+        let reserved = (self.max(window, gateways) * RESERVED_FRACTION).floor();
+        self.available(window, gateways, now) >= 1.0 + reserved
+    }
+
+    /// Returns the number of retries that are left.
+    fn available(&self, window: &mut Window, gateways: usize, now: Instant) -> f64 {
+        window.expire(now, self.window);
+        self.max(window, gateways) - window.retries.len() as f64
+    }
+
+    fn max(&self, window: &Window, gateways: usize) -> f64 {
+        let slack = self.slack / gateways.max(1) as f64;
+        (self.ratio * window.requests.len() as f64 + slack) * USED_FRACTION
     }
 }
 
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -11,6 +11,9 @@
 
 use crate::upstream::Upstream;
 
+/// Minimum wait of a request that has no slot yet.
+const MIN_WAIT: Duration = Duration::from_millis(1);
+
 /// Activity of an attempt, shared by its connection and by the request.
 #[derive(Debug, Default)]
 pub(crate) struct Activity(Mutex<State>);
@@ -58,33 +61,30 @@
         self.state().last = Some(clock::now());
     }
 
+    /// Returns how long the upstream has been silent; zero before the request is sent.
+    pub(crate) fn silence(&self) -> Duration {
+        self.state().last.map_or(Duration::ZERO, clock::since)
+    }
+
     /// Waits until the upstream has been silent for so long that a second attempt is due.
     pub(crate) async fn wait_for_silence(&self, max: Duration, deadline: Instant) {
         loop {
             let last = self.state().last;
-            let remaining = last.map_or(max, |last| {
-                let delay = hedging::delay(max, deadline.saturating_duration_since(last));
-                delay.saturating_sub(clock::since(last))
-            });
-            if remaining.is_zero() {
+            let since = last.unwrap_or_else(clock::now);
+            let delay = hedging::delay(max, deadline.saturating_duration_since(since));
+            let remaining = delay.saturating_sub(clock::since(since));
+            if remaining.is_zero() && last.is_some() {
                 return;
             }
-            tokio::time::sleep(remaining).await;
+            tokio::time::sleep(remaining.max(MIN_WAIT)).await;
         }
     }
 
-    /// Returns how long the upstream has been silent, and what that shows; `None` if it was reported before, or for less
-    /// than `min`.
-    pub(crate) fn report_silence(
-        &self,
-        min: Duration,
-    ) -> Option<(Arc<Upstream>, Duration, Silence)> {
+    /// Returns how long the upstream has been silent, and what that shows; `None` if it was reported before.
+    pub(crate) fn report_silence(&self) -> Option<(Arc<Upstream>, Duration, Silence)> {
         let mut state = self.state();
         let upstream = state.upstream.clone()?;
         let silence = clock::since(state.last?);
-        if silence < min {
-            return None;
-        }
         if std::mem::replace(&mut state.is_reported, true) {
             return None;
         }
--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -110,15 +110,15 @@
     (req.arrived + max_wait(req.bound_objective)).min(req.deadline)
 }
 
-/// Waits until `until` for a slot at an upstream that isn't among `tried`. `isolation` is set for a suspect, and
-/// states whether it must be kept apart from other suspects.
+/// Waits until `until` for a slot at an upstream that isn't among `tried`, and isn't ejected if only a `healthy` one helps.
+/// `isolation` is set for a suspect, and states whether it must be kept apart from other suspects.
 pub async fn acquire_slot(
     cx: &Cx,
     req: &RoutedRequest,
     service: &Service,
     tried: &[Arc<Upstream>],
     isolation: Option<Isolation>,
-    until: Instant,
+    (until, healthy): (Instant, bool),
 ) -> Result<Slot, Refusal> {
     let standing = rank::standing(cx, req, tried.len());
     let guard = cx.admission.enqueue(&req.service, req, standing);
@@ -128,6 +128,9 @@
         let must_wait = tried.is_empty() && must_wait(cx, req, service);
         if cx.admission.is_next(&guard) && !must_wait {
             match pick_isolated(isolation, cx, req, service, tried, has_waited, standing) {
+                Pick::Chosen(upstream, _) if healthy && upstream.is_ejected() => {
+                    return Err(refuse(cx, req, service, tried, Reason::Busy));
+                }
                 Pick::Chosen(upstream, version) => {
                     rank::record_admitted(cx, req, tried.len());
                     // There may be free capacity for the next request too.
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -4,7 +4,8 @@
 //! dropped. A second one may run beside the first, see [`decide::hedging`].
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -21,13 +22,16 @@
 use crate::refusal::Refusal;
 use crate::relay::{EventSource, Item};
 use crate::request::RoutedRequest;
-use crate::send::{SendOutcome, UpstreamResponse, read_to_end, record_health, send};
+use crate::send::{SendOutcome, UpstreamResponse, begin_by, read_to_end, record_health, send};
 use crate::spans::Span;
 use crate::upstream::{Health, Slot, Upstream};
 
 /// Log prefix of this part.
 const PART: &str = "attempt";
 
+/// Maximum time between two checks whether the time of a request is over.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Result of an attempt.
 pub(crate) enum AttemptOutcome {
     /// The first event of a stream has arrived.
@@ -57,9 +61,9 @@
     }
 
     /// Returns the result of a second attempt with this outcome, for metrics.
-    pub(crate) fn second_result(&self) -> &'static str {
+    fn second_result(&self) -> &'static str {
         match self {
-            AttemptOutcome::Response(res) if res.status().is_server_error() => "failed",
+            AttemptOutcome::Response(res) if is_failure(res) => "failed",
             AttemptOutcome::Started(_) | AttemptOutcome::Response(_) => "won",
             AttemptOutcome::NotSent(_) => "not_sent",
             _ => "failed",
@@ -75,6 +79,8 @@
     pub(crate) first: Bytes,
     /// Source of the events that follow.
     pub(crate) source: EventSource,
+    /// Slot at the upstream.
+    pub(crate) slot: Slot,
 }
 
 /// How an attempt relates to the others of its request.
@@ -90,6 +96,7 @@
 
 /// Attempt in progress.
 pub(crate) struct Attempt {
+    kind: AttemptKind,
     /// Activity of its connection.
     pub(crate) activity: Arc<Activity>,
     /// Completes with the attempt.
@@ -106,6 +113,7 @@
         let activity = Arc::new(Activity::default());
         let outcome = run(dispatch.clone(), activity.clone(), last_event_id, kind);
         Attempt {
+            kind,
             activity,
             outcome: Box::pin(outcome),
         }
@@ -113,6 +121,7 @@
 
     /// Cancels the attempt because another one serves the request.
     pub(crate) fn cancel(self, record: &mut RequestRecord) {
+        self.count("not_needed");
         if let Some(upstream) = self.upstream() {
             record.record_attempt(&upstream.instance, "cancelled");
         }
@@ -120,11 +129,24 @@
 
     /// Adds the attempt's outcome to the record of its request.
     pub(crate) fn record(&self, record: &mut RequestRecord, outcome: &AttemptOutcome) {
+        self.count(outcome.second_result());
         if let Some(upstream) = self.upstream() {
             record.record_attempt(&upstream.instance, outcome.name());
         }
     }
 
+    /// Counts the result if this is a second attempt.
+    fn count(&self, result: &'static str) {
+        if self.is_second() {
+            metrics::counter!("driftnotch_second_attempts_total", "result" => result).increment(1);
+        }
+    }
+
+    /// Returns whether it was begun beside a silent upstream.
+    pub(crate) fn is_second(&self) -> bool {
+        matches!(self.kind, AttemptKind::Second)
+    }
+
     /// Returns the upstream, if the attempt has a slot.
     fn upstream(&self) -> Option<Arc<Upstream>> {
         self.activity.upstream()
@@ -138,32 +160,44 @@
     kind: AttemptKind,
 ) -> AttemptOutcome {
     let (cx, req) = (&dispatch.cx, &dispatch.req);
-    let slot = match dispatch.acquire_slot(kind).await {
+    let mut slot = match dispatch.acquire_slot(kind).await {
         Ok(slot) => slot,
         Err(refusal) => return AttemptOutcome::NotSent(refusal),
     };
     activity.start(slot.upstream());
     dispatch.record_sent(slot.upstream());
-    let sent = send(cx, req, &slot, last_event_id.as_deref(), &activity).await;
-    let instance = &slot.upstream().instance;
-    let result = match sent {
-        SendOutcome::Unreached(why) => {
-            debug!(target: PART, "{PART}: event=unreachable id={} upstream={instance} why=\"{why}\"", req.metadata.attempt_id);
-            dispatch.record_unreachable();
-            return AttemptOutcome::Unreached;
+    let has_begun = AtomicBool::new(false);
+    let result = tokio::select! {
+        biased;
+        result = exchange(&dispatch, &slot, &activity, last_event_id, &has_begun) => result,
+        loss = wait_for_limit(cx, req, &slot, &has_begun) => Err(loss),
+    };
+    let (id, instance) = (&req.metadata.attempt_id, &slot.upstream().instance);
+    match result {
+        Ok(Exchanged::Stream {
+            head,
+            first,
+            source,
+        }) => {
+            slot.record_first_event();
+            record_health(slot.upstream(), Health::Answered);
+            AttemptOutcome::Started(Box::new(StartedStream {
+                head,
+                first,
+                source,
+                slot,
+            }))
         }
-        SendOutcome::NotRun(why) => {
-            debug!(target: PART, "{PART}: event=not_run id={} upstream={instance} why=\"{why}\"", req.metadata.attempt_id);
-            return AttemptOutcome::NotRun;
+        Ok(Exchanged::Response(res)) => AttemptOutcome::Response(res),
+        Ok(Exchanged::NotRun(why)) => {
+            debug!(target: PART, "{PART}: event=not_run id={id} upstream={instance} why=\"{why}\"");
+            AttemptOutcome::NotRun
         }
-        SendOutcome::Lost(loss) => Err(loss),
-        SendOutcome::Response(response) if is_stream(req, &response) => {
-            read_first_events(req, *response, slot, &activity, last_event_id).await
+        Ok(Exchanged::Unreached(why)) => {
+            debug!(target: PART, "{PART}: event=unreachable id={id} upstream={instance} why=\"{why}\"");
+            dispatch.record_unreachable();
+            AttemptOutcome::Unreached
         }
-        SendOutcome::Response(response) => read_response(cx, req, &slot, *response).await,
-    };
-    match result {
-        Ok(outcome) => outcome,
         Err(loss) => {
             let outcome = loss::record(cx, req, &activity, &loss).await;
             AttemptOutcome::Lost(loss, outcome)
@@ -171,38 +205,95 @@
     }
 }
 
-fn is_stream(req: &RoutedRequest, response: &UpstreamResponse) -> bool {
-    req.route.kind.is_stream() && response.head.status.is_success()
+/// Waits until the response may no longer be awaited, and returns why: the deadline has passed, or the request hasn't
+/// begun and the version of the weights is too old to begin it now. Both are checked at intervals, since timers rest
+/// while the VM is suspended, and a version may be released at any time.
+async fn wait_for_limit(
+    cx: &Cx,
+    req: &RoutedRequest,
+    slot: &Slot,
+    has_begun: &AtomicBool,
+) -> ResponseLoss {
+    loop {
+        let now = clock::now();
+        let begin_by = begin_by(cx, req, slot).filter(|_| !has_begun.load(Relaxed));
+        if now >= req.deadline {
+            return ResponseLoss::TimedOut;
+        }
+        if begin_by.is_some_and(|at| now >= at) {
+            return ResponseLoss::Outdated;
+        }
+        let limit = begin_by.map_or(req.deadline, |at| at.min(req.deadline));
+        clock::sleep_until(limit.min(now + RECHECK_INTERVAL)).await;
+    }
 }
 
-async fn read_first_events(
-    req: &RoutedRequest,
-    response: UpstreamResponse,
-    slot: Slot,
+/// Waits until the deadline, which has passed early if the VM was suspended meanwhile.
+pub(crate) async fn wait_for_deadline(deadline: Instant) {
+    loop {
+        let remaining = clock::until(deadline);
+        if remaining.is_zero() {
+            return;
+        }
+        tokio::time::sleep(remaining.min(RECHECK_INTERVAL)).await;
+    }
+}
+
+/// What came of a request that wasn't lost.
+enum Exchanged {
+    Stream {
+        head: response::Parts,
+        first: Bytes,
+        source: EventSource,
+    },
+    Response(Response),
+    NotRun(String),
+    Unreached(String),
+}
+
+/// Sends a request, and waits for the first events of a stream or else the complete response.
+async fn exchange(
+    dispatch: &Dispatch,
+    slot: &Slot,
     activity: &Arc<Activity>,
     last_event_id: Option<String>,
-) -> Result<AttemptOutcome, ResponseLoss> {
+    has_begun: &AtomicBool,
+) -> Result<Exchanged, ResponseLoss> {
+    let (cx, req) = (&dispatch.cx, &dispatch.req);
+    let response = match send(cx, req, slot, last_event_id.as_deref(), activity).await {
+        SendOutcome::Response(response) => *response,
+        SendOutcome::Unreached(why) => return Ok(Exchanged::Unreached(why)),
+        SendOutcome::NotRun(why) => return Ok(Exchanged::NotRun(why)),
+        SendOutcome::Lost(loss) => return Err(loss),
+    };
+    if !is_stream(req, &response) {
+        has_begun.store(true, Relaxed);
+        return read_response(cx, req, slot, response).await;
+    }
     let UpstreamResponse {
         head,
         body,
         connection,
     } = response;
     let events = EventBuffer::resumed_after(last_event_id);
-    let mut source = EventSource::new(body, connection, slot, events, activity.clone());
+    let mut source = EventSource::new(body, connection, events, activity.clone());
     let started = clock::now();
-    let item = source.next(req.deadline).await;
+    let item = source.next().await;
     req.spans.add(Span::FirstEvent, started);
     let first = match item {
         Item::Events(first) => first,
         Item::End => Bytes::new(),
         Item::Lost(loss) => return Err(loss),
     };
-    record_health(source.upstream(), Health::Answered);
-    Ok(AttemptOutcome::Started(Box::new(StartedStream {
+    Ok(Exchanged::Stream {
         head,
         first,
         source,
-    })))
+    })
+}
+
+fn is_stream(req: &RoutedRequest, response: &UpstreamResponse) -> bool {
+    req.route.kind.is_stream() && response.head.status.is_success()
 }
 
 /// Reads a response to its end, so that an incomplete one is never relayed as complete.
@@ -211,13 +302,13 @@
     req: &RoutedRequest,
     slot: &Slot,
     response: UpstreamResponse,
-) -> Result<AttemptOutcome, ResponseLoss> {
+) -> Result<Exchanged, ResponseLoss> {
     let UpstreamResponse {
         head,
         body,
         connection,
     } = response;
-    let buf = read_to_end(body, req.remaining()).await;
+    let buf = read_to_end(body).await;
     drop(connection);
     let buf = buf?;
     let status = head.status.as_u16();
@@ -233,5 +324,10 @@
     let mut res = Response::new(full(buf));
     *res.status_mut() = head.status;
     *res.headers_mut() = (cx.codec.response_headers)(&head.headers);
-    Ok(AttemptOutcome::Response(res))
+    Ok(Exchanged::Response(res))
+}
+
+/// Returns whether a response leaves it to another attempt to serve the request.
+pub(crate) fn is_failure(res: &Response) -> bool {
+    res.status().is_server_error()
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::Cx;
 use crate::activity::Activity;
 use crate::admission::{acquire_slot, queue_deadline};
-use crate::attempt::{Attempt, AttemptKind, AttemptOutcome};
+use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, is_failure};
 use crate::demand::record_arrival;
 use crate::loss::{ResponseLoss, record_silence};
 use crate::record::{RequestOutcome, RequestRecord};
@@ -35,6 +35,9 @@
 /// Maximum wait of a retry for a slot at another upstream.
 const RETRY_SLOT_WAIT: Duration = Duration::from_millis(50);
 
+/// Maximum wait of a stream that is to be resumed for a slot at another upstream.
+const RESUME_SLOT_WAIT: Duration = Duration::from_millis(250);
+
 /// Request that is being sent to upstreams.
 pub(crate) struct Dispatch {
     pub(crate) cx: Arc<Cx>,
@@ -111,6 +114,10 @@
     /// Waits for a slot at an upstream that wasn't tried yet.
     pub(crate) async fn acquire_slot(&self, kind: AttemptKind) -> Result<Slot, Refusal> {
         let (cx, req) = (&self.cx, &self.req);
+        let is_second = matches!(kind, AttemptKind::Second);
+        if is_second && !self.has_spare_retry() {
+            return Err(Refusal::NotTaken(NOT_ACCEPTED_RETRY));
+        }
         let isolation = wait_until_permitted(cx, req).await?;
         let now = clock::now();
         let until = match kind {
@@ -120,12 +127,17 @@
         };
         let tried = self.state().tried.clone();
         let queued_at = clock::now();
-        let chosen = acquire_slot(cx, req, &self.service, &tried, isolation, until).await;
+        let chosen = acquire_slot(
+            cx,
+            req,
+            &self.service,
+            &tried,
+            isolation,
+            (until, is_second),
+        );
+        let chosen = chosen.await;
         req.spans.add(Span::Queue, queued_at);
         let mut slot = chosen?;
-        if matches!(kind, AttemptKind::Second) && slot.upstream().is_ejected() {
-            return Err(Refusal::NotTaken(NOT_ACCEPTED_RETRY));
-        }
         if let Some(refusal) = self.check_limits() {
             return Err(refusal);
         }
@@ -151,6 +163,13 @@
         None
     }
 
+    fn has_spare_retry(&self) -> bool {
+        let gateways = self.cx.gateways();
+        self.cx
+            .retry_budget
+            .has_spare(&self.req.service, gateways, clock::now())
+    }
+
     fn withdraw(&self) -> bool {
         let gateways = self.cx.gateways();
         self.cx
@@ -215,8 +234,11 @@
                 race.cancel_others(&mut record);
                 return relay::respond(dispatch, *stream, record);
             }
-            AttemptOutcome::Response(res) if res.status().is_server_error() => {
-                failures.response = Some(res);
+            AttemptOutcome::Response(res) if is_failure(&res) => failures.response = Some(res),
+            // A rejection of the second upstream says nothing about the first one.
+            AttemptOutcome::Response(res) if is_rejection(&res) && !race.is_over() => {
+                let loss = ResponseLoss::AmbiguousStatus(res.status().as_u16());
+                failures.lost.get_or_insert(loss);
             }
             AttemptOutcome::Response(res) => {
                 race.cancel_others(&mut record);
@@ -238,37 +260,63 @@
     }
 }
 
+fn is_rejection(res: &Response) -> bool {
+    matches!(res.status().as_u16(), 408 | 429)
+}
+
 /// Attempts in progress: one, or two of which the first is silent.
-struct Race {
+pub(crate) struct Race {
     dispatch: Arc<Dispatch>,
     attempts: Vec<Attempt>,
+    /// Event after which a stream is resumed.
+    last_event_id: Option<String>,
+    /// Maximum wait of a retry for a slot.
+    slot_wait: Duration,
     second_after: Instant,
 }
 
 impl Race {
-    /// Begins the first attempt.
+    /// Begins the first attempt of a request.
     fn new(dispatch: Arc<Dispatch>) -> Race {
         let first = Attempt::begin(&dispatch, None, AttemptKind::First);
         Race {
             dispatch,
             attempts: vec![first],
+            last_event_id: None,
+            slot_wait: RETRY_SLOT_WAIT,
+            second_after: clock::now(),
+        }
+    }
+
+    /// Continues with the second attempt, if there is one, after the source of a stream was lost.
+    pub(crate) fn resume(
+        dispatch: Arc<Dispatch>,
+        last_event_id: Option<String>,
+        second: Option<Attempt>,
+    ) -> Race {
+        Race {
+            dispatch,
+            attempts: Vec::from_iter(second),
+            last_event_id,
+            slot_wait: RESUME_SLOT_WAIT,
             second_after: clock::now(),
         }
     }
 
     /// Returns whether no attempt is in progress.
-    fn is_over(&self) -> bool {
+    pub(crate) fn is_over(&self) -> bool {
         self.attempts.is_empty()
     }
 
     /// Begins another attempt once all others have failed.
-    fn retry(&mut self) {
-        let next = Attempt::begin(&self.dispatch, None, AttemptKind::Retry(RETRY_SLOT_WAIT));
+    pub(crate) fn retry(&mut self) {
+        let kind = AttemptKind::Retry(self.slot_wait);
+        let next = Attempt::begin(&self.dispatch, self.last_event_id.clone(), kind);
         self.attempts.push(next);
     }
 
     /// Returns the outcome of the next attempt to complete. If the only one is silent, begins a second one beside it.
-    async fn next(&mut self, record: &mut RequestRecord) -> AttemptOutcome {
+    pub(crate) async fn next(&mut self, record: &mut RequestRecord) -> AttemptOutcome {
         let (i, outcome) = loop {
             let in_progress = self.attempts.len();
             let first = self.attempts[0].activity.clone();
@@ -279,22 +327,21 @@
                 () = self.dispatch.wait_until_second_is_due(&first, self.second_after),
                     if self.dispatch.allows_second(in_progress) => {}
             }
-            let second = self.dispatch.begin_second(&first, None, record);
+            let last_event_id = self.last_event_id.clone();
+            let second = self.dispatch.begin_second(&first, last_event_id, record);
             self.attempts.push(second);
         };
         let completed = self.attempts.remove(i);
         completed.record(record, &outcome);
-        if i > 0 {
-            count_second(outcome.second_result());
+        if completed.is_second() {
             self.second_after = clock::now() + hedging::RETRY_INTERVAL;
         }
         outcome
     }
 
     /// Cancels the attempts that didn't serve the request.
-    fn cancel_others(&mut self, record: &mut RequestRecord) {
+    pub(crate) fn cancel_others(&mut self, record: &mut RequestRecord) {
         for attempt in self.attempts.drain(..) {
-            count_second("not_needed");
             attempt.cancel(record);
         }
     }
@@ -310,8 +357,3 @@
     record.outcome = RequestOutcome::Answered(res.status().as_u16());
     res
 }
-
-/// Counts a second attempt that has ended.
-pub(crate) fn count_second(result: &'static str) {
-    metrics::counter!("driftnotch_second_attempts_total", "result" => result).increment(1);
-}
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -116,7 +116,11 @@
             );
             cx.suspects.record_exit(req, &upstream);
         }
-        (UpstreamOutcome::TimedOut, _) => drop(record_silence(cx, req, activity)),
+        // A deadline that passes within the objective shows nothing about the upstream.
+        (UpstreamOutcome::TimedOut, _) if activity.silence() >= req.route.objective => {
+            record_silence(cx, req, activity);
+        }
+        (UpstreamOutcome::TimedOut, _) => {}
         // A server error was already recorded as a failure when its head arrived.
         (UpstreamOutcome::Unknown, ResponseLoss::AmbiguousStatus(_)) => {}
         (UpstreamOutcome::Outdated, _) => {}
@@ -132,20 +136,20 @@
 
 /// Records that an upstream is silent on a request that is still open. If it is silent on all of its requests, others
 /// are sent elsewhere until it is heard again; if it serves others meanwhile, it has failed this one. Returns the
-/// upstream, unless the silence was recorded before or is too short to show anything.
+/// upstream, unless the silence was recorded before.
 pub(crate) fn record_silence(
     cx: &Cx,
     req: &RoutedRequest,
     activity: &Activity,
 ) -> Option<Arc<Upstream>> {
-    let (upstream, silence, shown) = activity.report_silence(req.route.objective)?;
+    let (upstream, silence, shown) = activity.report_silence()?;
     let of = match shown {
         Silence::Request => {
             record_health(&upstream, Health::Failed);
             "request"
         }
         Silence::Upstream => {
-            if upstream.mark_silent(clock::now()) {
+            if upstream.record_silence(clock::now()) {
                 info!(
                     target: PART,
                     "{PART}: event=silent upstream={} addr={} silence_ms={}",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -7,7 +7,7 @@
 //! pause ends no stream.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use decide::hedging;
@@ -18,27 +18,23 @@
 use web::{BodyError, Response};
 
 use crate::activity::Activity;
-use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, StartedStream};
+use crate::attempt::{Attempt, AttemptOutcome, StartedStream, wait_for_deadline};
 use crate::connection::Connection;
-use crate::dispatch::{Dispatch, count_second};
+use crate::dispatch::{Dispatch, Race};
 use crate::events::EventBuffer;
 use crate::loss::{self, ResponseLoss};
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::refusal::Refusal;
-use crate::upstream::{Slot, Upstream};
+use crate::upstream::Slot;
 
 /// Log prefix of this part.
 const PART: &str = "relay";
 
-/// Maximum wait of a stream that is to be resumed for a slot at another upstream.
-const RESUME_SLOT_WAIT: Duration = Duration::from_millis(250);
-
 /// Response body of an upstream, split into events.
 pub(crate) struct EventSource {
     body: Incoming,
     // Closed when dropped, which cancels the upstream's work.
     _connection: Connection,
-    slot: Slot,
     events: EventBuffer,
     activity: Arc<Activity>,
 }
@@ -55,47 +51,36 @@
     pub(crate) fn new(
         body: Incoming,
         connection: Connection,
-        slot: Slot,
         events: EventBuffer,
         activity: Arc<Activity>,
     ) -> EventSource {
         EventSource {
             body,
             _connection: connection,
-            slot,
             events,
             activity,
         }
     }
 
-    /// Returns the upstream.
-    pub(crate) fn upstream(&self) -> &Arc<Upstream> {
-        self.slot.upstream()
-    }
-
     /// Returns the next complete events. No event is lost if this is dropped before it completes.
-    pub(crate) async fn next(&mut self, deadline: Instant) -> Item {
+    pub(crate) async fn next(&mut self) -> Item {
         loop {
             if let Some(complete) = self.events.take_complete() {
-                self.slot.record_first_event();
                 return Item::Events(complete);
             }
-            match clock::timeout_at(deadline, self.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.events.push(data);
                     }
                 }
-                Ok(None) if self.events.is_complete() => return Item::End,
-                Ok(None) => {
+                None if self.events.is_complete() => return Item::End,
+                None => {
                     return Item::Lost(ResponseLoss::Disconnected(
                         "it ended within an event".to_owned(),
                     ));
                 }
-                Ok(Some(Err(e))) => {
-                    return Item::Lost(ResponseLoss::Disconnected(e.to_string()));
-                }
-                Err(_) => return Item::Lost(ResponseLoss::TimedOut),
+                Some(Err(e)) => return Item::Lost(ResponseLoss::Disconnected(e.to_string())),
             }
         }
     }
@@ -111,6 +96,7 @@
         head,
         first,
         source,
+        slot,
     } = started;
     record.first_event_ms = Some(record.elapsed_ms());
     record.record_event();
@@ -122,6 +108,7 @@
         dispatch,
         status,
         source,
+        slot,
         first: Some(first),
         second: None,
         second_after: clock::now(),
@@ -144,6 +131,7 @@
     status: u16,
     /// Source of the events relayed so far.
     source: EventSource,
+    slot: Slot,
     first: Option<Bytes>,
     /// Attempt to resume the stream at another upstream, while the source is silent.
     second: Option<Attempt>,
@@ -198,9 +186,10 @@
         let activity = self.source.activity.clone();
         tokio::select! {
             biased;
-            item = self.source.next(dispatch.req.deadline) => Step::Source(item),
+            item = self.source.next() => Step::Source(item),
             outcome = next_outcome(&mut self.second) => Step::Second(outcome),
             () = dispatch.wait_until_second_is_due(&activity, self.second_after), if allows_second => Step::SecondDue,
+            () = wait_for_deadline(dispatch.req.deadline) => Step::Source(Item::Lost(ResponseLoss::TimedOut)),
         }
     }
 
@@ -222,12 +211,12 @@
     /// Continues with a source that resumes the stream. Returns its first events.
     fn switch(&mut self, started: StartedStream) -> Bytes {
         self.source = started.source;
+        self.slot = started.slot;
         started.first
     }
 
     fn cancel_second(&mut self) {
         if let Some(second) = self.second.take() {
-            count_second("not_needed");
             second.cancel(&mut self.record);
         }
     }
@@ -242,12 +231,12 @@
     /// Records that the source was lost, and continues with another one. Returns its first events.
     async fn fail_over(&mut self, loss: &ResponseLoss) -> Result<Bytes, BodyError> {
         let Dispatch { cx, req, .. } = &*self.dispatch;
-        let upstream = self.source.upstream().instance.clone();
+        let upstream = self.slot.upstream().instance.clone();
         let outcome = loss::record(cx, req, &self.source.activity, loss).await;
         self.record.record_attempt(&upstream, outcome.name());
         debug!(target: PART, "{PART}: event=broke id={} upstream={upstream} why=\"{loss}\"", req.metadata.attempt_id);
         // The result of the trial is already recorded.
-        self.source.slot.trial = None;
+        self.slot.trial = None;
         match self.resume().await {
             Ok(started) => Ok(self.switch(started)),
             Err(why) => {
@@ -261,7 +250,6 @@
     fn end_second(&mut self, outcome: AttemptOutcome) -> Option<StartedStream> {
         let second = self.second.take()?;
         second.record(&mut self.record, &outcome);
-        count_second(outcome.second_result());
         self.second_after = clock::now() + hedging::RETRY_INTERVAL;
         match outcome {
             AttemptOutcome::Started(started) => Some(*started),
@@ -271,31 +259,34 @@
 
     /// Resumes the stream at another upstream. On failure returns the reason.
     async fn resume(&mut self) -> Result<StartedStream, &'static str> {
+        let second = self.second.take();
+        let mut is_second = second.is_some();
+        let mut race = Race::resume(self.dispatch.clone(), self.last_event_id(), second);
         let mut why = "the upstream broke off";
         loop {
             if self.dispatch.req.remaining().is_zero() {
                 return Err("the time is over");
             }
-            if self.second.is_none() {
+            if race.is_over() {
                 if !self.dispatch.allows_another() {
                     return Err(why);
                 }
-                let kind = AttemptKind::Retry(RESUME_SLOT_WAIT);
-                let next = Attempt::begin(&self.dispatch, self.last_event_id(), kind);
-                self.second = Some(next);
+                race.retry();
             }
-            let outcome = next_outcome(&mut self.second).await;
-            if let Some(second) = self.second.take() {
-                second.record(&mut self.record, &outcome);
-            }
-            why = match outcome {
-                AttemptOutcome::Started(started) => return Ok(*started),
-                AttemptOutcome::NotSent(Refusal::NotTaken(_)) => return Err("no retry is left"),
-                AttemptOutcome::NotSent(_) => return Err("no upstream can go on"),
+            why = match race.next(&mut self.record).await {
+                AttemptOutcome::Started(started) => {
+                    race.cancel_others(&mut self.record);
+                    return Ok(*started);
+                }
                 // Upstreams that exited together are found one by one; none of them counts as an attempt.
                 AttemptOutcome::Unreached => "no upstream can be reached",
+                // A second attempt didn't wait for a slot, or another attempt goes on.
+                AttemptOutcome::NotSent(_) if is_second || !race.is_over() => why,
+                AttemptOutcome::NotSent(Refusal::NotTaken(_)) => return Err("no retry is left"),
+                AttemptOutcome::NotSent(_) => return Err("no upstream can go on"),
                 _ => "no upstream went on",
             };
+            is_second = false;
         }
     }
 }
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -1,7 +1,7 @@
 //! Sends a request to one upstream and classifies the response by what it proves.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -48,7 +48,7 @@
     Lost(ResponseLoss),
 }
 
-/// Sends a request to the slot's upstream and waits for the response head.
+/// Sends a request to the slot's upstream and waits for the response head, for as long as the caller of this does.
 pub(crate) async fn send(
     cx: &Cx,
     req: &RoutedRequest,
@@ -57,8 +57,7 @@
     activity: &Arc<Activity>,
 ) -> SendOutcome {
     let upstream = slot.upstream();
-    let (remaining, _) = time_to_begin(cx, req, slot);
-    let connect_timeout = cx.cfg.connect_timeout.min(remaining);
+    let connect_timeout = cx.cfg.connect_timeout.min(req.remaining());
     let started = clock::now();
     let connected = Connection::open(upstream.addr, connect_timeout, activity.clone()).await;
     req.spans.add(Span::Connect, started);
@@ -71,8 +70,8 @@
     };
     // The deadline or the time of the weights version may have passed while connecting, if only because the VM was
     // suspended.
-    let (timeout, loss) = time_to_begin(cx, req, slot);
-    if timeout.is_zero() {
+    let now = clock::now();
+    if req.remaining().is_zero() || begin_by(cx, req, slot).is_some_and(|at| at <= now) {
         return SendOutcome::Unreached("the time to begin it is over".to_owned());
     }
     if cx.drains.contains(&upstream.domain) {
@@ -83,12 +82,11 @@
     }
     let upstream_req = build_request(cx, req, slot, last_event_id);
     let started = clock::now();
-    let sent = tokio::time::timeout(timeout, connection.send(upstream_req)).await;
+    let sent = connection.send(upstream_req).await;
     req.spans.add(Span::Head, started);
     match sent {
-        Ok(Ok(res)) => classify(cx, req, upstream, res, connection, started),
-        Ok(Err(e)) => SendOutcome::Lost(ResponseLoss::Disconnected(e.to_string())),
-        Err(_) => SendOutcome::Lost(loss),
+        Ok(res) => classify(cx, req, upstream, res, connection, started),
+        Err(e) => SendOutcome::Lost(ResponseLoss::Disconnected(e.to_string())),
     }
 }
 
@@ -103,18 +101,14 @@
     }
 }
 
-/// Returns how long to wait for the response head, and why it is lost if it doesn't arrive by then: the deadline, or for
-/// a retryable request the time from which the upstream's version of the weights is too old to begin it.
-fn time_to_begin(cx: &Cx, req: &RoutedRequest, slot: &Slot) -> (Duration, ResponseLoss) {
-    let begin_by = match (&req.metadata.model, slot.version) {
+/// Returns the time from which the version of the weights at the slot is too old to begin a retryable request; `None` if
+/// it isn't replaced.
+pub(crate) fn begin_by(cx: &Cx, req: &RoutedRequest, slot: &Slot) -> Option<Instant> {
+    match (&req.metadata.model, slot.version) {
         (Some(model), Some(version)) if req.is_retryable() => {
             cx.releases.may_begin_until(model, version)
         }
         _ => None,
-    };
-    match begin_by {
-        Some(at) if at < req.deadline => (clock::until(at), ResponseLoss::Outdated),
-        _ => (req.remaining(), ResponseLoss::TimedOut),
     }
 }
 
@@ -202,11 +196,10 @@
     }
 }
 
-/// Reads a body to its end within `timeout`.
-pub async fn read_to_end(body: Incoming, timeout: Duration) -> Result<Bytes, ResponseLoss> {
-    match tokio::time::timeout(timeout, body.collect()).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(e)) => Err(ResponseLoss::Disconnected(e.to_string())),
-        Err(_) => Err(ResponseLoss::TimedOut),
-    }
+/// Reads a body to its end.
+pub async fn read_to_end(body: Incoming) -> Result<Bytes, ResponseLoss> {
+    let collected = body.collect().await;
+    collected
+        .map(|body| body.to_bytes())
+        .map_err(|e| ResponseLoss::Disconnected(e.to_string()))
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -130,6 +130,8 @@
     ejected_until: Option<Instant>,
     /// Until when it counts as silent.
     silent_until: Option<Instant>,
+    /// Failures recorded because it was silent, which are withdrawn when it is heard again.
+    silent_failures: u32,
     /// When bytes last arrived from it, on any request.
     last_heard: Instant,
     outcomes: OutcomeTracker,
@@ -248,6 +250,7 @@
                 ejections: 0,
                 ejected_until: None,
                 silent_until: None,
+                silent_failures: 0,
                 last_heard: now,
                 outcomes: OutcomeTracker::new(now),
                 cold_until,
@@ -381,11 +384,18 @@
         self.state().is_ejected(clock::now())
     }
 
-    /// Records that bytes arrived from it.
+    /// Records that bytes arrived from it. If it was silent, it was only paused, and has failed no request.
     pub(crate) fn record_heard(&self, now: Instant) {
         let mut state = self.state();
         state.last_heard = now;
         state.silent_until = None;
+        let silent_failures = std::mem::take(&mut state.silent_failures);
+        if silent_failures > 0 {
+            state.outcomes.withdraw_failures(silent_failures, now);
+            state.consecutive_failures = 0;
+            state.ejections = 0;
+            state.ejected_until = None;
+        }
     }
 
     /// Returns the time since bytes last arrived from it.
@@ -393,11 +403,16 @@
         now.saturating_duration_since(self.state().last_heard)
     }
 
-    /// Records that it is silent on all of its requests. Returns whether it wasn't known to be.
-    pub(crate) fn mark_silent(&self, now: Instant) -> bool {
+    /// Records that it is silent on all of its requests, which counts as a failure until it is heard again. Returns
+    /// whether it is avoided only from now on.
+    pub(crate) fn record_silence(&self, now: Instant) -> bool {
         let mut state = self.state();
-        let previous = state.silent_until.replace(now + SILENCE_TIME);
-        previous.is_none_or(|until| until <= now)
+        let was_avoided = state.is_ejected(now);
+        state.silent_until = Some(now + SILENCE_TIME);
+        state.silent_failures += 1;
+        drop(state);
+        self.record_health(Health::Failed);
+        !was_avoided
     }
 
     /// Records the result of a request. Returns whether the upstream is ejected from now on.
