Apply idle and header timeouts of the configuration in force

Callers whose connection had rested for less than four fifths of the IdleTimeoutMs in force got no response to their next request: the connection was closed under it. The same happened to a request whose head arrived slowly on a kept connection.

Cause: a connection had the idle timeout of the configuration at its accept, or the default of 15 s if there was none, and kept it across changes. hyper's header timeout, by which it was applied, runs from the end of the previous response, so it also cut heads that were arriving, and HeaderTimeoutMs wasn't decoded at all.

`web::CallerStream` now ends a connection that rests for too long, and only if no byte of a request is there to read; a head has HeaderTimeoutMs from its first byte. Both are looked up when they expire. A longer value applies at once. A shorter one applies to waits that begin at least `config_time` after the change, since callers learn of a change at other times than the gateway.

Four tests of `caller_connections` failed before: a raised timeout, a lowered one that never took effect, a slow head, and a head that never ends. The fifth guards requests in flight against both timeouts.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -100,6 +100,8 @@
     pub head_bytes: usize,
     /// Largest request body, in bytes.
     pub body_bytes: usize,
+    /// Timeout of a request head from its first byte.
+    pub head_time: Duration,
     /// Idle timeout of a connection.
     pub idle_time: Duration,
 }
--- a/crates/catalog/tests/priorities.rs
+++ b/crates/catalog/tests/priorities.rs
@@ -58,6 +58,7 @@
     let limits = RequestLimits {
         head_bytes: 1,
         body_bytes: 1,
+        head_time: Duration::ZERO,
         idle_time: Duration::ZERO,
     };
     let services = ["llm", "other", "unused"].map(service).to_vec();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -49,6 +49,7 @@
 mod speed;
 mod suspect_updates;
 pub mod suspects;
+pub mod timeouts;
 mod unconfirmed;
 pub mod upstream;
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,7 +11,10 @@
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
-use web::{Request, Response, ServerLimits, text};
+use web::{
+    Body, CallerStream, GuardedBody, Request, RequestGuard, RequestState, Response, ServerLimits,
+    text,
+};
 
 use crate::Cx;
 use crate::confirm::confirm_before_serving;
@@ -24,6 +27,7 @@
 use crate::load_updates::{relay_changes, send_domain_updates, send_releases, send_updates};
 use crate::rate_limit_updates::send_rate_limits;
 use crate::suspect_updates::send_suspects;
+use crate::timeouts::CallerTimeouts;
 
 /// Log prefix of this part.
 const PART: &str = "serve";
@@ -34,9 +38,6 @@
 /// Minimum buffer for a request head that `hyper` allows, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 
-/// Idle timeout of a connection before a configuration is known.
-const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
-
 /// Maximum size of a request head before a configuration is known, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
 
@@ -101,6 +102,8 @@
 /// front of the gateway needs time to react, and then waits for the requests in flight.
 async fn serve_callers(cx: &Arc<Cx>, listener: TcpListener) {
     let graceful = GracefulShutdown::new();
+    let timeouts = Arc::new(CallerTimeouts::new(cx.cfg.config_time));
+    tokio::spawn(timeouts.clone().follow_configuration(cx.clone()));
     let mut stop = cx.stop.clone();
     let stopped = async move {
         let stopping = stop.wait_for(|stopping| *stopping).await.is_ok();
@@ -121,7 +124,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::spawn(handle_connection(cx.clone(), stream, graceful.watcher()));
+                tokio::spawn(handle_connection(
+                    cx.clone(),
+                    stream,
+                    timeouts.clone(),
+                    graceful.watcher(),
+                ));
             }
             Err(e) => {
                 warn!(target: PART, "{PART}: event=accept_failed why=\"{e}\"");
@@ -136,30 +144,40 @@
     }
 }
 
-async fn handle_connection(cx: Arc<Cx>, stream: TcpStream, watcher: Watcher) {
+async fn handle_connection(
+    cx: Arc<Cx>,
+    stream: TcpStream,
+    timeouts: Arc<CallerTimeouts>,
+    watcher: Watcher,
+) {
     let _ = stream.set_nodelay(true);
     let limits = cx.catalog.borrow().as_ref().map(|c| c.limits);
-    let idle_time = limits.map_or(DEFAULT_IDLE_TIME, |l| l.idle_time);
     let head_bytes = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
-    let service = service_fn(move |req| respond(cx.clone(), req));
-    // hyper measures the time for a head from the end of the previous response, so the timeout has to cover the idle
-    // time of the connection too.
+    let stream = CallerStream::new(stream, timeouts);
+    let state = stream.request_state();
+    let service = service_fn(move |req| respond(cx.clone(), state.clone(), req));
+    // The stream applies the timeouts: hyper's timeout for a head includes the idle time before it, and can't change.
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(idle_time)
+        .header_read_timeout(None)
         .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     // Errors of the connection need no handling here: its request is recorded where it is handled.
     let _ = watcher.watch(conn).await;
 }
 
-async fn respond(cx: Arc<Cx>, req: Request) -> Result<Response, Infallible> {
+async fn respond(
+    cx: Arc<Cx>,
+    state: Arc<RequestState>,
+    req: Request,
+) -> Result<hyper::Response<GuardedBody<RequestGuard>>, Infallible> {
+    let guard = state.begin();
     let mut res = handle(cx.clone(), req).await;
     if *cx.stop.borrow() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
     }
-    Ok(res)
+    Ok(res.map(|body: Body| GuardedBody::new(body, guard)))
 }
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -176,6 +176,7 @@
     let limits = RequestLimits {
         head_bytes: 8192,
         body_bytes: 8192,
+        head_time: Duration::from_secs(3),
         idle_time: Duration::from_secs(10),
     };
     Catalog::new(1, Vec::new(), services, Access::Open, limits)
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -1,10 +1,12 @@
 //! HTTP/1.1 with `hyper`: servers with limits, clients with connection pools, and bodies.
 
 pub mod body;
+pub mod caller_stream;
 pub mod client;
 pub mod server;
 
 pub use body::{Body, BodyError, empty, full, read_body, read_with_idle_timeout};
+pub use caller_stream::{CallerStream, GuardedBody, RequestGuard, RequestState, Timeouts};
 pub use client::{Client, DialOptions, SendError};
 pub use server::{ServerLimits, StopSignal, serve};
 
