Read on after a refusal, so that no reset destroys it

Callers whose request was refused (401, 404, 413, 431) while they were still sending it got a reset connection, and lost the refusal if they hadn't read it by then: neither an answer nor a refusal. Beside a change of the configuration this hit requests on routes and keys that were not or no longer allowed.

Cause: hyper writes the response, stops reading, and closes the socket as soon as the response is out. Closing a socket with unread bytes resets the connection. The response didn't announce the close either.

After such a response `CallerStream` now shuts its writing side down and discards what arrives until the caller closes, for at most 2 s and MaxBodyBytes. It does so only if a part of the request may be unread and hyper has stopped reading, so no further request is ever discarded. The handler yields once before its response, so hyper finds out that the body was dropped first: it reads the rest if that is there, and keeps the connection; otherwise the response says `connection: close`. The refusal itself is sent at once, before the rest of the body.

Three tests of `caller_connections` failed before with a broken pipe at the caller: refusals with the rest of a body to come (with a length and in chunks), a body over the limit, and a head over the limit.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -41,6 +41,9 @@
 /// Maximum size of a request head before a configuration is known, in bytes.
 const DEFAULT_HEAD_BYTES: usize = 16 << 10;
 
+/// Maximum number of bytes that are discarded after a refusal before a configuration is known.
+const DEFAULT_DISCARDED_BYTES: usize = 4 << 20;
+
 /// Runs a gateway until it is stopped and its requests in flight have ended.
 pub async fn run(cx: Arc<Cx>) -> std::io::Result<()> {
     let caller_listener = TcpListener::bind(cx.cfg.listen).await?;
@@ -155,7 +158,8 @@
     let head_bytes = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
-    let stream = CallerStream::new(stream, timeouts);
+    let discarded_bytes = limits.map_or(DEFAULT_DISCARDED_BYTES, |l| l.body_bytes);
+    let stream = CallerStream::new(stream, timeouts, discarded_bytes);
     let state = stream.request_state();
     let service = service_fn(move |req| respond(cx.clone(), state.clone(), req));
     // The stream applies the timeouts: hyper's timeout for a head includes the idle time before it, and can't change.
@@ -173,8 +177,11 @@
     state: Arc<RequestState>,
     req: Request,
 ) -> Result<hyper::Response<GuardedBody<RequestGuard>>, Infallible> {
-    let guard = state.begin();
+    let guard = state.begin(&req);
     let mut res = handle(cx.clone(), req).await;
+    // If a part of the body wasn't read, hyper now notices that before it writes the head of the response, which then
+    // says that the connection will be closed.
+    tokio::task::yield_now().await;
     if *cx.stop.borrow() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -1,4 +1,8 @@
-//! Stream of a server's connection that bounds the time without a request.
+//! Stream of a server's connection: bounds the time without a request, and closes without destroying the last response.
+//!
+//! `hyper` closes a connection as soon as it has written the response to a request that it didn't read to its end. A
+//! socket that is closed with unread bytes resets the connection, and the reset discards what the peer hasn't read of
+//! the response. [`CallerStream`] therefore goes on reading after the end of the response, within bounds.
 //!
 //! The header timeout of `hyper` runs from the end of the previous response and can't be changed. [`CallerStream`]
 //! reports an end of the stream instead, when [`Timeouts`] say so, and only if no byte of a request is there to read.
@@ -7,7 +11,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -17,7 +21,13 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use crate::{Body, BodyError};
+use crate::{Body, BodyError, Request};
+
+/// Maximum time for which a closed connection is read, so that the peer can read its response.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Size of the buffer for bytes that are discarded.
+const DISCARD_BYTES: usize = 16 << 10;
 
 /// Time limits of connections, which may change while they are open.
 pub trait Timeouts: Send + Sync + 'static {
@@ -33,13 +43,16 @@
 pub struct RequestState {
     /// Whether a request has no complete response yet.
     is_running: AtomicBool,
+    /// Whether a part of the latest request wasn't read when its head had been.
+    is_body_due: AtomicBool,
     /// Wakes the connection when a request ends: `hyper` then needn't read again, but the idle time begins.
     waker: AtomicWaker,
 }
 
 impl RequestState {
     /// Records a request whose head was read. The guard belongs into the response's body, by [`GuardedBody`].
-    pub fn begin(self: &Arc<Self>) -> RequestGuard {
+    pub fn begin(self: &Arc<Self>, req: &Request) -> RequestGuard {
+        self.is_body_due.store(!req.body().is_end_stream(), Relaxed);
         self.is_running.store(true, Relaxed);
         RequestGuard(self.clone())
     }
@@ -106,6 +119,13 @@
     Ended,
 }
 
+/// State of the close of a connection.
+enum Close {
+    Open,
+    Lingering(Pin<Box<Sleep>>),
+    Done,
+}
+
 /// Stream of one connection.
 pub struct CallerStream<T> {
     stream: TcpStream,
@@ -113,17 +133,25 @@
     state: Arc<RequestState>,
     phase: Phase,
     timer: Option<Pin<Box<Sleep>>>,
+    close: Close,
+    /// Whether nothing was read since bytes were written: `hyper` has stopped reading.
+    is_unread_since_write: bool,
+    /// Number of bytes that may still be discarded.
+    discard_left: usize,
 }
 
 impl<T: Timeouts> CallerStream<T> {
-    /// Wraps a stream.
-    pub fn new(stream: TcpStream, timeouts: Arc<T>) -> CallerStream<T> {
+    /// Wraps a stream, of which at most `max_discarded` bytes are read after its last response.
+    pub fn new(stream: TcpStream, timeouts: Arc<T>, max_discarded: usize) -> CallerStream<T> {
         CallerStream {
             stream,
             timeouts,
             state: Arc::default(),
             phase: Phase::Idle(clock::now()),
             timer: None,
+            close: Close::Open,
+            is_unread_since_write: false,
+            discard_left: max_discarded,
         }
     }
 
@@ -137,6 +165,8 @@
             self.phase = Phase::Ended;
         } else if !self.state.is_running.load(Relaxed) && !matches!(self.phase, Phase::Head(_)) {
             self.phase = Phase::Head(clock::now());
+            // Until the service has the request, none of it counts as read.
+            self.state.is_body_due.store(true, Relaxed);
         }
     }
 
@@ -171,6 +201,27 @@
             }
         }
     }
+
+    /// Returns whether bytes of a request that already has its response may be unread.
+    fn has_unread_request(&self) -> bool {
+        let is_due = self.state.is_body_due.load(Relaxed);
+        self.is_unread_since_write && is_due && !matches!(self.phase, Phase::Ended)
+    }
+
+    /// Discards what arrives until the peer closes or a bound is reached.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut buf = [0; DISCARD_BYTES];
+        while self.discard_left > 0 {
+            let mut buf = ReadBuf::new(&mut buf);
+            let read = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            let n = buf.filled().len();
+            if read.is_err() || n == 0 {
+                return Poll::Ready(());
+            }
+            self.discard_left = self.discard_left.saturating_sub(n);
+        }
+        Poll::Ready(())
+    }
 }
 
 impl<T: Timeouts> AsyncRead for CallerStream<T> {
@@ -180,6 +231,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
         let this = self.get_mut();
+        this.is_unread_since_write = false;
         let before = buf.filled().len();
         match Pin::new(&mut this.stream).poll_read(cx, buf) {
             Poll::Ready(Ok(())) => {
@@ -223,12 +275,32 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        loop {
+            match &mut this.close {
+                Close::Open => {
+                    ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+                    this.close = match this.has_unread_request() {
+                        true => Close::Lingering(Box::pin(tokio::time::sleep(LINGER_TIME))),
+                        false => Close::Done,
+                    };
+                }
+                Close::Lingering(timer) => {
+                    let is_elapsed = timer.as_mut().poll(cx).is_ready();
+                    if !is_elapsed {
+                        ready!(this.poll_discard(cx));
+                    }
+                    this.close = Close::Done;
+                }
+                Close::Done => return Poll::Ready(Ok(())),
+            }
+        }
     }
 }
 
 impl<T> CallerStream<T> {
     fn record_write(&mut self, cx: &Context<'_>) {
+        self.is_unread_since_write = true;
         self.state.waker.register(cx.waker());
         if !matches!(self.phase, Phase::Ended) {
             self.phase = Phase::Request;
