Serve requests that have come when a planned stop closes connections

When a stopping gateway closed its listener and its idle connections, callers whose request had begun to arrive on a kept connection got no response, and so did all whose connection was still in the backlog: in the test 12 of 12.

Cause: hyper's graceful shutdown closes an idle connection at once, without looking whether a part of a request was read or is there to read. Dropping a listener resets the connections in its backlog.

`CallerStream` now ends an idle connection on shutdown only if nothing is there to read, and waits for the rest of a head up to its timeout; responses say `connection: close` from the beginning of the stop, as before. The backlog is accepted before the listener is closed. The whole is bounded by `drain_timeout` as before, and the line `event=drain_timed_out` now counts the requests that it cuts, which couldn't be told from callers that left.

Both `planned_stop_*` tests of `caller_connections` and the test of the log line failed before.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -2,18 +2,20 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
 
 use beacon::Beacon;
+use futures_util::FutureExt;
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use log::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use web::{
     Body, CallerStream, GuardedBody, Request, RequestGuard, RequestState, Response, ServerLimits,
-    text,
+    StopSignal, text,
 };
 
 use crate::Cx;
@@ -35,6 +37,9 @@
 /// Pause after a failed accept, so that the loop doesn't spin when file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Maximum number of connections that are accepted from the backlog when the listener is closed.
+const MAX_BACKLOG: usize = 4096;
+
 /// Minimum buffer for a request head that `hyper` allows, in bytes.
 const MIN_HEAD_BYTES: usize = 8192;
 
@@ -101,12 +106,41 @@
     }
 }
 
+/// What callers' connections share.
+#[derive(Clone)]
+struct Callers {
+    cx: Arc<Cx>,
+    timeouts: Arc<CallerTimeouts>,
+    /// Number of requests without a complete response.
+    running: Arc<AtomicUsize>,
+}
+
+/// Counts a request as running until it is dropped.
+struct Running(Arc<AtomicUsize>);
+
+impl Running {
+    fn begin(running: &Arc<AtomicUsize>) -> Running {
+        running.fetch_add(1, Relaxed);
+        Running(running.clone())
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Relaxed);
+    }
+}
+
 /// Accepts callers' connections. On shutdown it keeps accepting them for `stop_notice`, since the load balancer in
 /// front of the gateway needs time to react, and then waits for the requests in flight.
 async fn serve_callers(cx: &Arc<Cx>, listener: TcpListener) {
-    let graceful = GracefulShutdown::new();
-    let timeouts = Arc::new(CallerTimeouts::new(cx.cfg.config_time));
-    tokio::spawn(timeouts.clone().follow_configuration(cx.clone()));
+    let (closing_tx, closing) = watch::channel(false);
+    let callers = Callers {
+        cx: cx.clone(),
+        timeouts: Arc::new(CallerTimeouts::new(cx.cfg.config_time)),
+        running: Arc::default(),
+    };
+    tokio::spawn(callers.timeouts.clone().follow_configuration(cx.clone()));
     let mut stop = cx.stop.clone();
     let stopped = async move {
         let stopping = stop.wait_for(|stopping| *stopping).await.is_ok();
@@ -115,53 +149,56 @@
         }
     };
     let stop_notice = cx.cfg.stop_notice;
-    let mut closing = Box::pin(async move {
+    let mut noticed = Box::pin(async move {
         stopped.await;
         info!(target: PART, "{PART}: event=stopping notice={stop_notice:?}");
         tokio::time::sleep(stop_notice).await;
     });
+    let serve = |stream| {
+        // Each connection holds a receiver until its end.
+        tokio::spawn(handle_connection(callers.clone(), stream, closing.clone()));
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = &mut closing => break,
+            () = &mut noticed => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(handle_connection(
-                    cx.clone(),
-                    stream,
-                    timeouts.clone(),
-                    graceful.watcher(),
-                ));
-            }
+            Ok((stream, _)) => serve(stream),
             Err(e) => {
                 warn!(target: PART, "{PART}: event=accept_failed why=\"{e}\"");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
-    drop(listener);
-    let drained = tokio::time::timeout(cx.cfg.drain_timeout, graceful.shutdown()).await;
+    backlog(listener).into_iter().for_each(serve);
+    drop(closing);
+    closing_tx.send_replace(true);
+    let drained = tokio::time::timeout(cx.cfg.drain_timeout, closing_tx.closed()).await;
     if drained.is_err() {
-        warn!(target: PART, "{PART}: event=drain_timed_out after={:?}", cx.cfg.drain_timeout);
+        let requests = callers.running.load(Relaxed);
+        warn!(target: PART, "{PART}: event=drain_timed_out after={:?} requests={requests}", cx.cfg.drain_timeout);
     }
 }
 
-async fn handle_connection(
-    cx: Arc<Cx>,
-    stream: TcpStream,
-    timeouts: Arc<CallerTimeouts>,
-    watcher: Watcher,
-) {
+/// Closes a listener and returns the connections that the system has accepted for it, which would be reset otherwise.
+fn backlog(listener: TcpListener) -> Vec<TcpStream> {
+    let accept = || listener.accept().now_or_never()?.ok();
+    let accepted = std::iter::from_fn(accept).take(MAX_BACKLOG);
+    accepted.map(|(stream, _)| stream).collect()
+}
+
+async fn handle_connection(callers: Callers, stream: TcpStream, closing: StopSignal) {
     let _ = stream.set_nodelay(true);
-    let limits = cx.catalog.borrow().as_ref().map(|c| c.limits);
+    let limits = callers.cx.catalog.borrow().as_ref().map(|c| c.limits);
     let head_bytes = limits
         .map_or(DEFAULT_HEAD_BYTES, |l| l.head_bytes)
         .max(MIN_HEAD_BYTES);
     let discarded_bytes = limits.map_or(DEFAULT_DISCARDED_BYTES, |l| l.body_bytes);
-    let stream = CallerStream::new(stream, timeouts, discarded_bytes);
+    let timeouts = callers.timeouts.clone();
+    let stream = CallerStream::new(stream, timeouts, discarded_bytes, closing.clone());
     let state = stream.request_state();
-    let service = service_fn(move |req| respond(cx.clone(), state.clone(), req));
+    let service = service_fn(move |req| respond(callers.clone(), state.clone(), req));
     // The stream applies the timeouts: hyper's timeout for a head includes the idle time before it, and can't change.
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
@@ -169,15 +206,17 @@
         .max_buf_size(head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     // Errors of the connection need no handling here: its request is recorded where it is handled.
-    let _ = watcher.watch(conn).await;
+    let _ = conn.await;
+    drop(closing);
 }
 
 async fn respond(
-    cx: Arc<Cx>,
+    callers: Callers,
     state: Arc<RequestState>,
     req: Request,
-) -> Result<hyper::Response<GuardedBody<RequestGuard>>, Infallible> {
-    let guard = state.begin(&req);
+) -> Result<hyper::Response<GuardedBody<(RequestGuard, Running)>>, Infallible> {
+    let guard = (state.begin(&req), Running::begin(&callers.running));
+    let cx = callers.cx;
     let mut res = handle(cx.clone(), req).await;
     // If a part of the body wasn't read, hyper now notices that before it writes the head of the response, which then
     // says that the connection will be closed.
--- a/crates/web/src/caller_stream.rs
+++ b/crates/web/src/caller_stream.rs
@@ -5,7 +5,8 @@
 //! the response. [`CallerStream`] therefore goes on reading after the end of the response, within bounds.
 //!
 //! The header timeout of `hyper` runs from the end of the previous response and can't be changed. [`CallerStream`]
-//! reports an end of the stream instead, when [`Timeouts`] say so, and only if no byte of a request is there to read.
+//! reports an end of the stream instead, when [`Timeouts`] say so, and only if no byte of a request is there to read. It
+//! does the same on shutdown: `hyper` closes an idle connection at once, without looking whether a request has come.
 
 use std::future::Future;
 use std::pin::Pin;
@@ -21,7 +22,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use crate::{Body, BodyError, Request};
+use crate::{Body, BodyError, Request, StopSignal};
 
 /// Maximum time for which a closed connection is read, so that the peer can read its response.
 const LINGER_TIME: Duration = Duration::from_secs(2);
@@ -126,6 +127,11 @@
     Done,
 }
 
+async fn wait_for_shutdown(mut shutdown: StopSignal) {
+    // Without a sender, the server is gone.
+    let _ = shutdown.wait_for(|stopping| *stopping).await;
+}
+
 /// Stream of one connection.
 pub struct CallerStream<T> {
     stream: TcpStream,
@@ -133,6 +139,8 @@
     state: Arc<RequestState>,
     phase: Phase,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Completes on shutdown; `None` from then on.
+    shutdown: Option<Pin<Box<dyn Future<Output = ()> + Send>>>,
     close: Close,
     /// Whether nothing was read since bytes were written: `hyper` has stopped reading.
     is_unread_since_write: bool,
@@ -141,14 +149,21 @@
 }
 
 impl<T: Timeouts> CallerStream<T> {
-    /// Wraps a stream, of which at most `max_discarded` bytes are read after its last response.
-    pub fn new(stream: TcpStream, timeouts: Arc<T>, max_discarded: usize) -> CallerStream<T> {
+    /// Wraps a stream, of which at most `max_discarded` bytes are read after its last response. It ends when it is idle
+    /// and `shutdown` is true.
+    pub fn new(
+        stream: TcpStream,
+        timeouts: Arc<T>,
+        max_discarded: usize,
+        shutdown: StopSignal,
+    ) -> CallerStream<T> {
         CallerStream {
             stream,
             timeouts,
             state: Arc::default(),
             phase: Phase::Idle(clock::now()),
             timer: None,
+            shutdown: Some(Box::pin(wait_for_shutdown(shutdown))),
             close: Close::Open,
             is_unread_since_write: false,
             discard_left: max_discarded,
@@ -170,7 +185,16 @@
         }
     }
 
-    /// Completes when the time of the current phase has passed.
+    /// Completes on shutdown.
+    fn poll_shut_down(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if let Some(shutdown) = &mut self.shutdown {
+            ready!(shutdown.as_mut().poll(cx));
+            self.shutdown = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Completes when the time of the current phase has passed, or on shutdown if it is idle.
     fn poll_timeout(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             if self.state.is_running.load(Relaxed) {
@@ -179,6 +203,10 @@
                 self.state.waker.register(cx.waker());
                 return Poll::Pending;
             }
+            let is_idle = matches!(self.phase, Phase::Idle(_));
+            if is_idle && self.poll_shut_down(cx).is_ready() {
+                self.phase = Phase::Ended;
+            }
             let (since, timeout) = match self.phase {
                 Phase::Request => {
                     self.phase = Phase::Idle(clock::now());
