Keep extreme numbers from ending requests by a panic

Callers got a closed connection without an answer or a refusal when the handler of their request panicked.

--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -5,6 +5,15 @@
 
 use base::Model;
 
+/// Longest time that is computed from sizes and rates, whose quotient may exceed what a [`Duration`] holds. Sums with
+/// it don't overflow.
+const MAX_TIME: Duration = Duration::from_secs(u32::MAX as u64);
+
+/// Returns a time in seconds, at most [`MAX_TIME`].
+fn bounded_time(secs: f64) -> Duration {
+    Duration::try_from_secs_f64(secs).map_or(MAX_TIME, |time| time.min(MAX_TIME))
+}
+
 /// Models of a service and how its upstreams run them.
 #[derive(Debug, Clone)]
 pub struct Engine {
@@ -46,7 +55,7 @@
 
     /// Returns the time to process a prompt on an idle engine.
     pub fn prompt_time(&self, tokens: u64) -> Duration {
-        Duration::from_secs_f64(tokens as f64 / self.prompt_rate.max(1.0))
+        bounded_time(tokens as f64 / self.prompt_rate.max(1.0))
     }
 }
 
@@ -65,7 +74,7 @@
     /// Returns the time that its link takes to transfer some bytes; zero if its rate is unknown.
     pub fn transfer_time(&self, bytes: u64) -> Duration {
         match self.link_mbps > 0.0 {
-            true => Duration::from_secs_f64(bytes as f64 * 8.0 / (self.link_mbps * 1e6)),
+            true => bounded_time(bytes as f64 * 8.0 / (self.link_mbps * 1e6)),
             false => Duration::ZERO,
         }
     }
--- a/crates/catalog/src/route.rs
+++ b/crates/catalog/src/route.rs
@@ -76,8 +76,8 @@
 impl Route {
     /// Returns the service for a random number in 0..1.
     pub fn service(&self, draw: f64) -> &ServiceName {
-        let sum: u32 = self.shares.iter().map(|s| s.weight).sum();
-        let mut left = draw * f64::from(sum);
+        let sum: f64 = self.shares.iter().map(|s| f64::from(s.weight)).sum();
+        let mut left = draw * sum;
         for share in &self.shares {
             left -= f64::from(share.weight);
             if left < 0.0 {
--- a/crates/decide/src/slow_start.rs
+++ b/crates/decide/src/slow_start.rs
@@ -44,7 +44,8 @@
         // A second may hold one request more of each sender than its rate implies.
         let of_list = self.per_second() / LISTS - senders;
         let rate = of_list.min(self.rate) / senders;
-        (rate > 0.0).then(|| Duration::from_secs_f64(1.0 / rate))
+        let interval = Duration::try_from_secs_f64(1.0 / rate).ok();
+        interval.filter(|_| rate > 0.0)
     }
 }
 
--- a/crates/decide/tests/slow_start.rs
+++ b/crates/decide/tests/slow_start.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// Guards against a rate whose interval exceeds what a duration holds.
+#[test]
+fn limit_close_to_zero_has_no_interval() {
+    let limit = Limit {
+        rate: 1e-300,
+        ..LIMIT
+    };
+
+    assert_eq!(limit.interval(), None);
+}
+
 #[test]
 fn limit_too_low_for_a_sender_has_no_interval() {
     let limit = Limit {
