Respond with status 500 if a handler panics

A panic of a handler ended the task of its connection: the caller got a closed connection, which tells neither that its request was read nor that it may have run, and the log said `caller_left`.

The connection's service now catches the panic, responds with 500, which promises nothing, writes `event=handler_panicked` and counts `driftnotch_handler_panics_total`; the connection goes on. A panic in the body of a stream, after its head was sent, still ends the connection, as it must not look complete.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,6 +1,7 @@
 //! Listeners of a gateway, and its graceful shutdown.
 
 use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
@@ -10,7 +11,7 @@
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use log::{info, warn};
+use log::{error, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use web::{
@@ -217,7 +218,8 @@
 ) -> Result<hyper::Response<GuardedBody<(RequestGuard, Running)>>, Infallible> {
     let guard = (state.begin(&req), Running::begin(&callers.running));
     let cx = callers.cx;
-    let mut res = handle(cx.clone(), req).await;
+    let handled = AssertUnwindSafe(handle(cx.clone(), req)).catch_unwind();
+    let mut res = handled.await.unwrap_or_else(|_| panicked_response());
     // If a part of the body wasn't read, hyper now notices that before it writes the head of the response, which then
     // says that the connection will be closed.
     tokio::task::yield_now().await;
@@ -227,3 +229,11 @@
     }
     Ok(res.map(|body: Body| GuardedBody::new(body, guard)))
 }
+
+/// Returns the response to a request whose handler panicked. The request may have run, so the status promises nothing.
+fn panicked_response() -> Response {
+    // The panic itself, with its place, was written to the standard error.
+    error!(target: PART, "{PART}: event=handler_panicked status=500");
+    metrics::counter!("driftnotch_handler_panics_total").increment(1);
+    text(500, "the gateway failed on this request; it may have run\n")
+}
