Keep an order to the engine while the engine pauses

What callers saw: an engine that pauses for a second while its loader stages weights or orders the switch was reported as in service again on its old version, had all chunks staged and read back anew after another notice, and was out of service for that much longer, perhaps past the bound of its old version. If it had taken the order before the pause, gateways sent requests to an engine that began none.

Cause: each call to the engine that was unanswered for 1 s ended the whole order: the chunks staged so far, the notice to gateways, and the knowledge that the order may have been taken, which was then given again with a newer expected revision. Four seconds after its start an order was also repeated while the engine reported that it was carrying it out.

Change: only the unanswered call is repeated, for as long as the engine answers nothing at all; a restart of the engine, a refused connection, a refusal, or three unanswered calls while its state can be read end the order as before. An unanswered order is repeated with the same expected revision, so it is taken once: a refusal of the repetition shows that the first was taken. The order is given by a task of its own, so that newer releases are fetched while the engine is silent. Pending orders are kept by model.

--- a/crates/loader/src/api.rs
+++ b/crates/loader/src/api.rs
@@ -22,11 +22,19 @@
 
 /// Why a call failed.
 #[derive(Debug, Clone)]
-pub struct ApiError(pub String);
+pub enum ApiError {
+    /// The call was not carried out, or was answered with a failure.
+    Failed(String),
+    /// There was no complete answer; the call may have been carried out, or may be later. A process that pauses looks
+    /// like this, and so does one that is gone.
+    Unanswered(String),
+}
 
 impl fmt::Display for ApiError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        match self {
+            ApiError::Failed(why) | ApiError::Unanswered(why) => f.write_str(why),
+        }
     }
 }
 
--- a/crates/loader/src/chunk.rs
+++ b/crates/loader/src/chunk.rs
@@ -42,7 +42,7 @@
     i: usize,
     source: Source,
 ) -> Result<Bytes, ChunkError> {
-    let failed = |e: &dyn std::fmt::Display| ChunkError::Failed(ApiError(e.to_string()));
+    let failed = |e: &dyn std::fmt::Display| ChunkError::Failed(ApiError::Failed(e.to_string()));
     let timeout = cx.cfg.chunk_timeout;
     let addr = match source {
         Source::Origin => {
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -240,14 +240,14 @@
     from: SocketAddr,
     version: &OriginVersion,
 ) -> Result<Manifest, ApiError> {
-    let failed = |e: &dyn std::fmt::Display| ApiError(e.to_string());
+    let failed = |e: &dyn std::fmt::Display| ApiError::Failed(e.to_string());
     let path = format!("{MANIFESTS}{}/{}", version.model, version.version);
     let req = hyper::Request::get(path).body(empty());
     let req = req.map_err(|e| failed(&e))?;
     let sent = client.send(from, req, MANIFEST_TIMEOUT).await;
     let res = sent.map_err(|e| failed(&e))?;
     if !res.status().is_success() {
-        return Err(ApiError(format!("status {}", res.status())));
+        return Err(ApiError::Failed(format!("status {}", res.status())));
     }
     let body = read_body(res.into_body(), MAX_MANIFEST_BYTES, MANIFEST_TIMEOUT).await;
     let buf = body.map_err(|e| failed(&e))?;
@@ -256,7 +256,7 @@
         .filter_map(|d| d.try_into().ok())
         .collect();
     match digests.is_empty() {
-        true => Err(ApiError("the manifest is empty".to_owned())),
+        true => Err(ApiError::Failed("the manifest is empty".to_owned())),
         false => Ok(Manifest { digests }),
     }
 }
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -8,7 +8,7 @@
 use catalog::{Catalog, FIRST_VERSION, WeightsVersion};
 use log::{info, warn};
 use tokio::sync::watch;
-use tokio::task::{AbortHandle, JoinHandle, JoinSet};
+use tokio::task::{AbortHandle, JoinError, JoinHandle, JoinSet};
 use web::{Client, DialOptions};
 
 use crate::Cx;
@@ -18,7 +18,7 @@
 use crate::manifest::manifest;
 use crate::peers::{BYTES_PER_MBIT, Scope, announce, loaders};
 use crate::slot::{PendingVersion, can_skip, last_slot_start, should_complete, slot_start};
-use crate::stage::{read_back, stage, verify};
+use crate::stage::{EngineWatch, read_back, stage, until_answered, verify};
 use crate::succession::{OlderFetch, Releases, choose_predecessor, takes_older_version};
 
 /// Log prefix of this part.
@@ -42,7 +42,8 @@
 /// Pause before reading back from an engine is retried.
 const READ_BACK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time for an order to take effect before it is repeated.
+/// Time for an answered order to take effect before it is repeated. While the engine reports that it carries an order
+/// out, it isn't repeated: the engine would take none.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Fetch of the newest version.
@@ -53,11 +54,21 @@
     older: Vec<OlderFetch>,
 }
 
-/// An order that may not have taken effect yet.
-#[derive(Debug, Clone, Copy)]
+/// An order that is being given, or that may not have taken effect yet.
+#[derive(Debug, Clone)]
 struct PendingOrder {
+    model: Model,
     version: WeightsVersion,
-    at: Instant,
+    /// When the engine answered it; `None` while the order is being given.
+    answered: Option<Instant>,
+}
+
+impl PendingOrder {
+    /// Returns whether the order may still take effect, given whether the engine carries out an order.
+    fn is_awaited(&self, switching: bool) -> bool {
+        self.answered
+            .is_none_or(|at| switching || clock::since(at) < ORDER_TIMEOUT)
+    }
 }
 
 /// Rollouts to one engine.
@@ -67,6 +78,8 @@
     state: watch::Receiver<Option<EngineState>>,
     fetches: Map<Model, CurrentFetch>,
     pending_order: Option<PendingOrder>,
+    /// The task that gives the pending order; dropped with the order.
+    ordering: JoinSet<Result<OrderResult, ApiError>>,
     /// Last known state of the engine.
     last_state: Option<EngineState>,
 }
@@ -82,6 +95,7 @@
         state,
         fetches: Map::default(),
         pending_order: None,
+        ordering: JoinSet::new(),
         last_state: None,
     };
     loop {
@@ -89,7 +103,7 @@
         configured.borrow_and_update();
         let catalog = rollout.cx.catalog.borrow().clone();
         if let Some(catalog) = catalog {
-            rollout.step(&catalog).await;
+            rollout.step(&catalog);
         }
         tokio::select! {
             _ = tokio::time::sleep(rollout.tick()) => {}
@@ -97,16 +111,17 @@
             changed = rollout.state.changed() => if changed.is_err() { return },
             changed = known.changed() => if changed.is_err() { return },
             changed = configured.changed() => if changed.is_err() { return },
+            Some(ordered) = rollout.ordering.join_next() => rollout.handle_ordered(ordered),
         }
     }
 }
 
 impl Rollout {
-    async fn step(&mut self, catalog: &Catalog) {
+    fn step(&mut self, catalog: &Catalog) {
         for model in catalog.models(&self.cx.service) {
             let version = self.cx.known.borrow().version(model);
             self.fetch(catalog, model, version);
-            self.switch(model).await;
+            self.switch(model);
         }
     }
 
@@ -190,7 +205,7 @@
     }
 
     /// Switches the engine to the newest complete version once its slot has come.
-    async fn switch(&mut self, model: &Model) {
+    fn switch(&mut self, model: &Model) {
         let Some(state) = self.state.borrow().clone() else {
             return;
         };
@@ -205,15 +220,16 @@
         let is_idle = state.running == 0 && self.cx.leaving.load(Ordering::Relaxed);
         let next = wanted.as_ref().map(|set| set.version);
         self.plan(model, held, next);
-        match self.pending_order {
-            Some(pending) if held >= Some(pending.version) => {
+        match &self.pending_order {
+            Some(pending) if pending.model == *model && held >= Some(pending.version) => {
+                self.ordering = JoinSet::new();
                 self.pending_order = None;
                 self.cx
                     .leaving
                     .store(wanted.is_some() && is_idle, Ordering::Relaxed);
                 self.cx.poll_engine.notify_one();
             }
-            Some(pending) if clock::since(pending.at) < ORDER_TIMEOUT => return,
+            Some(pending) if pending.is_awaited(state.switching) => return,
             _ => {}
         }
         match wanted {
@@ -223,18 +239,20 @@
                     || has_expired
                     || clock::now() >= self.slot(&set.model, set.version) =>
             {
-                self.order(&set, held.is_some()).await;
+                self.order(set, held.is_some());
             }
             _ => {}
         }
     }
 
     /// Drops a pending order if the engine has restarted: the new incarnation hasn't received it, and waiting for its
-    /// effect would leave the engine without weights for [`ORDER_TIMEOUT`].
+    /// effect would leave the engine without weights for [`ORDER_TIMEOUT`]. Nothing but a restart or an answer ends an
+    /// order that is being given: an engine that is silent may go on.
     fn detect_restart(&mut self, state: &EngineState) {
         let before = self.last_state.replace(state.clone());
         if before.is_some_and(|before| state.is_new_incarnation(&before)) {
             info!(target: PART, "{PART}: event=restarted start_time={:?} orders={} holdings={:?}", state.start_time, state.orders, state.holdings);
+            self.ordering = JoinSet::new();
             self.pending_order = None;
             self.cx.leaving.store(false, Ordering::Relaxed);
         }
@@ -317,18 +335,37 @@
         };
     }
 
-    /// Stages a version and orders the engine to switch to it, with notice to gateways if the engine `serves`.
-    async fn order(&mut self, set: &ChunkSet, serves: bool) {
-        let version = set.version;
+    /// Starts to stage a version and to order the engine to switch to it, with notice to gateways if the engine `serves`.
+    fn order(&mut self, set: Arc<ChunkSet>, serves: bool) {
         self.pending_order = Some(PendingOrder {
-            version,
-            at: clock::now(),
+            model: set.model.clone(),
+            version: set.version,
+            answered: None,
         });
-        match self.stage_and_order(set, serves).await {
-            Ok(OrderResult::Taken) => return,
-            Ok(OrderResult::Conflict(status)) => {
+        self.cx.leaving.store(true, Ordering::Relaxed);
+        self.cx.poll_engine.notify_one();
+        let (cx, engine) = (self.cx.clone(), self.state.clone());
+        self.ordering
+            .spawn(async move { stage_and_order(&cx, &set, serves, &engine).await });
+    }
+
+    /// Handles the end of the task that gave the pending order.
+    fn handle_ordered(&mut self, ordered: Result<Result<OrderResult, ApiError>, JoinError>) {
+        let Some(pending) = &mut self.pending_order else {
+            return;
+        };
+        let version = pending.version;
+        match ordered {
+            Ok(Ok(OrderResult::Taken)) => {
+                pending.answered = Some(clock::now());
+                return;
+            }
+            Ok(Ok(OrderResult::Conflict(status))) => {
                 warn!(target: PART, "{PART}: event=order_conflict version={version} status={status}");
             }
+            Ok(Err(e)) => {
+                warn!(target: PART, "{PART}: event=order_failed version={version} why=\"{e}\"");
+            }
             Err(e) => {
                 warn!(target: PART, "{PART}: event=order_failed version={version} why=\"{e}\"");
             }
@@ -337,27 +374,45 @@
         self.cx.leaving.store(false, Ordering::Relaxed);
         self.cx.poll_engine.notify_one();
     }
+}
 
-    async fn stage_and_order(&self, set: &ChunkSet, serves: bool) -> Result<OrderResult, ApiError> {
-        self.cx.leaving.store(true, Ordering::Relaxed);
-        self.cx.poll_engine.notify_one();
-        let notice = match serves {
-            true => LEAVE_NOTICE,
-            false => Duration::ZERO,
-        };
-        let (_, staged) = tokio::join!(tokio::time::sleep(notice), stage(&self.cx, set));
-        staged?;
-        verify(&self.cx, set).await?;
-        let state = (self.cx.api.state)(()).await?;
-        let switch_order = SwitchOrder {
-            model: set.model.clone(),
-            version: set.version,
-            orders: state.orders,
-        };
-        let result = (self.cx.api.start)(switch_order).await?;
-        info!(target: PART, "{PART}: event=ordered model={} version={} orders={} result={result:?}", set.model, set.version, state.orders);
-        self.cx.poll_engine.notify_one();
-        Ok(result)
+/// Stages a version and orders the engine to switch to it, with notice to gateways if the engine `serves`.
+async fn stage_and_order(
+    cx: &Cx,
+    set: &ChunkSet,
+    serves: bool,
+    engine: &EngineWatch,
+) -> Result<OrderResult, ApiError> {
+    let notice = match serves {
+        true => LEAVE_NOTICE,
+        false => Duration::ZERO,
+    };
+    let (_, staged) = tokio::join!(tokio::time::sleep(notice), stage(cx, set, engine));
+    staged?;
+    verify(cx, set, engine).await?;
+    let state = until_answered(engine, || (cx.api.state)(())).await?;
+    let switch_order = SwitchOrder {
+        model: set.model.clone(),
+        version: set.version,
+        orders: state.orders,
+    };
+    let result = give(cx, &switch_order, engine).await?;
+    info!(target: PART, "{PART}: event=ordered model={} version={} orders={} result={result:?}", set.model, set.version, state.orders);
+    cx.poll_engine.notify_one();
+    Ok(result)
+}
+
+/// Gives an order. An unanswered one is repeated unchanged: if it was taken, the engine has accepted more orders than the
+/// repetition expects and refuses it.
+async fn give(cx: &Cx, order: &SwitchOrder, engine: &EngineWatch) -> Result<OrderResult, ApiError> {
+    match (cx.api.start)(order.clone()).await {
+        Err(ApiError::Unanswered(why)) => {
+            info!(target: PART, "{PART}: event=order_unanswered version={} why=\"{why}\"", order.version);
+        }
+        answered => return answered,
+    }
+    match until_answered(engine, || (cx.api.start)(order.clone())).await? {
+        OrderResult::Taken | OrderResult::Conflict(_) => Ok(OrderResult::Taken),
     }
 }
 
--- a/crates/loader/src/status.rs
+++ b/crates/loader/src/status.rs
@@ -43,24 +43,26 @@
     let mut sent = clock::now();
     let mut sent_far = clock::now();
     let mut sent_plan = None;
+    // Whether the engine accepted no requests, and what it held, as last read.
+    let mut last_read = None;
     let mut changed_at = clock::now();
     let mut paces = PaceTracker::new(clock::now());
     loop {
         let polled_at = clock::now();
-        let before = tx.borrow().clone();
+        let mut switching = false;
         match (cx.api.state)(()).await {
-            Ok(mut state) => {
+            Ok(state) => {
                 publish_pace(&cx, &mut paces, state.pace);
-                state.switching |= cx.leaving.load(Ordering::Relaxed);
-                let changed = before
-                    .as_ref()
-                    .is_none_or(|b| b.switching != state.switching || b.holdings != state.holdings);
+                switching = state.switching || cx.leaving.load(Ordering::Relaxed);
+                let read = Some((switching, state.holdings.clone()));
+                let changed = last_read != read;
+                last_read = read;
                 let planned = leaves_at(&cx);
                 let replanned = std::mem::replace(&mut sent_plan, planned) != planned;
                 if changed {
-                    info!(target: PART, "{PART}: event=state switching={} orders={} holdings={:?} running={} queued={}", state.switching, state.orders, state.holdings, state.running, state.queued);
+                    info!(target: PART, "{PART}: event=state switching={switching} orders={} holdings={:?} running={} queued={}", state.orders, state.holdings, state.running, state.queued);
                 }
-                let (interval, interval_far) = match state.switching {
+                let (interval, interval_far) = match switching {
                     true => (
                         switching_interval(near_gateways(&cx)),
                         SWITCHING_UPDATE_INTERVAL_FAR,
@@ -68,7 +70,7 @@
                     false => (UPDATE_INTERVAL, UPDATE_INTERVAL),
                 };
                 let is_new = changed || replanned;
-                if is_new || state.switching || planned.is_some() {
+                if is_new || switching || planned.is_some() {
                     changed_at = clock::now();
                 }
                 let near = is_new || clock::since(sent) >= interval;
@@ -79,7 +81,7 @@
                         true => gateways(&cx, near, far),
                         false => two_gateways(&cx),
                     };
-                    send(&cx, sequence, &state, receivers);
+                    send(&cx, sequence, &state, switching, receivers);
                 }
                 if near {
                     sent = clock::now();
@@ -90,13 +92,12 @@
                 tx.send_replace(Some(state));
             }
             Err(e) => {
-                if before.is_some() {
+                if tx.send_replace(None).is_some() {
                     warn!(target: PART, "{PART}: event=lost why=\"{e}\"");
                 }
-                tx.send_replace(None);
+                last_read = None;
             }
         }
-        let switching = tx.borrow().as_ref().is_some_and(|s| s.switching);
         let pause = match switching {
             true => SWITCHING_POLL_INTERVAL,
             false => poll_pause(&cx.cfg, &paces, polled_at, clock::now()),
@@ -144,13 +145,13 @@
         .collect()
 }
 
-/// Sends a status update.
-fn send(cx: &Cx, sequence: u64, state: &EngineState, receivers: Vec<SocketAddr>) {
+/// Sends a status update; `switching` states whether the engine accepts no requests.
+fn send(cx: &Cx, sequence: u64, state: &EngineState, switching: bool, receivers: Vec<SocketAddr>) {
     let status = EngineStatus {
         incarnation: cx.incarnation,
         sequence,
         upstream: cx.cfg.engine,
-        switching: state.switching,
+        switching,
         leaves_in: leaves_at(cx).map(|at| at.saturating_duration_since(clock::now())),
         holdings: state.holdings.clone(),
         running: state.running,
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -64,7 +64,7 @@
 }
 
 fn api(origin: &Shared<OriginState>, engine: &Shared<EngineStandIn>) -> Api {
-    let unreachable = || ApiError("unreachable".to_owned());
+    let unreachable = || ApiError::Failed("unreachable".to_owned());
     let (state, put, get, start) = (
         engine.clone(),
         engine.clone(),
