Count an engine's silence as no change of its state

What was seen: after a pause of many engines, each of their loaders sent its status to all gateways for 3.5 s, although nothing had changed; for 204 loaders and 149 gateways that is the traffic that the limit to two gateways was made for, at the moment when callers' streams go on.

Cause: a poll of the engine that was unanswered for 1 s dropped the state read last, so the next answer differed from it.

Change: an answer is compared with the last one that was read, including the start time of the engine, which a restart changes.

--- a/crates/loader/src/status.rs
+++ b/crates/loader/src/status.rs
@@ -43,7 +43,8 @@
     let mut sent = clock::now();
     let mut sent_far = clock::now();
     let mut sent_plan = None;
-    // Whether the engine accepted no requests, and what it held, as last read.
+    // Whether the engine accepted no requests, what it held and when it started, as last read. Silence since then is no
+    // change: an engine that has paused goes on with the same weights.
     let mut last_read = None;
     let mut changed_at = clock::now();
     let mut paces = PaceTracker::new(clock::now());
@@ -54,7 +55,7 @@
             Ok(state) => {
                 publish_pace(&cx, &mut paces, state.pace);
                 switching = state.switching || cx.leaving.load(Ordering::Relaxed);
-                let read = Some((switching, state.holdings.clone()));
+                let read = Some((switching, state.holdings.clone(), state.start_time));
                 let changed = last_read != read;
                 last_read = read;
                 let planned = leaves_at(&cx);
@@ -95,7 +96,6 @@
                 if tx.send_replace(None).is_some() {
                     warn!(target: PART, "{PART}: event=lost why=\"{e}\"");
                 }
-                last_read = None;
             }
         }
         let pause = match switching {
