Notice an engine's restart although its state couldn't be read meanwhile

What was seen: an engine that restarted while its agent transferred a version to it never got the version; the agent ordered the load once a second and was refused with 422 each time, and callers of the model were refused for as long.

Cause: one read of the state without an answer dropped everything known of the engine, its incarnation too. An engine can't be read while it restarts, so the next answer counted as the first one, the transfer went on, and the chunks that the earlier incarnation held were missing in the new one.

Change: the incarnation is kept while the state can't be read.

--- a/crates/agent/src/rollout.rs
+++ b/crates/agent/src/rollout.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use base::{Digest, Map, Set};
+use base::{Digest, Incarnation, Map, Set};
 use log::{error, info, warn};
 use table::Version;
 use tokio::task::JoinHandle;
@@ -40,7 +40,11 @@
     agent: Arc<Agent>,
     transfers: Map<Digest, Transfer>,
     retiring: Map<Digest, JoinHandle<()>>,
+    /// State of the engine; `None` while it can't be read.
     state: Option<EngineState>,
+    /// Incarnation of the engine when its state was last read. Kept while the state can't be read, since that is when an
+    /// engine restarts.
+    incarnation: Option<Incarnation>,
     fence_raised: bool,
 }
 
@@ -59,6 +63,7 @@
         transfers: Map::default(),
         retiring: Map::default(),
         state: None,
+        incarnation: None,
         fence_raised: false,
         agent,
     };
@@ -117,7 +122,7 @@
     }
 
     fn apply_state(&mut self, state: EngineState) {
-        let previous = self.state.as_ref().map(|s| s.incarnation);
+        let previous = self.incarnation.replace(state.incarnation);
         if previous.is_some_and(|previous| previous != state.incarnation) {
             warn!(target: PART, "{PART}: the engine restarted");
             self.transfers.drain().for_each(|(_, t)| t.task.abort());
--- a/crates/cli/tests/weights.rs
+++ b/crates/cli/tests/weights.rs
@@ -211,6 +211,43 @@
     cluster.wait_ready(MODEL, &version.to_string(), 2).await;
 }
 
+/// Guards against a transfer that never ends: chunks that were staged before the restart are missing, and the engine
+/// refuses to load the version.
+#[tokio::test(flavor = "multi_thread")]
+async fn engine_that_restarts_while_its_state_cant_be_read_gets_its_weights() {
+    let cluster = Cluster::start(ClusterSpec {
+        engines: 1,
+        ..ClusterSpec::default()
+    })
+    .await;
+    let version = cluster.publish(1, 20 * BYTES);
+    cluster.platform.origin.faults.set(Faults {
+        delay_ms: 30,
+        ..Faults::default()
+    });
+    cluster.apply(&[row(MODEL, version, "recife")]).await;
+    let vm = cluster.upstream(0).vm;
+    let engine = cluster.engines[&vm].clone();
+    wait_for("the transfer to be under way", async || {
+        engine.staged_chunks(&version) > 3
+    })
+    .await;
+
+    engine.faults.set(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    wait_for("the agent to miss the engine's state", async || {
+        cluster.log(&vm).contains("the engine refused (503")
+    })
+    .await;
+    engine.restart();
+    engine.faults.set(Faults::default());
+    cluster.platform.origin.faults.set(Faults::default());
+
+    cluster.wait_ready(MODEL, &version.to_string(), 1).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn agents_fetch_from_a_peer_while_the_origin_is_down() {
     let mut cluster = Cluster::start(ClusterSpec {
