Wait for a silent agent until the caller's deadline to settle a request

What callers saw: a request with an idempotency key that was sent again while the agent that had run it paused got 409 key_unknown after 1 s ("its answer is gone; check its effect"), although the answer was recorded there, the agent went on a moment later and the caller had time left. So did a request whose answer was lost just before the pause.

Cause: the time to answer a settle request was the default retry-after time of 1 s. Nobody but this agent knows the outcome, so nothing replaces the answer that was no longer waited for.

Change: it is waited for until the caller's deadline, and for 1 s at least. An agent that is gone is still noticed at once, by its refused or unaccepted connection. The slot that the request had been given at another upstream is freed meanwhile.

The requests of thawed_agent_runs_no_abandoned_request have a deadline of 2 s now instead of 10 s, since each is waited for until then; they are abandoned as before.

--- a/crates/cli/tests/outcomes.rs
+++ b/crates/cli/tests/outcomes.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use base::Outcome;
 use common::{Cluster, ClusterSpec, Sent, row, wait_for};
 use http_body_util::BodyExt;
@@ -251,7 +253,12 @@
     cluster.signal(&vm, "STOP");
     let mut sent = Vec::new();
     for i in 0..3 {
-        sent.push(cluster.send(i % 2, &keyed(&format!("frozen{i}"))).await);
+        // The entry asks the agent what became of the request until this deadline.
+        let ask = RequestSpec {
+            deadline: Duration::from_secs(2),
+            ..keyed(&format!("frozen{i}"))
+        };
+        sent.push(cluster.send(i % 2, &ask).await);
     }
     for s in &sent {
         assert_ne!(s.reply.outcome, Some(Outcome::Done), "{s:?}");
@@ -269,6 +276,32 @@
     cluster.check_outcomes(&sent);
 }
 
+/// Guards against telling a caller that the outcome of its earlier request is unknown, while the agent that recorded the
+/// response only pauses and the caller has time left.
+#[tokio::test(flavor = "multi_thread")]
+async fn recorded_response_is_replayed_after_a_pause_of_its_agent() {
+    let cluster = ready_cluster(ClusterSpec {
+        engines: 1,
+        ..ClusterSpec::default()
+    })
+    .await;
+    let ask = keyed("paused");
+    let first = cluster.send(0, &ask).await;
+    let vm = cluster.upstream(0).vm;
+
+    cluster.signal(&vm, "STOP");
+    let resume = async {
+        tokio::time::sleep(Duration::from_millis(1300)).await;
+        cluster.signal(&vm, "CONT");
+    };
+    let (resent, ()) = tokio::join!(cluster.send(1, &ask), resume);
+
+    assert_eq!(first.reply.outcome, Some(Outcome::Done), "{first:?}");
+    assert_eq!(resent.reply.outcome, Some(Outcome::Done), "{resent:?}");
+    assert!(resent.reply.replayed);
+    assert_eq!(cluster.run_count("paused"), 1);
+}
+
 /// Starts a long stream; returns the rest of its body once the first frame has arrived.
 async fn start_stream(cluster: &Cluster, marker: &str) -> hyper::body::Incoming {
     let body = format!(
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -57,7 +57,7 @@
     Stopping,
 }
 
-/// Retry-after time without a better estimate; also the timeout of a settle request.
+/// Retry-after time without a better estimate.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 #[derive(Serialize)]
--- a/crates/entry/src/route/attempt.rs
+++ b/crates/entry/src/route/attempt.rs
@@ -1,6 +1,7 @@
 //! A single attempt of a request at an upstream, and settlement of attempts without a response.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use base::{Settled, header};
 use bytes::Bytes;
@@ -12,7 +13,6 @@
 use crate::Entry;
 use crate::claim::ClaimRecord;
 use crate::membership::upstream::Upstream;
-use crate::refusal::DEFAULT_RETRY_AFTER;
 use crate::request::CallerRequest;
 use crate::response::{UpstreamBody, UpstreamResponse};
 use crate::route::running::RunningRequest;
@@ -192,8 +192,15 @@
     Unknown,
 }
 
+/// Minimum time that an agent has to answer a settle request, for a request whose deadline has passed.
+const MIN_SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Asks an agent for the outcome of a request, and prevents the request from starting if it hasn't.
-pub async fn settle(entry: &Entry, record: &ClaimRecord) -> Settlement {
+///
+/// Nobody else knows the outcome, so an agent that is silent is waited for until the caller's deadline. One that is gone
+/// refuses the connection or doesn't accept it.
+pub async fn settle(entry: &Entry, request: &CallerRequest, record: &ClaimRecord) -> Settlement {
+    let until = request.deadline.max(clock::now() + MIN_SETTLE_TIME);
     let mut req = hyper::Request::new(web::empty());
     *req.method_mut() = Method::POST;
     web::set_header(req.headers_mut(), header::SETTLE, &record.request);
@@ -201,7 +208,7 @@
     web::set_header(req.headers_mut(), header::INCARNATION, &incarnation);
     let Ok(res) = entry
         .client
-        .send(record.listen, req, DEFAULT_RETRY_AFTER)
+        .send(record.listen, req, clock::until(until))
         .await
     else {
         return Settlement::Unknown;
@@ -215,7 +222,7 @@
         Some(Settled::Running) if same_incarnation => Settlement::Running,
         Some(Settled::Done) if same_incarnation => {
             let limit = entry.cfg.max_answer as usize + SETTLE_EXTRA_BYTES;
-            match read_body(body, limit, DEFAULT_RETRY_AFTER).await {
+            match read_body(body, limit, clock::until(until)).await {
                 Ok(buf) => {
                     head.headers.remove(header::SETTLED);
                     Settlement::Done(Box::new(UpstreamResponse {
--- a/crates/entry/src/route/dispatch.rs
+++ b/crates/entry/src/route/dispatch.rs
@@ -84,7 +84,7 @@
                     self.record_lost_response(&upstream, &reason);
                     lost_response = Some(Refusal::Lost(reason));
                 }
-                outcome => match settle(self.entry, &record).await {
+                outcome => match settle(self.entry, self.request, &record).await {
                     Settlement::Sealed => self.record_not_run(&upstream, "sealed".into()),
                     Settlement::Done(response) => return Ok(*response),
                     Settlement::Running | Settlement::Unknown => {
@@ -131,13 +131,17 @@
         if record.content != self.request.content_digest() {
             return Err(Refusal::KeyReused);
         }
+        let mut running = running;
         if !record.released {
-            match settle(self.entry, &record).await {
+            // The slot is of use to other requests for as long as the agent doesn't answer.
+            drop(running);
+            match settle(self.entry, self.request, &record).await {
                 Settlement::Sealed => {}
                 Settlement::Done(response) => return Ok(*response),
                 Settlement::Running => return Err(Refusal::KeyRunning(DEFAULT_RETRY_AFTER)),
                 Settlement::Unknown => return Err(Refusal::KeyUnknown),
             }
+            running = self.next_upstream().await?;
         }
         let held = HeldClaim { key, tag, record };
         let held = self.move_claim(held, running.upstream()).await?;
@@ -157,7 +161,7 @@
                 AttemptOutcome::Refused(reason) | AttemptOutcome::NotSent(reason) => {
                     self.record_not_run(&upstream, reason)
                 }
-                outcome => match settle(self.entry, &held.record).await {
+                outcome => match settle(self.entry, self.request, &held.record).await {
                     Settlement::Sealed => self.record_not_run(&upstream, "sealed".into()),
                     Settlement::Done(response) => return Ok(*response),
                     Settlement::Running | Settlement::Unknown => {
