Wait for a request that may run only once until its deadline

What callers saw: a request that may run only once, with or without an idempotency key, got 502 lost after attempt_timeout, although its upstream was sound and running it, the caller had time left, and nobody else could run it.

Cause: the wait for the head of the response was the same for all requests, but only one that may be repeated can be tried elsewhere. The agent was then asked what became of the request, and "running" counted as lost.

Change: the attempt stays open until the caller's deadline. Each attempt_timeout the agent is asked beside it: if the request hasn't started, it never will and is tried elsewhere; if it is done, the recorded response is used; otherwise the wait goes on. It is sent to no second upstream before the agent has sealed it. An attempt_timeout of silence still counts as a failure for the choice of upstreams for new requests.

--- a/crates/cli/tests/outcomes.rs
+++ b/crates/cli/tests/outcomes.rs
@@ -302,6 +302,29 @@
     assert_eq!(cluster.run_count("paused"), 1);
 }
 
+/// Guards against giving up a request that nobody else may run, because its upstream is silent for longer than
+/// `attempt_timeout`.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_may_run_once_is_not_given_up_while_its_upstream_is_silent() {
+    let cluster = ready_cluster(ClusterSpec {
+        entry_lines: vec!["attempt_timeout: 200ms".to_owned()],
+        ..ClusterSpec::default()
+    })
+    .await;
+    let unkeyed = RequestSpec {
+        mark_unsafe: true,
+        ..RequestSpec::completion(MODEL, "silentonce")
+    };
+
+    let keyed = cluster.send(0, &slow(keyed("silentkeyed"))).await;
+    let unkeyed = cluster.send(1, &slow(unkeyed)).await;
+
+    assert_eq!(keyed.reply.outcome, Some(Outcome::Done), "{keyed:?}");
+    assert_eq!(unkeyed.reply.outcome, Some(Outcome::Done), "{unkeyed:?}");
+    assert_eq!(cluster.run_count("silentkeyed"), 1);
+    assert_eq!(cluster.run_count("silentonce"), 1);
+}
+
 /// Starts a long stream; returns the rest of its body once the first frame has arrived.
 async fn start_stream(cluster: &Cluster, marker: &str) -> hyper::body::Incoming {
     let body = format!(
--- a/crates/entry/src/route/attempt.rs
+++ b/crates/entry/src/route/attempt.rs
@@ -50,7 +50,10 @@
         return AttemptOutcome::NotSent("the deadline passed".into());
     }
     let req = build_request(entry, request, row, send_once);
-    let timeout = entry.cfg.attempt_timeout.min(remaining);
+    let timeout = match send_once {
+        true => remaining,
+        false => entry.cfg.attempt_timeout.min(remaining),
+    };
     let res = match entry.client.send(upstream.listen(), req, timeout).await {
         Ok(res) => res,
         Err(e) => {
@@ -79,6 +82,39 @@
     }
 }
 
+/// Sends a request that must be sent at most once and waits for its response.
+///
+/// While the upstream is silent nobody else may run the request, so it is waited for until the caller's deadline. Each
+/// `attempt_timeout` its agent is asked what became of the request: it may not have started, and then never does, or its
+/// response may have been lost.
+pub async fn attempt_once(
+    entry: &Arc<Entry>,
+    request: &CallerRequest,
+    row: &Row,
+    running: RunningRequest,
+    record: &ClaimRecord,
+) -> AttemptOutcome {
+    let upstream = running.upstream().clone();
+    let sent = attempt(entry, request, row, running, true);
+    tokio::pin!(sent);
+    loop {
+        let settled = async {
+            tokio::time::sleep(entry.cfg.attempt_timeout).await;
+            upstream.record_failure(entry.cfg.eject_failures, entry.cfg.eject_time);
+            settle(entry, request, record).await
+        };
+        let settlement = tokio::select! {
+            outcome = &mut sent => return outcome,
+            settlement = settled => settlement,
+        };
+        match settlement {
+            Settlement::Sealed => return AttemptOutcome::Refused("sealed".into()),
+            Settlement::Done(response) => return AttemptOutcome::Answered(response),
+            Settlement::Running | Settlement::Unknown => {}
+        }
+    }
+}
+
 fn build_request(
     entry: &Entry,
     request: &CallerRequest,
--- a/crates/entry/src/route/dispatch.rs
+++ b/crates/entry/src/route/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::refusal::{DEFAULT_RETRY_AFTER, Refusal};
 use crate::request::{CallerRequest, RetrySafety};
 use crate::response::UpstreamResponse;
-use crate::route::attempt::{AttemptOutcome, Settlement, attempt, priority, settle};
+use crate::route::attempt::{AttemptOutcome, Settlement, attempt, attempt_once, priority, settle};
 use crate::route::balance::{Pick, pick};
 use crate::route::running::RunningRequest;
 
@@ -74,7 +74,11 @@
             let upstream = running.upstream().clone();
             let send_once = self.must_send_once(&upstream);
             let record = self.claim_record(&upstream);
-            match attempt(self.entry, self.request, self.row, running, send_once).await {
+            let outcome = match send_once {
+                true => attempt_once(self.entry, self.request, self.row, running, &record).await,
+                false => attempt(self.entry, self.request, self.row, running, false).await,
+            };
+            match outcome {
                 AttemptOutcome::Answered(response) => return Ok(*response),
                 AttemptOutcome::Refused(reason) | AttemptOutcome::NotSent(reason) => {
                     self.record_not_run(&upstream, reason)
@@ -156,7 +160,8 @@
     ) -> Result<UpstreamResponse, Refusal> {
         loop {
             let upstream = running.upstream().clone();
-            match attempt(self.entry, self.request, self.row, running, true).await {
+            let sent = attempt_once(self.entry, self.request, self.row, running, &held.record);
+            match sent.await {
                 AttemptOutcome::Answered(response) => return Ok(*response),
                 AttemptOutcome::Refused(reason) | AttemptOutcome::NotSent(reason) => {
                     self.record_not_run(&upstream, reason)
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -234,7 +234,7 @@
     field(
         "attempt_timeout",
         Duration("30s", "50ms", "1h"),
-        "Longest wait for the head of an agent's answer before the request is tried elsewhere or given up on.",
+        "Longest wait for the head of an agent's answer before the request is tried elsewhere. One that may run only once is waited for until its deadline, and its agent is asked meanwhile what became of it.",
     ),
     field(
         "connect_timeout",
