Keep a silent upstream's attempt until another one responds

What callers saw: a request that may run more than once and whose upstream gave no head within attempt_timeout was cancelled there, run anew elsewhere and cancelled again, until the attempts were used up; then 502 lost, also if there was no other upstream, although the first one was sound and the caller had time left.

Cause: the attempt was closed before another upstream, a slot or a retry was looked for, and whatever was missing ended the request.

Change: the silent attempt stays open. Each attempt_timeout the request is sent to another upstream as well if there is one with a free slot, within max_attempts and the retry budget; the first response is used, and the other attempts are cancelled. A lost attempt is replaced at once. Silence still counts as a failure for the choice of upstreams for new requests. At most max_attempts requests are in progress at a time, and none that may run only once, which attempt_once handles.

--- a/crates/cli/tests/outcomes.rs
+++ b/crates/cli/tests/outcomes.rs
@@ -325,6 +325,54 @@
     assert_eq!(cluster.run_count("silentonce"), 1);
 }
 
+/// Guards against giving up a silent upstream that would have answered: before another one has, or although there is no
+/// other one.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_upstream_is_not_given_up_before_another_one_responds() {
+    for engines in [1, 2] {
+        let cluster = ready_cluster(ClusterSpec {
+            engines,
+            entry_lines: vec!["attempt_timeout: 200ms".to_owned()],
+            ..ClusterSpec::default()
+        })
+        .await;
+
+        let sent = cluster
+            .send(0, &slow(RequestSpec::completion(MODEL, "silent")))
+            .await;
+
+        assert_eq!(sent.reply.outcome, Some(Outcome::Done), "{sent:?}");
+        cluster.check_outcomes(&[sent]);
+    }
+}
+
+/// Guards against waiting for a hung upstream until the deadline while another one is free.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_to_a_hung_upstream_is_answered_by_another_one() {
+    let cluster = ready_cluster(ClusterSpec {
+        entry_lines: vec!["attempt_timeout: 200ms".to_owned()],
+        agent_lines: vec!["engine_timeout: 30s".to_owned()],
+        ..ClusterSpec::default()
+    })
+    .await;
+    let hung = cluster.engines.values().next().expect("an engine");
+    hung.faults.set(Faults {
+        hang: true,
+        ..Faults::default()
+    });
+
+    let mut sent = Vec::new();
+    for i in 0..6 {
+        let ask = RequestSpec::completion(MODEL, &format!("hung{i}"));
+        sent.push(cluster.send(i % 2, &ask).await);
+    }
+
+    for s in &sent {
+        assert_eq!(s.reply.outcome, Some(Outcome::Done), "{s:?}");
+    }
+    cluster.check_outcomes(&sent);
+}
+
 /// Starts a long stream; returns the rest of its body once the first frame has arrived.
 async fn start_stream(cluster: &Cluster, marker: &str) -> hyper::body::Incoming {
     let body = format!(
--- a/crates/entry/src/route/attempt.rs
+++ b/crates/entry/src/route/attempt.rs
@@ -1,6 +1,8 @@
 //! A single attempt of a request at an upstream, and settlement of attempts without a response.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 
 use base::{Settled, header};
@@ -36,13 +38,14 @@
 const SETTLE_EXTRA_BYTES: usize = 64 << 10;
 
 /// Sends a request to the upstream of `running` and waits for the head of the response, and for the
-/// complete body if it is buffered.
+/// complete body if it is buffered, until the deadline. Sets `has_head` once the head has arrived.
 pub async fn attempt(
     entry: &Arc<Entry>,
     request: &CallerRequest,
     row: &Row,
     running: RunningRequest,
     send_once: bool,
+    has_head: &AtomicBool,
 ) -> AttemptOutcome {
     let upstream = running.upstream().clone();
     let remaining = request.remaining();
@@ -50,12 +53,11 @@
         return AttemptOutcome::NotSent("the deadline passed".into());
     }
     let req = build_request(entry, request, row, send_once);
-    let timeout = match send_once {
-        true => remaining,
-        false => entry.cfg.attempt_timeout.min(remaining),
-    };
-    let res = match entry.client.send(upstream.listen(), req, timeout).await {
-        Ok(res) => res,
+    let res = match entry.client.send(upstream.listen(), req, remaining).await {
+        Ok(res) => {
+            has_head.store(true, Relaxed);
+            res
+        }
         Err(e) => {
             upstream.record_failure(entry.cfg.eject_failures, entry.cfg.eject_time);
             return match e {
@@ -95,11 +97,15 @@
     record: &ClaimRecord,
 ) -> AttemptOutcome {
     let upstream = running.upstream().clone();
-    let sent = attempt(entry, request, row, running, true);
+    let has_head = AtomicBool::new(false);
+    let sent = attempt(entry, request, row, running, true, &has_head);
     tokio::pin!(sent);
     loop {
         let settled = async {
             tokio::time::sleep(entry.cfg.attempt_timeout).await;
+            if has_head.load(Relaxed) {
+                std::future::pending::<()>().await;
+            }
             upstream.record_failure(entry.cfg.eject_failures, entry.cfg.eject_time);
             settle(entry, request, record).await
         };
--- a/crates/entry/src/route/dispatch.rs
+++ b/crates/entry/src/route/dispatch.rs
@@ -1,13 +1,18 @@
 //! Dispatch of a request: attempts at upstreams until one responds or no retry is possible.
 //!
 //! A retryable request goes to another upstream when one refused it, was unreachable or lost its
-//! response; an unsafe request only when it certainly has not run. A request with an idempotency
+//! response, and to a second one beside the first while that is silent; an unsafe request only when
+//! it certainly has not run. A request with an idempotency
 //! key is claimed in the platform's table first. Retries are paid from the retry budget. A request
 //! that can't be retried is refused immediately.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
 
 use base::Outcome;
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use log::info;
 use store::Tag;
 use table::Row;
@@ -72,22 +77,24 @@
                 Err(refusal) => return Err(lost_response.unwrap_or(refusal)),
             };
             let upstream = running.upstream().clone();
-            let send_once = self.must_send_once(&upstream);
+            if !self.must_send_once(&upstream) {
+                match self.run_repeatable(running).await {
+                    AttemptOutcome::Answered(response) => return Ok(*response),
+                    AttemptOutcome::Refused(_) | AttemptOutcome::NotSent(_) => {}
+                    AttemptOutcome::TimedOut => return Err(Refusal::LateAnswer),
+                    AttemptOutcome::ResponseLost(reason) => {
+                        lost_response = Some(Refusal::Lost(reason));
+                    }
+                }
+                continue;
+            }
             let record = self.claim_record(&upstream);
-            let outcome = match send_once {
-                true => attempt_once(self.entry, self.request, self.row, running, &record).await,
-                false => attempt(self.entry, self.request, self.row, running, false).await,
-            };
-            match outcome {
+            let sent = attempt_once(self.entry, self.request, self.row, running, &record);
+            match sent.await {
                 AttemptOutcome::Answered(response) => return Ok(*response),
                 AttemptOutcome::Refused(reason) | AttemptOutcome::NotSent(reason) => {
                     self.record_not_run(&upstream, reason)
                 }
-                AttemptOutcome::TimedOut if !send_once => return Err(Refusal::LateAnswer),
-                AttemptOutcome::ResponseLost(reason) if !send_once => {
-                    self.record_lost_response(&upstream, &reason);
-                    lost_response = Some(Refusal::Lost(reason));
-                }
                 outcome => match settle(self.entry, self.request, &record).await {
                     Settlement::Sealed => self.record_not_run(&upstream, "sealed".into()),
                     Settlement::Done(response) => return Ok(*response),
@@ -99,6 +106,82 @@
         }
     }
 
+    /// Runs a request that may run more than once. Each `attempt_timeout` without the head of a response it is sent to
+    /// another upstream as well, if there is one for it; the silent ones are still waited for, since they may go on.
+    /// Returns the first response, which cancels the other attempts, or else the last outcome of an attempt that may have
+    /// run, or else that of any.
+    async fn run_repeatable(&mut self, running: RunningRequest) -> AttemptOutcome {
+        let (entry, request, row) = (self.entry, self.request, self.row);
+        let has_head = AtomicBool::new(false);
+        let has_head = &has_head;
+        let start = |running: RunningRequest| async move {
+            let upstream = running.upstream().clone();
+            let outcome = attempt(entry, request, row, running, false, has_head).await;
+            (upstream, outcome)
+        };
+        let mut silent = vec![running.upstream().clone()];
+        let mut open = FuturesUnordered::from_iter([start(running)]);
+        let mut last = AttemptOutcome::NotSent("no attempt was made".into());
+        let mut next_at = clock::now() + entry.cfg.attempt_timeout;
+        loop {
+            let ended = tokio::select! {
+                ended = open.next() => ended,
+                () = clock::sleep_until(next_at), if !silent.is_empty() => {
+                    next_at = clock::now() + entry.cfg.attempt_timeout;
+                    let other = match has_head.load(Relaxed) {
+                        true => None,
+                        false => self.other_upstream(&silent),
+                    };
+                    if let Some(running) = other {
+                        silent.push(running.upstream().clone());
+                        open.push(start(running));
+                    }
+                    continue;
+                }
+            };
+            let Some((upstream, outcome)) = ended else {
+                return last;
+            };
+            silent.retain(|u| !Arc::ptr_eq(u, &upstream));
+            // Any other attempts in progress are silent, so the ended one is replaced at once.
+            has_head.store(false, Relaxed);
+            next_at = clock::now();
+            match outcome {
+                AttemptOutcome::Answered(_) | AttemptOutcome::TimedOut => return outcome,
+                AttemptOutcome::Refused(ref reason) | AttemptOutcome::NotSent(ref reason) => {
+                    self.record_not_run(&upstream, reason.clone());
+                    if !matches!(last, AttemptOutcome::ResponseLost(_)) {
+                        last = outcome;
+                    }
+                }
+                AttemptOutcome::ResponseLost(ref reason) => {
+                    self.record_lost_response(&upstream, reason);
+                    last = outcome;
+                }
+            }
+        }
+    }
+
+    /// Records the silence of upstreams, and returns another one that has a free slot, if the request may be sent to one
+    /// more.
+    fn other_upstream(&mut self, silent: &[Arc<Upstream>]) -> Option<RunningRequest> {
+        for upstream in silent {
+            upstream.record_failure(self.entry.cfg.eject_failures, self.entry.cfg.eject_time);
+            self.record_tried(upstream);
+        }
+        if self.tried.len() as u64 >= self.entry.cfg.max_attempts {
+            return None;
+        }
+        let cfg = &self.entry.cfg;
+        let picked = pick(&self.entry.fleet, self.row, self.request, cfg, &self.tried);
+        let Pick::Chosen(slot) = picked else {
+            return None;
+        };
+        let running = RunningRequest::new(self.entry, slot);
+        let is_repeatable = !self.must_send_once(running.upstream());
+        (is_repeatable && self.spend_retry().is_ok()).then_some(running)
+    }
+
     async fn run_keyed(&mut self, key: String) -> Result<UpstreamResponse, Refusal> {
         let running = self.next_upstream().await?;
         let record = self.claim_record(running.upstream());
@@ -292,13 +375,19 @@
         let (id, vm) = (&self.request.id, upstream.vm());
         info!(target: PART, "{PART}: request {id} did not run at {vm}: {reason}");
         self.last_refusal = Some(Refusal::AllRefused(DEFAULT_RETRY_AFTER));
-        self.tried.push(upstream.clone());
+        self.record_tried(upstream);
     }
 
     fn record_lost_response(&mut self, upstream: &Arc<Upstream>, reason: &str) {
         let (id, vm) = (&self.request.id, upstream.vm());
         info!(target: PART, "{PART}: response to request {id} from {vm} lost: {reason}");
-        self.tried.push(upstream.clone());
+        self.record_tried(upstream);
+    }
+
+    fn record_tried(&mut self, upstream: &Arc<Upstream>) {
+        if !self.tried.iter().any(|tried| Arc::ptr_eq(tried, upstream)) {
+            self.tried.push(upstream.clone());
+        }
     }
 
     /// Returns whether the request must be sent at most once to this upstream.
--- a/crates/settings/src/field.rs
+++ b/crates/settings/src/field.rs
@@ -234,7 +234,7 @@
     field(
         "attempt_timeout",
         Duration("30s", "50ms", "1h"),
-        "Longest wait for the head of an agent's answer before the request is tried elsewhere. One that may run only once is waited for until its deadline, and its agent is asked meanwhile what became of it.",
+        "Silence of an agent after which a request is sent to another one as well; the first to answer is used. For a request that may run only once, its agent is asked instead what became of it.",
     ),
     field(
         "connect_timeout",
