--- a/crates/entry/src/route/attempt.rs
+++ b/crates/entry/src/route/attempt.rs
@@ -1,6 +1,9 @@
 //! A single attempt of a request at an upstream, and settlement of attempts without a response.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
 
 use base::{Settled, header};
 use bytes::Bytes;
@@ -12,7 +15,6 @@
 use crate::Entry;
 use crate::claim::ClaimRecord;
 use crate::membership::upstream::Upstream;
-use crate::refusal::DEFAULT_RETRY_AFTER;
 use crate::request::CallerRequest;
 use crate::response::{UpstreamBody, UpstreamResponse};
 use crate::route::running::RunningRequest;
@@ -36,13 +38,14 @@
 const SETTLE_EXTRA_BYTES: usize = 64 << 10;
 
 /// Sends a request to the upstream of `running` and waits for the head of the response, and for the
-/// complete body if it is buffered.
+/// complete body if it is buffered, until the deadline. Sets `has_head` once the head has arrived.
 pub async fn attempt(
     entry: &Arc<Entry>,
     request: &CallerRequest,
     row: &Row,
     running: RunningRequest,
     send_once: bool,
+    has_head: &AtomicBool,
 ) -> AttemptOutcome {
     let upstream = running.upstream().clone();
     let remaining = request.remaining();
@@ -50,9 +53,11 @@
         return AttemptOutcome::NotSent("the deadline passed".into());
     }
     let req = build_request(entry, request, row, send_once);
-    let timeout = entry.cfg.attempt_timeout.min(remaining);
-    let res = match entry.client.send(upstream.listen(), req, timeout).await {
-        Ok(res) => res,
+    let res = match entry.client.send(upstream.listen(), req, remaining).await {
+        Ok(res) => {
+            has_head.store(true, Relaxed);
+            res
+        }
         Err(e) => {
             upstream.record_failure(entry.cfg.eject_failures, entry.cfg.eject_time);
             return match e {
@@ -79,6 +84,43 @@
     }
 }
 
+/// Sends a request that must be sent at most once and waits for its response.
+///
+/// While the upstream is silent nobody else may run the request, so it is waited for until the caller's deadline. Each
+/// `attempt_timeout` its agent is asked what became of the request: it may not have started, and then never does, or its
+/// response may have been lost.
+pub async fn attempt_once(
+    entry: &Arc<Entry>,
+    request: &CallerRequest,
+    row: &Row,
+    running: RunningRequest,
+    record: &ClaimRecord,
+) -> AttemptOutcome {
+    let upstream = running.upstream().clone();
+    let has_head = AtomicBool::new(false);
+    let sent = attempt(entry, request, row, running, true, &has_head);
+    tokio::pin!(sent);
+    loop {
+        let settled = async {
+            tokio::time::sleep(entry.cfg.attempt_timeout).await;
+            if has_head.load(Relaxed) {
+                std::future::pending::<()>().await;
+            }
+            upstream.record_failure(entry.cfg.eject_failures, entry.cfg.eject_time);
+            settle(entry, request, record).await
+        };
+        let settlement = tokio::select! {
+            outcome = &mut sent => return outcome,
+            settlement = settled => settlement,
+        };
+        match settlement {
+            Settlement::Sealed => return AttemptOutcome::Refused("sealed".into()),
+            Settlement::Done(response) => return AttemptOutcome::Answered(response),
+            Settlement::Running | Settlement::Unknown => {}
+        }
+    }
+}
+
 fn build_request(
     entry: &Entry,
     request: &CallerRequest,
@@ -192,8 +234,15 @@
     Unknown,
 }
 
+/// Minimum time that an agent has to answer a settle request, for a request whose deadline has passed.
+const MIN_SETTLE_TIME: Duration = Duration::from_secs(1);
+
 /// Asks an agent for the outcome of a request, and prevents the request from starting if it hasn't.
-pub async fn settle(entry: &Entry, record: &ClaimRecord) -> Settlement {
+///
+/// Nobody else knows the outcome, so an agent that is silent is waited for until the caller's deadline. One that is gone
+/// refuses the connection or doesn't accept it.
+pub async fn settle(entry: &Entry, request: &CallerRequest, record: &ClaimRecord) -> Settlement {
+    let until = request.deadline.max(clock::now() + MIN_SETTLE_TIME);
     let mut req = hyper::Request::new(web::empty());
     *req.method_mut() = Method::POST;
     web::set_header(req.headers_mut(), header::SETTLE, &record.request);
@@ -201,7 +250,7 @@
     web::set_header(req.headers_mut(), header::INCARNATION, &incarnation);
     let Ok(res) = entry
         .client
-        .send(record.listen, req, DEFAULT_RETRY_AFTER)
+        .send(record.listen, req, clock::until(until))
         .await
     else {
         return Settlement::Unknown;
@@ -215,7 +264,7 @@
         Some(Settled::Running) if same_incarnation => Settlement::Running,
         Some(Settled::Done) if same_incarnation => {
             let limit = entry.cfg.max_answer as usize + SETTLE_EXTRA_BYTES;
-            match read_body(body, limit, DEFAULT_RETRY_AFTER).await {
+            match read_body(body, limit, clock::until(until)).await {
                 Ok(buf) => {
                     head.headers.remove(header::SETTLED);
                     Settlement::Done(Box::new(UpstreamResponse {
