Teach the soak pauses of engines, and check that they interrupt no request

An engine that falls silent for up to 2 s and goes on has lost nothing, so no request to it may end with 500, 502, 504 or a closed connection. The soak could not cause it: a stalled engine reads no new requests, and no check looked at interrupted responses under faults.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -33,6 +33,15 @@
 /// Number of these callers.
 const DEADLY_CALLERS: usize = 2;
 
+/// Seed on which gateways ended requests whose engines were only silent.
+const PAUSES_SEED: Seed = 102;
+
+/// Length of the phase with faults on this seed.
+const PAUSES_FAULT_TIME: Duration = Duration::from_secs(6);
+
+/// Seed on which everything but the store loses power.
+const POWER_LOSS_SEED: Seed = 1300;
+
 fn options(fault_time: Duration) -> Options {
     Options {
         fault_time,
@@ -109,3 +118,45 @@
     );
     assert!(report.served > 0 && report.engine_exits > 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_request_is_interrupted_while_engines_pause() {
+    let options = Options {
+        pauses: true,
+        ..options(PAUSES_FAULT_TIME)
+    };
+    println!("seed {PAUSES_SEED}");
+
+    let report = soak::run(options, PAUSES_SEED)
+        .await
+        .expect("the run completes");
+
+    assert_eq!(
+        report.violations,
+        [],
+        "seed {PAUSES_SEED}: {:?}",
+        report.faults
+    );
+    assert!(report.served > 0 && !report.changes.is_empty());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn recovers_from_power_loss_right_after_a_change() {
+    let options = Options {
+        power_loss: true,
+        ..options(FAULT_TIME)
+    };
+    println!("seed {POWER_LOSS_SEED}");
+
+    let report = soak::run(options, POWER_LOSS_SEED)
+        .await
+        .expect("the run completes");
+
+    assert_eq!(
+        report.violations,
+        [],
+        "seed {POWER_LOSS_SEED}: {:?}",
+        report.faults
+    );
+    assert!(report.served > 0 && !report.changes.is_empty());
+}
