--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -34,10 +34,7 @@
 const DEADLY_CALLERS: usize = 2;
 
 /// Seed on which gateways ended requests whose engines were only silent.
-const PAUSES_SEED: Seed = 102;
-
-/// Length of the phase with faults on this seed.
-const PAUSES_FAULT_TIME: Duration = Duration::from_secs(6);
+const PAUSES_SEED: Seed = 106;
 
 /// Seed on which everything but the store loses power.
 const POWER_LOSS_SEED: Seed = 1300;
@@ -123,7 +120,7 @@
 async fn no_request_is_interrupted_while_engines_pause() {
     let options = Options {
         pauses: true,
-        ..options(PAUSES_FAULT_TIME)
+        ..options(FAULT_TIME)
     };
     println!("seed {PAUSES_SEED}");
 
