Use a version again after a refusal once its upstream is reported

What callers may see: one refusal of a version by an agent takes the upstream out of service at that entry until something else about its versions changes, although it serves the version again; requests are refused with no_upstream where it is the only one. Found by reading; it needs a version that is missing for so short a time that no heartbeat says so, as when an engine's state can't be read once while the entry pauses: heartbeats state only changes.

Cause: a refusal removed the version for good, and a heartbeat without changes didn't bring it back.

Change: a refusal counts until the next heartbeat, or the next report of another entry of the failure domain. Reports on other failure domains are samples that don't say that a version is gone, so there a refusal counts until the version is reported, as before.

--- a/crates/entry/src/membership/upstream.rs
+++ b/crates/entry/src/membership/upstream.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-use base::{DomainName, Incarnation, Map, Model, Revision, VmId};
+use base::{DomainName, Incarnation, Map, Model, Revision, Set, VmId};
 use table::Version;
 use wire::{AgentInfo, Heartbeat, Holding};
 
@@ -23,6 +23,8 @@
 struct State {
     holdings: Vec<Holding>,
     live_since: Map<(Model, Version), Instant>,
+    /// Versions that it has refused since the last report on it.
+    refused: Set<(Model, Version)>,
     draining: bool,
     lease_until: Instant,
     reported_load: u32,
@@ -40,6 +42,7 @@
             state: Mutex::new(State {
                 holdings: Vec::new(),
                 live_since: Map::default(),
+                refused: Set::default(),
                 draining: false,
                 lease_until: clock::now() + lease,
                 reported_load: 0,
@@ -58,6 +61,7 @@
     pub fn apply_heartbeat(&self, heartbeat: Heartbeat, lease: Duration) -> bool {
         let mut state = self.state();
         let now = clock::now();
+        state.refused.clear();
         state.lease_until = now + lease;
         state.reported_load = heartbeat.running;
         state.revision = heartbeat.revision;
@@ -101,9 +105,13 @@
         }
     }
 
-    /// Extends the lease, since other entries still report the upstream.
+    /// Extends the lease, since other entries still report the upstream, with the same versions. Those of upstreams of
+    /// other domains aren't known, since their reports are samples.
     pub fn renew_lease(&self, lease: Duration) {
         let mut state = self.state();
+        if !state.holdings.is_empty() {
+            state.refused.clear();
+        }
         state.lease_until = state.lease_until.max(clock::now() + lease);
     }
 
@@ -113,6 +121,7 @@
         let now = clock::now();
         state.lease_until = now + lease;
         let key = (model.to_owned(), version.clone());
+        state.refused.remove(&key);
         state.live_since.entry(key).or_insert(now);
     }
 
@@ -126,10 +135,11 @@
         self.state().draining = true;
     }
 
-    /// Records that a version is not live.
+    /// Records that it refused a version, which isn't live until the next report on it. Reports don't repeat versions that
+    /// haven't changed, so one that was only missing for a moment would otherwise stay unused.
     pub fn mark_not_live(&self, model: &str, version: &Version) {
         let key = (model.to_owned(), version.clone());
-        self.state().live_since.remove(&key);
+        self.state().refused.insert(key);
     }
 
     /// Returns whether it is draining.
@@ -144,7 +154,8 @@
             return None;
         }
         let key = (model.to_owned(), version.clone());
-        state.live_since.get(&key).copied()
+        let live_since = state.live_since.get(&key).copied();
+        live_since.filter(|_| !state.refused.contains(&key))
     }
 
     /// Returns whether it is ejected after failures.
