--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -220,9 +220,11 @@
     let cx = callers.cx;
     let handled = AssertUnwindSafe(handle(cx.clone(), req)).catch_unwind();
     let mut res = handled.await.unwrap_or_else(|_| panicked_response());
-    // If a part of the body wasn't read, hyper now notices that before it writes the head of the response, which then
-    // says that the connection will be closed.
-    tokio::task::yield_now().await;
+    if !res.status().is_success() {
+        // If a part of the body wasn't read, hyper now notices that before it writes the head of the response, which
+        // then says that the connection will be closed.
+        tokio::task::yield_now().await;
+    }
     if *cx.stop.borrow() {
         let close = HeaderValue::from_static("close");
         res.headers_mut().insert(CONNECTION, close);
