--- a/crates/decide/src/hedging.rs
+++ b/crates/decide/src/hedging.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-/// Time between two tries to begin a second attempt, if no other upstream can take it yet.
+/// Time between two tries to begin a second attempt, if no other upstream can take it yet: choosing an upstream reads
+/// all of the service, so it isn't tried each time that a slot is freed.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Returns the silence of an upstream after which a second attempt begins: at most `max`, and at most half of the time
@@ -24,10 +25,10 @@
 }
 
 impl Silence {
-    /// Classifies a silence by its duration, and by the time since the upstream was last heard on any request. Requests
-    /// of an upstream that pauses fall silent within an interval of events of each other, not at the same moment.
-    pub fn classify(silence: Duration, since_heard: Duration) -> Silence {
-        match since_heard < silence / 2 {
+    /// Classifies a silence by its duration, and by the time since bytes last arrived from the upstream on any request.
+    /// Requests of an upstream that pauses fall silent within an interval of events of each other, not at the same moment.
+    pub fn classify(silence: Duration, since_activity: Duration) -> Silence {
+        match since_activity < silence / 2 {
             true => Silence::Request,
             false => Silence::Upstream,
         }
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -52,7 +52,7 @@
         state.last = Some(now);
         state.is_reported = false;
         if let Some(upstream) = &state.upstream {
-            upstream.record_heard(now);
+            upstream.record_activity(now);
         }
     }
 
@@ -88,8 +88,8 @@
         if std::mem::replace(&mut state.is_reported, true) {
             return None;
         }
-        let since_heard = upstream.since_heard(clock::now());
-        let shown = Silence::classify(silence, since_heard);
+        let since_activity = upstream.since_activity(clock::now());
+        let shown = Silence::classify(silence, since_activity);
         Some((upstream, silence, shown))
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -1,10 +1,10 @@
 //! Gateway: accepts callers' requests and forwards each to an upstream that may run it.
 //!
-//! A request passes through these modules: `serve` accepts its connection, `handle` looks up its route and
-//! workspace and reads its body, `dispatch` makes attempts until one succeeds, `attempt` is one of them: [`admission`]
-//! queues it for a slot at an upstream that `balance` chooses, `send` sends it and classifies the response. `relay` relays a stream, and `record` logs its outcome in one line, with
-//! the time spent in each phase ([`spans`]). The crate `decide` makes the decisions: the order of the queue, the choice
-//! of the upstream, and refusals.
+//! A request passes through these modules: `serve` accepts its connection, `handle` looks up its route and workspace and
+//! reads its body, and `dispatch` makes attempts until one succeeds. In an attempt (`attempt`), [`admission`] queues the
+//! request for a slot at an upstream that `balance` chooses, and `send` sends it and classifies the response. `relay`
+//! relays a stream, and `record` logs the outcome in one line, with the time spent in each phase ([`spans`]). The crate
+//! `decide` makes the decisions: the order of the queue, the choice of the upstream, second attempts, and refusals.
 //!
 //! Request metadata travels in headers whose names belong to the platform; [`Codec`] holds the functions that parse and
 //! build them.
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -135,7 +135,7 @@
 }
 
 /// Records that an upstream is silent on a request that is still open. If it is silent on all of its requests, others
-/// are sent elsewhere until it is heard again; if it serves others meanwhile, it has failed this one. Returns the
+/// are sent elsewhere until bytes arrive from it again; if it serves others meanwhile, it has failed this one. Returns the
 /// upstream, unless the silence was recorded before.
 pub(crate) fn record_silence(
     cx: &Cx,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -27,7 +27,7 @@
 const MAX_EJECTION_TIME: Duration = Duration::from_secs(4);
 
 /// Time for which an upstream that is silent on all of its requests gets others only if there is no other upstream,
-/// unless it is heard before.
+/// unless bytes arrive from it before.
 const SILENCE_TIME: Duration = Duration::from_secs(1);
 
 /// Number of consecutive failed or rejected requests after which an upstream is ejected for a while.
@@ -130,10 +130,10 @@
     ejected_until: Option<Instant>,
     /// Until when it counts as silent.
     silent_until: Option<Instant>,
-    /// Failures recorded because it was silent, which are withdrawn when it is heard again.
+    /// Failures recorded because it was silent, which are withdrawn when bytes arrive from it again.
     silent_failures: u32,
     /// When bytes last arrived from it, on any request.
-    last_heard: Instant,
+    last_activity: Instant,
     outcomes: OutcomeTracker,
     /// Until when it is cold, as last stated in a response or an entry.
     cold_until: Option<Instant>,
@@ -251,7 +251,7 @@
                 ejected_until: None,
                 silent_until: None,
                 silent_failures: 0,
-                last_heard: now,
+                last_activity: now,
                 outcomes: OutcomeTracker::new(now),
                 cold_until,
                 cold_unless_after: None,
@@ -385,9 +385,9 @@
     }
 
     /// Records that bytes arrived from it. If it was silent, it was only paused, and has failed no request.
-    pub(crate) fn record_heard(&self, now: Instant) {
+    pub(crate) fn record_activity(&self, now: Instant) {
         let mut state = self.state();
-        state.last_heard = now;
+        state.last_activity = now;
         state.silent_until = None;
         let silent_failures = std::mem::take(&mut state.silent_failures);
         if silent_failures > 0 {
@@ -399,11 +399,11 @@
     }
 
     /// Returns the time since bytes last arrived from it.
-    pub(crate) fn since_heard(&self, now: Instant) -> Duration {
-        now.saturating_duration_since(self.state().last_heard)
+    pub(crate) fn since_activity(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.state().last_activity)
     }
 
-    /// Records that it is silent on all of its requests, which counts as a failure until it is heard again. Returns
+    /// Records that it is silent on all of its requests, which counts as a failure until bytes arrive from it again. Returns
     /// whether it is avoided only from now on.
     pub(crate) fn record_silence(&self, now: Instant) -> bool {
         let mut state = self.state();
