--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -247,7 +247,10 @@
             AttemptOutcome::NotSent(refusal) if race.is_over() => {
                 return failures.give_up(refusal, record);
             }
-            AttemptOutcome::Lost(loss, _) => failures.lost = Some(loss),
+            AttemptOutcome::Lost(loss, _) => {
+                race.set_slot_wait(&loss);
+                failures.lost = Some(loss);
+            }
             AttemptOutcome::NotSent(_) | AttemptOutcome::Unreached | AttemptOutcome::NotRun => {}
         }
         if !race.is_over() {
@@ -308,6 +311,13 @@
         self.attempts.is_empty()
     }
 
+    /// Sets the maximum wait of retries for a slot. Engines that switch to new weights are short of slots for a moment.
+    fn set_slot_wait(&mut self, loss: &ResponseLoss) {
+        if *loss == ResponseLoss::Outdated {
+            self.slot_wait = RESUME_SLOT_WAIT;
+        }
+    }
+
     /// Begins another attempt once all others have failed.
     pub(crate) fn retry(&mut self) {
         let kind = AttemptKind::Retry(self.slot_wait);
