Wait for an upstream with the new version after a cancelled attempt

What callers saw: a request whose engine was silent until its version was too old to begin anything got 502 within 50 ms, while other engines were about to serve the new version; or its second attempt went to another engine with the same version, and was cancelled too.

The retry after such a cancellation now waits for an upstream with the new version, for stall_time at most. A second attempt isn't made where the version would be too old before a further attempt was due.

If all engines pause across that bound nobody may begin the request (VERSION), and a complete 502 that says so is the truthful end.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -90,6 +90,9 @@
     First,
     /// One after all others have failed, which waits for a slot for this time.
     Retry(Duration),
+    /// One after the version at the last upstream became too old to begin the request, which waits for an upstream that
+    /// has switched.
+    Switched,
     /// One beside a silent upstream, which doesn't wait for a slot, and isn't made at an ejected or silent upstream.
     Second,
 }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::refusal::Refusal;
 use crate::relay;
 use crate::request::RoutedRequest;
+use crate::send::begin_by;
 use crate::spans::Span;
 use crate::suspects::wait_until_permitted;
 use crate::upstream::{Slot, Upstream};
@@ -32,6 +33,9 @@
 /// attempts.
 const MAX_UNREACHABLE: u32 = 4;
 
+/// Time between two searches for an upstream that has switched to a newer version.
+const SWITCH_RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum wait of a retry for a slot at another upstream.
 const RETRY_SLOT_WAIT: Duration = Duration::from_millis(50);
 
@@ -123,21 +127,26 @@
         let until = match kind {
             AttemptKind::First => queue_deadline(req),
             AttemptKind::Retry(max_wait) => (now + max_wait).min(req.deadline),
+            AttemptKind::Switched => (now + cx.cfg.stall_time).min(req.deadline),
             AttemptKind::Second => now,
         };
         let tried = self.state().tried.clone();
         let queued_at = clock::now();
-        let chosen = acquire_slot(
-            cx,
-            req,
-            &self.service,
-            &tried,
-            isolation,
-            (until, is_second),
-        );
-        let chosen = chosen.await;
+        let chosen = loop {
+            let limits = (until, is_second);
+            let chosen = acquire_slot(cx, req, &self.service, &tried, isolation, limits).await;
+            match chosen {
+                Err(_) if matches!(kind, AttemptKind::Switched) && clock::now() < until => {
+                    tokio::time::sleep(SWITCH_RECHECK_INTERVAL).await;
+                }
+                chosen => break chosen,
+            }
+        };
         req.spans.add(Span::Queue, queued_at);
         let mut slot = chosen?;
+        if is_second && self.is_outdated_soon(&slot) {
+            return Err(Refusal::NotTaken(NOT_ACCEPTED_RETRY));
+        }
         if let Some(refusal) = self.check_limits() {
             return Err(refusal);
         }
@@ -163,6 +172,12 @@
         None
     }
 
+    /// Returns whether the version at a slot becomes too old to begin the request before a further attempt would be due.
+    fn is_outdated_soon(&self, slot: &Slot) -> bool {
+        let begin_by = begin_by(&self.cx, &self.req, slot);
+        begin_by.is_some_and(|at| clock::until(at) < self.cx.cfg.stall_time)
+    }
+
     fn has_spare_retry(&self) -> bool {
         let gateways = self.cx.gateways();
         self.cx
@@ -247,10 +262,7 @@
             AttemptOutcome::NotSent(refusal) if race.is_over() => {
                 return failures.give_up(refusal, record);
             }
-            AttemptOutcome::Lost(loss, _) => {
-                race.set_slot_wait(&loss);
-                failures.lost = Some(loss);
-            }
+            AttemptOutcome::Lost(loss, _) => failures.lost = Some(loss),
             AttemptOutcome::NotSent(_) | AttemptOutcome::Unreached | AttemptOutcome::NotRun => {}
         }
         if !race.is_over() {
@@ -275,6 +287,8 @@
     last_event_id: Option<String>,
     /// Maximum wait of a retry for a slot.
     slot_wait: Duration,
+    /// Whether the last attempt was cancelled because its version was too old.
+    last_was_outdated: bool,
     second_after: Instant,
 }
 
@@ -287,6 +301,7 @@
             attempts: vec![first],
             last_event_id: None,
             slot_wait: RETRY_SLOT_WAIT,
+            last_was_outdated: false,
             second_after: clock::now(),
         }
     }
@@ -302,6 +317,7 @@
             attempts: Vec::from_iter(second),
             last_event_id,
             slot_wait: RESUME_SLOT_WAIT,
+            last_was_outdated: false,
             second_after: clock::now(),
         }
     }
@@ -311,16 +327,12 @@
         self.attempts.is_empty()
     }
 
-    /// Sets the maximum wait of retries for a slot. Engines that switch to new weights are short of slots for a moment.
-    fn set_slot_wait(&mut self, loss: &ResponseLoss) {
-        if *loss == ResponseLoss::Outdated {
-            self.slot_wait = RESUME_SLOT_WAIT;
-        }
-    }
-
     /// Begins another attempt once all others have failed.
     pub(crate) fn retry(&mut self) {
-        let kind = AttemptKind::Retry(self.slot_wait);
+        let kind = match self.last_was_outdated {
+            true => AttemptKind::Switched,
+            false => AttemptKind::Retry(self.slot_wait),
+        };
         let next = Attempt::begin(&self.dispatch, self.last_event_id.clone(), kind);
         self.attempts.push(next);
     }
@@ -343,6 +355,7 @@
         };
         let completed = self.attempts.remove(i);
         completed.record(record, &outcome);
+        self.last_was_outdated = matches!(outcome, AttemptOutcome::Lost(ResponseLoss::Outdated, _));
         if completed.is_second() {
             self.second_after = clock::now() + hedging::RETRY_INTERVAL;
         }
