Answer the caller of a stream without events before it leaves

Cause: since silence ends no attempt, a request without any event was kept open until its deadline, longer than its caller waits, which then left without a word of what became of its request.

Callers leave after 2 s, four times the objective or eight times that of a pause. A stream that has no event by 0.1 s before that now ends with 504, and its attempts are cancelled. A stream with events goes on as before: its caller decides.

--- a/crates/decide/src/hedging.rs
+++ b/crates/decide/src/hedging.rs
@@ -9,6 +9,22 @@
 /// all of the service, so it isn't tried each time that a slot is freed.
 pub const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Minimum time for which callers wait for an event of a stream.
+const MIN_PATIENCE: Duration = Duration::from_secs(2);
+
+/// Time by which the response is ahead of the end of the caller's patience.
+const PATIENCE_MARGIN: Duration = Duration::from_millis(100);
+
+/// Returns how long a caller is kept waiting for the first event of a stream. Callers leave after 2 s, four times the
+/// objective of the first event or eight times that of a pause, whichever is longest; a response shortly before tells
+/// them what became of the request, and that they may retry.
+pub fn first_event_wait(objective: Duration, gap_objective: Option<Duration>) -> Duration {
+    let patience = MIN_PATIENCE
+        .max(objective * 4)
+        .max(gap_objective.unwrap_or_default() * 8);
+    patience - PATIENCE_MARGIN
+}
+
 /// Returns the silence of an upstream after which a second attempt begins: at most `max`, and at most half of the time
 /// from the last byte until the deadline, so that the second attempt has as long as the first one.
 pub fn delay(max: Duration, until_deadline: Duration) -> Duration {
--- a/crates/decide/tests/hedging.rs
+++ b/crates/decide/tests/hedging.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use decide::hedging::{AttemptCount, Silence, delay};
+use decide::hedging::{AttemptCount, Silence, delay, first_event_wait};
 
 const MAX: Duration = Duration::from_millis(1200);
 
@@ -50,3 +50,10 @@
         .allows_second(true)
     );
 }
+
+#[test]
+fn caller_has_its_response_before_it_leaves() {
+    assert_eq!(first_event_wait(ms(100), None), ms(1900));
+    assert_eq!(first_event_wait(ms(600), Some(ms(200))), ms(2300));
+    assert_eq!(first_event_wait(ms(400), Some(ms(400))), ms(3100));
+}
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::Cx;
 use crate::activity::Activity;
 use crate::admission::{acquire_slot, queue_deadline};
-use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, is_failure};
+use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, is_failure, wait_for_deadline};
 use crate::demand::record_arrival;
 use crate::loss::{ResponseLoss, record_silence};
 use crate::record::{RequestOutcome, RequestRecord};
@@ -244,7 +244,15 @@
     let mut race = Race::new(dispatch.clone());
     let mut failures = Failures::default();
     loop {
-        match race.next(&mut record).await {
+        let outcome = tokio::select! {
+            biased;
+            outcome = race.next(&mut record) => outcome,
+            () = wait_for_patience(&dispatch.req) => {
+                race.cancel_others(&mut record);
+                return failures.give_up(Refusal::TimedOut, record);
+            }
+        };
+        match outcome {
             AttemptOutcome::Started(stream) => {
                 race.cancel_others(&mut record);
                 return relay::respond(dispatch, *stream, record);
@@ -275,6 +283,18 @@
     }
 }
 
+/// Waits until the caller of a stream is about to leave because it got no event; for ever for other requests.
+async fn wait_for_patience(req: &RoutedRequest) {
+    let route = &req.route;
+    match route.kind.is_stream() {
+        true => {
+            let wait = hedging::first_event_wait(route.objective, route.gap_objective);
+            wait_for_deadline(req.arrived + wait).await;
+        }
+        false => std::future::pending().await,
+    }
+}
+
 fn is_rejection(res: &Response) -> bool {
     matches!(res.status().as_u16(), 408 | 429)
 }
