Begin second attempts by the deadline only

Shortly before that bound the half was shorter than a usual first event takes, so second attempts were made beside upstreams that weren't silent, while engines switched.

The retry that waits for an engine with the new version stays. The guard silent_request_is_not_lost_when_its_version_becomes_outdated passes as before.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -14,9 +14,6 @@
 /// Minimum wait of a request that has no slot yet.
 const MIN_WAIT: Duration = Duration::from_millis(1);
 
-/// Maximum time until a limit that was set meanwhile is noticed.
-const MAX_WAIT: Duration = Duration::from_millis(250);
-
 /// Activity of an attempt, shared by its connection and by the request.
 #[derive(Debug, Default)]
 pub(crate) struct Activity(Mutex<State>);
@@ -27,8 +24,6 @@
     upstream: Option<Arc<Upstream>>,
     /// When bytes last arrived, or the wait for them began.
     last: Option<Instant>,
-    /// Time from which the request may no longer begin, if it hasn't yet.
-    begin_by: Option<Instant>,
     /// Whether the silence since then was reported.
     is_reported: bool,
 }
@@ -61,11 +56,6 @@
         }
     }
 
-    /// Sets the time from which the request may no longer begin; `None` if there is none, or it has begun.
-    pub(crate) fn set_begin_by(&self, begin_by: Option<Instant>) {
-        self.state().begin_by = begin_by;
-    }
-
     /// Begins a new wait for bytes: the time in which the caller didn't read isn't silence of the upstream.
     pub(crate) fn restart_wait(&self) {
         self.state().last = Some(clock::now());
@@ -79,18 +69,14 @@
     /// Waits until the upstream has been silent for so long that a second attempt is due.
     pub(crate) async fn wait_for_silence(&self, max: Duration, deadline: Instant) {
         loop {
-            let (last, begin_by) = {
-                let state = self.state();
-                (state.last, state.begin_by)
-            };
+            let last = self.state().last;
             let since = last.unwrap_or_else(clock::now);
-            let limit = begin_by.map_or(deadline, |at| at.min(deadline));
-            let delay = hedging::delay(max, limit.saturating_duration_since(since));
+            let delay = hedging::delay(max, deadline.saturating_duration_since(since));
             let remaining = delay.saturating_sub(clock::since(since));
             if remaining.is_zero() && last.is_some() {
                 return;
             }
-            tokio::time::sleep(remaining.clamp(MIN_WAIT, MAX_WAIT)).await;
+            tokio::time::sleep(remaining.max(MIN_WAIT)).await;
         }
     }
 
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -173,9 +173,8 @@
     let result = tokio::select! {
         biased;
         result = exchange(&dispatch, &slot, &activity, last_event_id, &has_begun) => result,
-        loss = wait_for_limit(cx, req, &slot, &activity, &has_begun) => Err(loss),
+        loss = wait_for_limit(cx, req, &slot, &has_begun) => Err(loss),
     };
-    activity.set_begin_by(None);
     let (id, instance) = (&req.metadata.attempt_id, &slot.upstream().instance);
     match result {
         Ok(Exchanged::Stream {
@@ -216,13 +215,11 @@
     cx: &Cx,
     req: &RoutedRequest,
     slot: &Slot,
-    activity: &Activity,
     has_begun: &AtomicBool,
 ) -> ResponseLoss {
     loop {
         let now = clock::now();
         let begin_by = begin_by(cx, req, slot).filter(|_| !has_begun.load(Relaxed));
-        activity.set_begin_by(begin_by);
         if now >= req.deadline {
             return ResponseLoss::TimedOut;
         }
