Record upstream activity with tokio-util's InspectReader

Monitored forwarded eight methods of AsyncRead and AsyncWrite to see when bytes are read, which tokio-util's InspectReader does; the crate was a dependency of the workspace already. No change of behaviour.

--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -1,13 +1,9 @@
 //! When bytes last arrived from an upstream, for one attempt and for the upstream as a whole.
 
-use std::io;
-use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 
 use decide::hedging::{self, Silence};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use crate::upstream::Upstream;
 
@@ -46,7 +42,7 @@
     }
 
     /// Records that bytes arrived.
-    fn record_bytes(&self) {
+    pub(crate) fn record_bytes(&self) {
         let now = clock::now();
         let mut state = self.state();
         state.last = Some(now);
@@ -93,61 +89,3 @@
         Some((upstream, silence, shown))
     }
 }
-
-/// Connection that records when bytes arrive.
-#[derive(Debug)]
-pub(crate) struct Monitored<S> {
-    inner: S,
-    activity: Arc<Activity>,
-}
-
-impl<S> Monitored<S> {
-    pub(crate) fn new(inner: S, activity: Arc<Activity>) -> Monitored<S> {
-        Monitored { inner, activity }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Monitored<S> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let read = Pin::new(&mut self.inner).poll_read(cx, buf);
-        if buf.filled().len() > before {
-            self.activity.record_bytes();
-        }
-        read
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Monitored<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, buf)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(cx)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(cx)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
-    }
-}
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -15,8 +15,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
+use tokio_util::io::InspectReader;
 
-use crate::activity::{Activity, Monitored};
+use crate::activity::Activity;
 
 /// TCP user timeout: a connection whose packets stay unacknowledged for this long is closed, since nothing ever
 /// answers behind a network partition.
@@ -48,8 +49,13 @@
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
         // Closing resets the connection: bytes in transit must not arrive once a request is cancelled.
         socket.set_linger(Some(Duration::ZERO))?;
-        let stream = TokioIo::new(Monitored::new(stream, activity));
-        let (sender, conn) = http1::handshake(stream)
+        // Without any bytes, the peer has closed the connection.
+        let stream = InspectReader::new(stream, move |bytes| {
+            if !bytes.is_empty() {
+                activity.record_bytes();
+            }
+        });
+        let (sender, conn) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(std::io::Error::other)?;
         let task = tokio::spawn(async move {
