Pass the upstream of a lost response to where it is recorded

loss::record asked the attempt's activity for the upstream and had a branch for an attempt that has none, which can't have lost a response. Both callers hold the slot, and so the upstream. No change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -202,7 +202,7 @@
             AttemptOutcome::Unreached
         }
         Err(loss) => {
-            let outcome = loss::record(cx, req, &activity, &loss).await;
+            let outcome = loss::record(cx, req, slot.upstream(), &activity, &loss).await;
             AttemptOutcome::Lost(loss, outcome)
         }
     }
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -94,27 +94,25 @@
 pub(crate) async fn record(
     cx: &Cx,
     req: &RoutedRequest,
+    upstream: &Arc<Upstream>,
     activity: &Activity,
     loss: &ResponseLoss,
 ) -> UpstreamOutcome {
-    let Some(upstream) = activity.upstream() else {
-        return UpstreamOutcome::Unknown;
-    };
     let outcome = match loss {
-        ResponseLoss::Disconnected(_) if has_exited(&upstream).await => UpstreamOutcome::Exited,
+        ResponseLoss::Disconnected(_) if has_exited(upstream).await => UpstreamOutcome::Exited,
         ResponseLoss::TimedOut => UpstreamOutcome::TimedOut,
         ResponseLoss::Outdated => UpstreamOutcome::Outdated,
         _ => UpstreamOutcome::Unknown,
     };
     match (outcome, loss) {
         (UpstreamOutcome::Exited, _) => {
-            record_health(&upstream, Health::Unreachable);
+            record_health(upstream, Health::Unreachable);
             info!(
                 target: PART,
                 "{PART}: event=upstream_ended upstream={} addr={} request={} route={} id={} why=\"{loss}\"",
                 upstream.instance, upstream.addr, req.fingerprint(), req.route.name, req.metadata.attempt_id,
             );
-            cx.suspects.record_exit(req, &upstream);
+            cx.suspects.record_exit(req, upstream);
         }
         // A deadline that passes within the objective shows nothing about the upstream.
         (UpstreamOutcome::TimedOut, _) if activity.silence() >= req.route.objective => {
@@ -125,8 +123,8 @@
         (UpstreamOutcome::Unknown, ResponseLoss::AmbiguousStatus(_)) => {}
         (UpstreamOutcome::Outdated, _) => {}
         (UpstreamOutcome::Unknown, _) => {
-            record_health(&upstream, Health::Failed);
-            cx.suspects.record_lost_response(req, &upstream);
+            record_health(upstream, Health::Failed);
+            cx.suspects.record_lost_response(req, upstream);
         }
     }
     metrics::counter!("driftnotch_lost_answers_total", "upstream" => outcome.name(), "why" => loss.name())
@@ -135,8 +133,8 @@
 }
 
 /// Records that an upstream is silent on a request that is still open. If it is silent on all of its requests, others
-/// are sent elsewhere until bytes arrive from it again; if it serves others meanwhile, it has failed this one. Returns the
-/// upstream, unless the silence was recorded before.
+/// are sent elsewhere until bytes arrive from it again; if it serves others meanwhile, it has failed this one. Returns
+/// the upstream, unless the silence was recorded before.
 pub(crate) fn record_silence(
     cx: &Cx,
     req: &RoutedRequest,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -231,10 +231,11 @@
     /// Records that the source was lost, and continues with another one. Returns its first events.
     async fn fail_over(&mut self, loss: &ResponseLoss) -> Result<Bytes, BodyError> {
         let Dispatch { cx, req, .. } = &*self.dispatch;
-        let upstream = self.slot.upstream().instance.clone();
-        let outcome = loss::record(cx, req, &self.source.activity, loss).await;
-        self.record.record_attempt(&upstream, outcome.name());
-        debug!(target: PART, "{PART}: event=broke id={} upstream={upstream} why=\"{loss}\"", req.metadata.attempt_id);
+        let upstream = self.slot.upstream();
+        let outcome = loss::record(cx, req, upstream, &self.source.activity, loss).await;
+        self.record
+            .record_attempt(&upstream.instance, outcome.name());
+        debug!(target: PART, "{PART}: event=broke id={} upstream={} why=\"{loss}\"", req.metadata.attempt_id, upstream.instance);
         // The result of the trial is already recorded.
         self.slot.trial = None;
         match self.resume().await {
