Name the bounds on the wait for a slot

acquire_slot took a pair of an instant and a bool as its last argument. They are fields of SlotWait now. The start of the queue span is the instant from which the wait is bounded, which was read twice. No change of behaviour.

--- a/crates/gateway/src/admission.rs
+++ b/crates/gateway/src/admission.rs
@@ -110,16 +110,26 @@
     (req.arrived + max_wait(req.bound_objective)).min(req.deadline)
 }
 
-/// Waits until `until` for a slot at an upstream that isn't among `tried`, and isn't ejected if only a `healthy` one helps.
-/// `isolation` is set for a suspect, and states whether it must be kept apart from other suspects.
+/// Bounds on the wait for a slot.
+#[derive(Debug, Clone, Copy)]
+pub struct SlotWait {
+    /// Until when to wait.
+    pub until: Instant,
+    /// Whether a slot at an ejected upstream is of no use.
+    pub skip_ejected: bool,
+}
+
+/// Waits for a slot at an upstream that isn't among `tried`. `isolation` is set for a suspect, and states whether it must
+/// be kept apart from other suspects.
 pub async fn acquire_slot(
     cx: &Cx,
     req: &RoutedRequest,
     service: &Service,
     tried: &[Arc<Upstream>],
     isolation: Option<Isolation>,
-    (until, healthy): (Instant, bool),
+    wait: SlotWait,
 ) -> Result<Slot, Refusal> {
+    let until = wait.until;
     let standing = rank::standing(cx, req, tried.len());
     let guard = cx.admission.enqueue(&req.service, req, standing);
     let (mut has_waited, mut is_reserved) = (false, false);
@@ -128,7 +138,7 @@
         let must_wait = tried.is_empty() && must_wait(cx, req, service);
         if cx.admission.is_next(&guard) && !must_wait {
             match pick_isolated(isolation, cx, req, service, tried, has_waited, standing) {
-                Pick::Chosen(upstream, _) if healthy && upstream.is_ejected() => {
+                Pick::Chosen(upstream, _) if wait.skip_ejected && upstream.is_ejected() => {
                     return Err(refuse(cx, req, service, tried, Reason::Busy));
                 }
                 Pick::Chosen(upstream, version) => {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -13,7 +13,7 @@
 
 use crate::Cx;
 use crate::activity::Activity;
-use crate::admission::{acquire_slot, queue_deadline};
+use crate::admission::{SlotWait, acquire_slot, queue_deadline};
 use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, is_failure, wait_for_deadline};
 use crate::demand::record_arrival;
 use crate::loss::{ResponseLoss, record_silence};
@@ -130,11 +130,13 @@
             AttemptKind::Switched => (now + cx.cfg.stall_time).min(req.deadline),
             AttemptKind::Second => now,
         };
+        let wait = SlotWait {
+            until,
+            skip_ejected: is_second,
+        };
         let tried = self.state().tried.clone();
-        let queued_at = clock::now();
         let chosen = loop {
-            let limits = (until, is_second);
-            let chosen = acquire_slot(cx, req, &self.service, &tried, isolation, limits).await;
+            let chosen = acquire_slot(cx, req, &self.service, &tried, isolation, wait).await;
             match chosen {
                 Err(_) if matches!(kind, AttemptKind::Switched) && clock::now() < until => {
                     tokio::time::sleep(SWITCH_RECHECK_INTERVAL).await;
@@ -142,7 +144,7 @@
                 chosen => break chosen,
             }
         };
-        req.spans.add(Span::Queue, queued_at);
+        req.spans.add(Span::Queue, now);
         let mut slot = chosen?;
         if is_second && self.is_outdated_soon(&slot) {
             return Err(Refusal::NotTaken(NOT_ACCEPTED_RETRY));
