Keep the wait that notices a suspension of the VM in the clock crate

wait_for_deadline stood beside the attempts of a request, and dispatch and relay used it from there. It knows nothing of requests: it is sleep_until for instants that may pass while the VM is suspended, so it is clock::deadline now. No change of behaviour.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -15,6 +15,9 @@
 use rustix::time::{ClockId, Timespec, clock_gettime};
 use tokio::time::error::Elapsed;
 
+/// Maximum time between two readings of the clock while [`deadline`] waits.
+pub const RESUME_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Milliseconds by which tests have advanced the clock.
 static JUMPED_MS: AtomicU64 = AtomicU64::new(0);
 
@@ -48,6 +51,18 @@
     tokio::time::sleep(until(at)).await;
 }
 
+/// Waits until an instant of this clock, which may have passed while the VM was suspended: returns within
+/// [`RESUME_CHECK_INTERVAL`] after the VM has resumed.
+pub async fn deadline(at: Instant) {
+    loop {
+        let remaining = until(at);
+        if remaining.is_zero() {
+            return;
+        }
+        tokio::time::sleep(remaining.min(RESUME_CHECK_INTERVAL)).await;
+    }
+}
+
 /// Awaits a future until an instant of this clock, plus any time during which the VM is suspended meanwhile.
 pub async fn timeout_at<F: Future>(at: Instant, future: F) -> Result<F::Output, Elapsed> {
     tokio::time::timeout(until(at), future).await
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::future::BoxFuture;
@@ -29,7 +29,7 @@
 /// Log prefix of this part.
 const PART: &str = "attempt";
 
-/// Maximum time between two checks whether the time of a request is over.
+/// Maximum time between two checks of the deadline and of the released versions.
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Result of an attempt.
@@ -231,17 +231,6 @@
     }
 }
 
-/// Waits until the deadline, which has passed early if the VM was suspended meanwhile.
-pub(crate) async fn wait_for_deadline(deadline: Instant) {
-    loop {
-        let remaining = clock::until(deadline);
-        if remaining.is_zero() {
-            return;
-        }
-        tokio::time::sleep(remaining.min(RECHECK_INTERVAL)).await;
-    }
-}
-
 /// What came of a request that wasn't lost.
 enum Exchanged {
     Stream {
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -14,7 +14,7 @@
 use crate::Cx;
 use crate::activity::Activity;
 use crate::admission::{SlotWait, acquire_slot, queue_deadline};
-use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, is_failure, wait_for_deadline};
+use crate::attempt::{Attempt, AttemptKind, AttemptOutcome, is_failure};
 use crate::demand::record_arrival;
 use crate::loss::{ResponseLoss, record_silence};
 use crate::record::{RequestOutcome, RequestRecord};
@@ -291,7 +291,7 @@
     match route.kind.is_stream() {
         true => {
             let wait = hedging::first_event_wait(route.objective, route.gap_objective);
-            wait_for_deadline(req.arrived + wait).await;
+            clock::deadline(req.arrived + wait).await;
         }
         false => std::future::pending().await,
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -18,7 +18,7 @@
 use web::{BodyError, Response};
 
 use crate::activity::Activity;
-use crate::attempt::{Attempt, AttemptOutcome, StartedStream, wait_for_deadline};
+use crate::attempt::{Attempt, AttemptOutcome, StartedStream};
 use crate::connection::Connection;
 use crate::dispatch::{Dispatch, Race};
 use crate::events::EventBuffer;
@@ -189,7 +189,7 @@
             item = self.source.next() => Step::Source(item),
             outcome = next_outcome(&mut self.second) => Step::Second(outcome),
             () = dispatch.wait_until_second_is_due(&activity, self.second_after), if allows_second => Step::SecondDue,
-            () = wait_for_deadline(dispatch.req.deadline) => Step::Source(Item::Lost(ResponseLoss::TimedOut)),
+            () = clock::deadline(dispatch.req.deadline) => Step::Source(Item::Lost(ResponseLoss::TimedOut)),
         }
     }
 
