Write queued log lines before the process exits

Of a loader that was told to stop while it started, one run of three lacked the line event=stopped; a process that ends by itself could lack the lines that say why.

Cause: gateways and loaders log through a queue to a writer thread, and nothing waited for it at the exit. Appender::flush did nothing.

Flush waits now until the queued lines are written, at most 1 s if their reader is slow, and main calls it.

--- a/crates/cli/src/logs.rs
+++ b/crates/cli/src/logs.rs
@@ -1,12 +1,14 @@
 //! Configures `log4rs` from the log settings, which are reloaded on SIGHUP.
 //!
 //! Lines on standard output go through a bounded queue to a dedicated writer thread, so that a slow reader
-//! never delays a request. Lines that don't fit into the queue are dropped and counted.
+//! never delays a request. Lines that don't fit into the queue are dropped and counted. [`flush`] waits for the
+//! queued ones before the process exits.
 
 use std::io::{BufWriter, Write};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::sync::{Arc, OnceLock};
+use std::time::{Duration, Instant};
 
 use log::{LevelFilter, Record};
 use log4rs::append::Append;
@@ -25,6 +27,12 @@
 /// Capacity of the queue, in lines; at some 300 bytes per line, 1.2 MB.
 const QUEUE_LINES: usize = 4096;
 
+/// Maximum time for which an exit is delayed by queued lines, if their reader is slow.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause before a flush is tried again while the queue is full.
+const FLUSH_RETRY_PAUSE: Duration = Duration::from_millis(10);
+
 /// Destination of log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Target {
@@ -65,6 +73,11 @@
         .map_err(|e| Error::Logs(e.to_string()))
 }
 
+/// Waits until the queued lines are written, or until the time for that is over.
+pub fn flush() {
+    log::logger().flush();
+}
+
 fn level_filter(level: &str) -> LevelFilter {
     level.parse().unwrap_or(LevelFilter::Info)
 }
@@ -80,17 +93,35 @@
         let mut line = SimpleWriter(Vec::new());
         self.encoder.encode(&mut line, record)?;
         let queue = queue();
-        if queue.tx.try_send(line.0).is_err() {
+        if queue.tx.try_send(Entry::Line(line.0)).is_err() {
             queue.dropped.fetch_add(1, Ordering::Relaxed);
         }
         Ok(())
     }
 
-    fn flush(&self) {}
+    fn flush(&self) {
+        let deadline = Instant::now() + FLUSH_TIMEOUT;
+        let (done, written) = sync_channel(1);
+        while queue().tx.try_send(Entry::Flush(done.clone())).is_err() {
+            if Instant::now() >= deadline {
+                return;
+            }
+            std::thread::sleep(FLUSH_RETRY_PAUSE);
+        }
+        // A writer that has ended, or that is blocked by its reader, can't report.
+        let _ = written.recv_timeout(deadline.saturating_duration_since(Instant::now()));
+    }
+}
+
+/// Entry of the queue.
+enum Entry {
+    Line(Vec<u8>),
+    /// Request to report when all lines before it are written.
+    Flush(SyncSender<()>),
 }
 
 struct Queue {
-    tx: SyncSender<Vec<u8>>,
+    tx: SyncSender<Entry>,
     /// Lines dropped since the last report.
     dropped: Arc<AtomicU64>,
 }
@@ -108,13 +139,16 @@
 }
 
 /// Writes queued lines until the process exits, and reports dropped lines.
-fn write_lines(rx: &Receiver<Vec<u8>>, dropped: &AtomicU64) {
+fn write_lines(rx: &Receiver<Entry>, dropped: &AtomicU64) {
     let mut out = BufWriter::new(std::io::stdout());
-    while let Ok(line) = rx.recv() {
-        let queued = std::iter::from_fn(|| rx.try_recv().ok());
-        let mut written = out.write_all(&line);
-        for line in queued {
-            written = written.and_then(|()| out.write_all(&line));
+    while let Ok(first) = rx.recv() {
+        let mut written = Ok(());
+        let mut flushes = Vec::new();
+        for entry in std::iter::once(first).chain(std::iter::from_fn(|| rx.try_recv().ok())) {
+            match entry {
+                Entry::Line(line) => written = written.and_then(|()| out.write_all(&line)),
+                Entry::Flush(done) => flushes.push(done),
+            }
         }
         let count = dropped.swap(0, Ordering::Relaxed);
         if count > 0 {
@@ -124,5 +158,8 @@
             // Standard output is closed, and there is no other place to report it.
             return;
         }
+        for done in flushes {
+            let _ = done.try_send(());
+        }
     }
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -15,7 +15,9 @@
 use options::{Command, Options};
 
 fn main() -> ExitCode {
-    match Options::parse(std::env::args_os().skip(1).collect()).and_then(run) {
+    let result = Options::parse(std::env::args_os().skip(1).collect()).and_then(run);
+    logs::flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             eprintln!("driftnotch: {e}");
