Catch signals before the settings are read

An operator whose tool reloads a process right after its start lost the process, and SIGTERM in that time ended it without a planned stop. The soak saw it with loaders and gateways 10 to 50 ms after their start on a busy machine.

Cause: the handlers were installed after settings, runtime, logs and the recorder of metrics; until then each signal's default action ends a process. Ruled out: a handler that ends it, the wait status is the signal's.

All roles create the runtime and catch the signals first; what arrives before the logs are there is handled then.

--- a/crates/cli/src/commands/agent.rs
+++ b/crates/cli/src/commands/agent.rs
@@ -4,15 +4,16 @@
 
 use settings::Settings;
 
-use super::process;
+use super::process::{self, Startup};
 use crate::error::Error;
 
 /// Runs an agent until a stop signal.
 pub fn run(settings: &Path) -> Result<(), Error> {
+    let startup = Startup::multi_threaded()?;
     let Settings::Agent(cfg) = process::load(settings)? else {
         return Err(Error::WrongRole(settings.to_owned(), "an agent"));
     };
-    let process = process::start(settings, &cfg.process.log)?;
+    let process = startup.start(settings, &cfg.process.log)?;
     process
         .runtime
         .block_on(agent::run(*cfg, process.stop, process.render))
--- a/crates/cli/src/commands/process.rs
+++ b/crates/cli/src/commands/process.rs
@@ -13,7 +13,8 @@
 use web::ServerLimits;
 
 use crate::error::{Error, FaultList};
-use crate::{logs, resources, signals};
+use crate::signals::Signals;
+use crate::{logs, resources};
 
 /// Log prefix of this part.
 const PART: &str = "settings";
@@ -43,6 +44,12 @@
     Ok((settings, FaultList(faults)))
 }
 
+/// Process whose settings haven't been read yet, but which catches signals.
+pub struct Startup {
+    runtime: Runtime,
+    signals: Signals,
+}
+
 /// Runtime environment of a process.
 pub struct Process {
     /// Async runtime.
@@ -53,67 +60,87 @@
     pub render: Render,
 }
 
-/// Starts the runtime, the logs to standard error, the metrics and the signal handlers.
-pub fn start(settings: &Path, log: &LogCfg) -> Result<Process, Error> {
-    let runtime = Runtime::new().map_err(Error::Start)?;
-    start_on(runtime, logs::Target::Stderr, settings, log)
-}
+impl Startup {
+    /// Creates a multi-threaded runtime, and catches signals.
+    pub fn multi_threaded() -> Result<Startup, Error> {
+        Startup::on(Runtime::new())
+    }
 
-/// Starts the environment of a gateway or a loader: a single-threaded runtime, logs to standard output,
-/// and metrics served at `node.metrics`. Logs the faults of the values that defaults replaced.
-pub fn start_node(settings: &Path, node: &NodeCfg, faults: &FaultList) -> Result<Process, Error> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .map_err(Error::Start)?;
-    let process = start_on(runtime, logs::Target::Stdout, settings, &node.log)?;
-    for fault in &faults.0 {
-        warn!(target: PART, "{PART}: event=default_taken {fault}");
+    /// Creates a single-threaded runtime, and catches signals.
+    pub fn single_threaded() -> Result<Startup, Error> {
+        Startup::on(Builder::new_current_thread().enable_all().build())
     }
-    let (render, stop) = (process.render.clone(), process.stop.clone());
-    let listener = process
-        .runtime
-        .block_on(TcpListener::bind(node.metrics))
-        .map_err(Error::Node)?;
-    process.runtime.spawn(web::serve(
-        listener,
-        ServerLimits::internal(),
-        stop,
-        move |_| {
-            let res = web::text(200, render());
-            async move { res }
-        },
-    ));
-    Ok(process)
-}
 
-fn start_on(
-    runtime: Runtime,
-    target: logs::Target,
-    settings: &Path,
-    log: &LogCfg,
-) -> Result<Process, Error> {
-    let handle = logs::start(log, target)?;
-    let recorder = PrometheusBuilder::new()
-        .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &LATENCY_BUCKETS)
-        .and_then(|builder| builder.install_recorder())
-        .map_err(|e| Error::Logs(e.to_string()))?;
-    let stop = runtime
-        .block_on(async { signals::install(settings.to_owned(), handle, target) })
-        .map_err(Error::Start)?;
-    let aggregator = recorder.clone();
-    runtime.spawn(async move {
-        loop {
-            tokio::time::sleep(AGGREGATION_INTERVAL).await;
-            aggregator.run_upkeep();
+    fn on(runtime: std::io::Result<Runtime>) -> Result<Startup, Error> {
+        let runtime = runtime.map_err(Error::Start)?;
+        let signals = runtime.block_on(async { Signals::catch() });
+        Ok(Startup {
+            signals: signals.map_err(Error::Start)?,
+            runtime,
+        })
+    }
+
+    /// Starts the logs to standard error, the metrics and the signal handling.
+    pub fn start(self, settings: &Path, log: &LogCfg) -> Result<Process, Error> {
+        self.start_on(logs::Target::Stderr, settings, log)
+    }
+
+    /// Starts the environment of a gateway or a loader: logs to standard output, and metrics served at
+    /// `node.metrics`. Logs the faults of the values that defaults replaced.
+    pub fn start_node(
+        self,
+        settings: &Path,
+        node: &NodeCfg,
+        faults: &FaultList,
+    ) -> Result<Process, Error> {
+        let process = self.start_on(logs::Target::Stdout, settings, &node.log)?;
+        for fault in &faults.0 {
+            warn!(target: PART, "{PART}: event=default_taken {fault}");
         }
-    });
-    Ok(Process {
-        runtime,
-        stop,
-        render: Arc::new(move || {
-            resources::update_metrics();
-            recorder.render()
-        }),
-    })
+        let (render, stop) = (process.render.clone(), process.stop.clone());
+        let listener = process
+            .runtime
+            .block_on(TcpListener::bind(node.metrics))
+            .map_err(Error::Node)?;
+        process.runtime.spawn(web::serve(
+            listener,
+            ServerLimits::internal(),
+            stop,
+            move |_| {
+                let res = web::text(200, render());
+                async move { res }
+            },
+        ));
+        Ok(process)
+    }
+
+    fn start_on(
+        self,
+        target: logs::Target,
+        settings: &Path,
+        log: &LogCfg,
+    ) -> Result<Process, Error> {
+        let Startup { runtime, signals } = self;
+        let handle = logs::start(log, target)?;
+        let recorder = PrometheusBuilder::new()
+            .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &LATENCY_BUCKETS)
+            .and_then(|builder| builder.install_recorder())
+            .map_err(|e| Error::Logs(e.to_string()))?;
+        let stop = runtime.block_on(async { signals.handle(settings.to_owned(), handle, target) });
+        let aggregator = recorder.clone();
+        runtime.spawn(async move {
+            loop {
+                tokio::time::sleep(AGGREGATION_INTERVAL).await;
+                aggregator.run_upkeep();
+            }
+        });
+        Ok(Process {
+            runtime,
+            stop,
+            render: Arc::new(move || {
+                resources::update_metrics();
+                recorder.render()
+            }),
+        })
+    }
 }
--- a/crates/cli/src/signals.rs
+++ b/crates/cli/src/signals.rs
@@ -2,11 +2,14 @@
 //!
 //! During a planned stop, SIGINT exits at once, which is for a person at a terminal. A further SIGTERM changes nothing:
 //! platforms repeat it while a process drains, and the stop is bounded by its own timeouts.
+//!
+//! [`Signals::catch`] runs before the settings are read: until then, each of these signals terminates the process.
+//! Signals that arrive before [`Signals::handle`] are handled then.
 
 use std::path::{Path, PathBuf};
 
 use log::{error, info};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
 
 use crate::logs;
@@ -17,26 +20,43 @@
 /// Exit code after SIGINT during a planned stop.
 const FORCED_EXIT_CODE: i32 = 1;
 
-/// Spawns the signal handlers. The returned receiver turns true when a planned stop begins.
-pub fn install(
-    settings: PathBuf,
-    handle: log4rs::Handle,
-    target: logs::Target,
-) -> std::io::Result<watch::Receiver<bool>> {
-    let (tx, rx) = watch::channel(false);
-    let mut term = signal(SignalKind::terminate())?;
-    let mut int = signal(SignalKind::interrupt())?;
-    let mut hup = signal(SignalKind::hangup())?;
-    tokio::spawn(async move {
-        loop {
-            tokio::select! {
-                _ = term.recv() => terminate(&tx),
-                _ = int.recv() => interrupt(&tx),
-                _ = hup.recv() => reload_logs(&settings, &handle, target),
+/// Signals that the process catches.
+#[derive(Debug)]
+pub struct Signals {
+    term: Signal,
+    int: Signal,
+    hup: Signal,
+}
+
+impl Signals {
+    /// Catches signals from now on. Must be called in the context of a runtime.
+    pub fn catch() -> std::io::Result<Signals> {
+        Ok(Signals {
+            term: signal(SignalKind::terminate())?,
+            int: signal(SignalKind::interrupt())?,
+            hup: signal(SignalKind::hangup())?,
+        })
+    }
+
+    /// Spawns the task that handles the signals. The returned receiver turns true when a planned stop begins.
+    pub fn handle(
+        mut self,
+        settings: PathBuf,
+        handle: log4rs::Handle,
+        target: logs::Target,
+    ) -> watch::Receiver<bool> {
+        let (tx, rx) = watch::channel(false);
+        tokio::spawn(async move {
+            loop {
+                tokio::select! {
+                    _ = self.term.recv() => terminate(&tx),
+                    _ = self.int.recv() => interrupt(&tx),
+                    _ = self.hup.recv() => reload_logs(&settings, &handle, target),
+                }
             }
-        }
-    });
-    Ok(rx)
+        });
+        rx
+    }
 }
 
 /// Begins a planned stop, or does nothing if one has already begun.
@@ -50,6 +70,7 @@
 fn interrupt(tx: &watch::Sender<bool>) {
     if tx.send_replace(true) {
         error!(target: PART, "{PART}: ended by SIGINT during a planned stop; requests were cut off");
+        logs::flush();
         std::process::exit(FORCED_EXIT_CODE);
     }
 }
