Probe rate-limited upstreams every 5 s

Cause: only a response shows that a limit was lifted, and the senders kept to the pace of the limit, at least every 30 s.

--- a/crates/decide/src/rate_limit.rs
+++ b/crates/decide/src/rate_limit.rs
@@ -35,10 +35,13 @@
 /// aren't senders.
 const RATE_PER_SENDER: f64 = 4.0;
 
-/// Maximum interval between two requests of a sender: only a response shows that a limit of 0 was
-/// lifted.
+/// Maximum interval between two requests of a sender by the pace of a limit, for limits of almost 0.
 const MAX_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Maximum time between two requests of a sender at any limit: only a response shows that a limit was
+/// lifted. It is longer than [`WINDOW`], so that a window holds one such request of each sender.
+const PROBE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Minimum time without an update after which a gateway that isn't a sender sends a request.
 const MIN_SILENCE: Duration = Duration::from_secs(10);
 
@@ -60,7 +63,7 @@
         wanted.min(gateways.max(1))
     }
 
-    /// Returns the interval between two requests of one of `senders` gateways.
+    /// Returns the interval between two requests of one of `senders` gateways by the pace of the limit.
     pub fn interval(&self, senders: usize) -> Duration {
         let senders = senders as f64;
         let window = WINDOW.as_secs_f64();
@@ -80,7 +83,7 @@
         let interval = self.interval(senders);
         let band = u32::try_from(rank / senders).unwrap_or(u32::MAX);
         if band == 0 {
-            return last.map(|last| last + interval);
+            return last.map(|last| last + interval.min(PROBE_INTERVAL));
         }
         let silence = MIN_SILENCE.max(2 * interval);
         let since = last.map_or(self.advertised, |last| last.max(self.advertised));
--- a/crates/decide/tests/rate_limit.rs
+++ b/crates/decide/tests/rate_limit.rs
@@ -180,3 +180,23 @@
 
     assert_eq!(limit.interval(2), Duration::from_secs(30));
 }
+
+/// Guards against an upstream that gets no request for half a minute after its limit of 0 was lifted, while callers
+/// are refused for lack of capacity.
+#[test]
+fn sender_probes_a_limit_of_zero_in_the_window_after_its_last_request() {
+    let now = Instant::now();
+    let limit = RateLimit {
+        rate: 0.0,
+        advertised: now,
+    };
+    for gateways in [1, 3, 120] {
+        for rank in 0..limit.senders(gateways) {
+            let next = limit.next(rank, gateways, Some(now));
+            let next = next.expect("a sender waits after a request");
+
+            assert!(next > now + WINDOW, "{gateways}, {rank}");
+            assert!(next <= now + 2 * WINDOW, "{gateways}, {rank}");
+        }
+    }
+}
