Compute what attempts of a request share in one place

The phase of a caller repeated the parts of the request's fingerprint. Both take them from one function now, and the range of ages in turn is computed before it is compared.

--- a/crates/decide/src/returns.rs
+++ b/crates/decide/src/returns.rs
@@ -436,17 +436,18 @@
         let max_wait = (attempt_age + remaining).mul_f64(MAX_WAIT_FRACTION);
         // Other gateways schedule much as this one does.
         let is_scheduling = self.is_expecting(|b| b.scheduled() > 0, now);
-        let is_told = |reason: &Reason| match is_scheduling {
-            true => {
-                attempt_age + MAX_EARLINESS >= min_busy_delay().min(max_wait)
-                    && attempt_age <= *delay_range(*reason).end() + MAX_LATENESS
-            }
-            false => {
-                let told = longest_delay(*reason, phase).min(max_wait);
-                attempt_age + MAX_EARLINESS >= told && attempt_age <= told + MAX_DECLINED_LATENESS
-            }
+        let is_in_turn = |reason: &Reason| {
+            let longest = longest_delay(*reason, phase).min(max_wait);
+            let (earliest, latest) = match is_scheduling {
+                true => (
+                    min_busy_delay().min(max_wait),
+                    *delay_range(*reason).end() + MAX_LATENESS,
+                ),
+                false => (longest, longest + MAX_DECLINED_LATENESS),
+            };
+            attempt_age + MAX_EARLINESS >= earliest && attempt_age <= latest
         };
-        !reasons.iter().any(is_told)
+        !reasons.iter().any(is_in_turn)
     }
 
     /// Returns whether a request that retries out of turn may take a slot now: none is kept for a retry that waited,
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -125,6 +125,23 @@
     own.unwrap_or(route.priority)
 }
 
+/// Returns what all attempts of a request have in common: workspace, method, path with query, and body.
+pub(crate) fn content<'a>(
+    workspace: Option<&'a WorkspacePolicy>,
+    head: &'a request::Parts,
+    body: &'a Bytes,
+) -> [&'a [u8]; 4] {
+    let workspace = workspace.map_or("", |w| &w.workspace);
+    let target = head.uri.path_and_query().map_or("", |p| p.as_str());
+    let method = head.method.as_str();
+    [
+        workspace.as_bytes(),
+        method.as_bytes(),
+        target.as_bytes(),
+        body,
+    ]
+}
+
 /// A complete request with the routing decisions made for it.
 #[derive(Debug)]
 pub struct RoutedRequest {
@@ -190,19 +207,9 @@
     /// request.
     pub fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
-            let workspace = self.workspace.as_ref().map(|w| w.workspace.as_bytes());
-            let target = self
-                .head
-                .uri
-                .path_and_query()
-                .map(|p| p.as_str().as_bytes());
-            Fingerprint::of(&[
-                self.service.as_bytes(),
-                workspace.unwrap_or_default(),
-                self.head.method.as_str().as_bytes(),
-                target.unwrap_or_default(),
-                &self.body,
-            ])
+            let [workspace, method, target, body] =
+                content(self.workspace.as_deref(), &self.head, &self.body);
+            Fingerprint::of(&[self.service.as_bytes(), workspace, method, target, body])
         })
     }
 
--- a/crates/gateway/src/returns.rs
+++ b/crates/gateway/src/returns.rs
@@ -22,7 +22,7 @@
 
 use crate::Cx;
 use crate::refusal::Refusal;
-use crate::request::RoutedRequest;
+use crate::request::{RoutedRequest, content};
 
 /// Time after a response with a shorter delay than the schedules tell, such as of a gateway without a
 /// configuration, in which no request counts as out of turn: other gateways tell such delays at the same time.
@@ -87,14 +87,7 @@
     head: &request::Parts,
     body: &Bytes,
 ) -> Phase {
-    let workspace = workspace.map(|w| w.workspace.as_bytes());
-    let target = head.uri.path_and_query().map(|p| p.as_str().as_bytes());
-    phase(&Fingerprint::of(&[
-        workspace.unwrap_or_default(),
-        head.method.as_str().as_bytes(),
-        target.unwrap_or_default(),
-        body,
-    ]))
+    phase(&Fingerprint::of(&content(workspace, head, body)))
 }
 
 /// Returns whether a request retries out of turn, given the time since its first attempt, its remaining time and a
