--- a/crates/decide/tests/returns.rs
+++ b/crates/decide/tests/returns.rs
@@ -635,9 +635,8 @@
             let (own, other) = (caller_phase(0, caller), caller_phase(1, caller));
             let told = schedule.decline(now, DelayRange::new(reason, TIMEOUT), own);
             let delay = told.delay.min(TIMEOUT / 3);
-            let is_out_of_turn = |age: Duration, phase| {
-                ReturnSchedule::is_out_of_turn(&schedule, age, TIMEOUT - age, phase, now)
-            };
+            let is_out_of_turn =
+                |age: Duration, phase| schedule.is_out_of_turn(age, TIMEOUT - age, phase, now);
 
             assert!(!is_out_of_turn(delay, own), "{reason:?} {own}");
             let queued = delay + max_wait(OBJECTIVE);
