--- a/review/standins.py
+++ b/review/standins.py
@@ -264,6 +264,8 @@
     def __init__(self, record, link_mbps=7.3):
         self.record = record
         self.newest = 1
+        # Number of manifests that are sent with one wrong digit.
+        self.spoilt_manifests = 0
         self.asked = []
         self.link = asyncio.Lock()
         self.piece_time = PIECE_BYTES * 8 / (link_mbps * 1e6)
@@ -283,6 +285,10 @@
             return 404, {}, b""
         if path.startswith("/driftnotch/manifest/"):
             digests = [digest(piece(version, i)) for i in range(PIECES)]
+            if self.spoilt_manifests:
+                self.spoilt_manifests -= 1
+                digests[5] = ("1" if digests[5][0] == "0" else "0") + digests[5][1:]
+                self.record.write(f"the origin sends the manifest of version {version} with one wrong digit")
             return as_json({"Model": MODEL, "Version": version, "ChunkBytes": PIECE_BYTES, "layers": LAYERS, "Digests": digests})
         if path.startswith("/driftnotch/piece/"):
             async with self.link:
@@ -315,6 +321,9 @@
         self.state = "ready"
         self.server = Server(self.handle)
         self.work_ms = 60
+        self.first_token_ms = 60
+        # When the first token of each stream was made, and the version.
+        self.begun = []
 
     async def start(self):
         await self.server.start()
@@ -433,7 +442,10 @@
         writer = request["writer"]
         done = int(request["headers"].get("last-event-id", 0))
         self.runs.append((self.record.now(), attempt, self.version, self.spoilt_layers))
-        await asyncio.sleep(0.06)
+        await asyncio.sleep(self.first_token_ms / 1000)
+        if writer.is_closing() or request["reader"].at_eof():
+            return None
+        self.begun.append((self.record.now(), attempt, self.version))
         headers = {**self.signed(attempt), "Content-Type": "text/event-stream", "Transfer-Encoding": "chunked", "Driftnotch-Weight-Versions": self.version}
         lines = ["HTTP/1.1 200 OK"] + [f"{k}: {v}" for k, v in headers.items()] + ["", ""]
         writer.write("\r\n".join(lines).encode())
@@ -610,12 +622,69 @@
             await asyncio.sleep(0.1)
 
 
+async def send_all(record, processes, answers):
+    """Sends ten requests a second, nine of ten of them streams, to all gateways in turn."""
+    async with asyncio.TaskGroup() as group:
+        n = 0
+        while True:
+            to = processes.gateways[n % len(processes.gateways)]["listen"]
+            group.create_task(send_one(record, to, answers, n % 10 == 9))
+            await asyncio.sleep(0.1)
+            n += 1
+
+
+async def send_one(record, to, answers, is_plain):
+    attempt, sent_at = new_attempt(), record.now()
+    if is_plain:
+        status, headers, _, whole = await send(to, "GET", "/safe/x", plain_headers(attempt), timeout=4)
+    else:
+        status, headers, _, whole = await send(to, "POST", "/stream/x", stream_headers(attempt), b"a prompt")
+    answers.append((sent_at, status == 200 and whole))
+    kind = "safe" if is_plain else "stream"
+    record.write(f"{kind} {attempt} got {status}, version {headers.get('driftnotch-weight-versions')}, {'whole' if whole else 'cut'}")
+
+
+async def release(record, store, origin, version):
+    """Names a version, as the operator does."""
+    origin.newest = version
+    await store.put("op", f"version/{MODEL}", {"Model": MODEL, "Version": version})
+    record.write(f"version {version} is named and acknowledged")
+
+
+async def kill_all(processes, down_s):
+    """The final fault: kills all processes and starts them again."""
+    for vm in list(processes.running):
+        processes.kill(vm)
+    await asyncio.sleep(down_s)
+    for vm in list(processes.running):
+        processes.spawn(vm, "gateway" if vm.startswith("front") else "loader")
+
+
+def judge_recovery(record, answers, fault_at, back_at, recovery_s, least_served):
+    """RECOVER: a quarter or more was served before the final fault, but less of what was sent RecoveryS after the return."""
+    before = [served for at, served in answers if at < fault_at - 1]
+    after = [served for at, served in answers if at >= back_at + recovery_s]
+    record.write(f"served before the fault {sum(before)} of {len(before)}; of those sent {recovery_s:.0f} s or more after the return {sum(after)} of {len(after)}")
+    if not before or sum(before) < least_served * len(before) or not after:
+        raise CannotRun("too little was served before the fault")
+    if sum(after) < least_served * len(after):
+        return f"RECOVER: {sum(after)} of {len(after)} requests sent {recovery_s:.0f} s or more after the return were served"
+    return None
+
+
+def only_final_fault():
+    """Whether the other disruptions are left out (TROUBLE=fault), to tell their effect from that of the final fault."""
+    return os.environ.get("TROUBLE") == "fault"
+
+
 def main(case):
     """Runs `case(record, trouble)`, which returns the broken rule's description, or None. Exits with 0, 1 or 2."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record.write(f"trouble: {'yes' if trouble else 'no'}")
+    record.write(f"trouble: {os.environ.get('TROUBLE', '1')}")
+    # A case that is told to stop still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
     except Exception as e:  # Whatever keeps the case from running is exit code 2.
