Review: make the spoilt manifest a variant of review/2

Both end in the same state: a fetch that can't end keeps loaders from every later release. VARIANT=manifest review/2/run.sh plays what review/3 was.

--- a/review/3/case.py
+++ b/review/2/manifest.py
@@ -64,4 +64,4 @@
     return s.judge_recovery(record, answers, fault_at, back_at, RECOVERY_S, LEAST_SERVED)
 
 
-s.main(case)
+s.main(case, "record-manifest.txt")
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec python3 -B "$(dirname "$0")/case.py"
+# VARIANT=outage (the default) or VARIANT=manifest
+exec python3 -B "$(dirname "$0")/${VARIANT:-outage}.py"
--- a/review/standins.py
+++ b/review/standins.py
@@ -42,11 +42,11 @@
 
 
 class Record:
-    """Lines of record.txt, with the time since the start."""
+    """Lines of the record, with the time since the start."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.started = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.file = open(path, "w", encoding="utf-8")
 
     def now(self):
         return time.monotonic() - self.started
@@ -677,16 +677,23 @@
     return os.environ.get("TROUBLE") == "fault"
 
 
-def main(case):
+async def run(case, record, trouble):
+    # Connections that the end of the case cancels are no errors.
+    report = lambda loop, context: isinstance(context.get("exception"), asyncio.CancelledError) or loop.default_exception_handler(context)
+    asyncio.get_running_loop().set_exception_handler(report)
+    return await asyncio.wait_for(case(record, trouble), 115)
+
+
+def main(case, record_name="record.txt"):
     """Runs `case(record, trouble)`, which returns the broken rule's description, or None. Exits with 0, 1 or 2."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
-    record = Record(folder)
+    record = Record(os.path.join(folder, record_name))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {os.environ.get('TROUBLE', '1')}")
     # A case that is told to stop still ends its processes.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, trouble), 115))
+        broken = asyncio.run(run(case, record, trouble))
     except Exception as e:  # Whatever keeps the case from running is exit code 2.
         record.write(f"the case could not run: {type(e).__name__}: {e}")
         print(f"could not run: {type(e).__name__}: {e}")
