--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -189,9 +189,16 @@
 
     fn withdraw(&self) -> bool {
         let gateways = self.cx.gateways();
-        self.cx
+        let is_available = self
+            .cx
             .retry_budget
-            .withdraw(&self.req.service, gateways, clock::now())
+            .withdraw(&self.req.service, gateways, clock::now());
+        let result = match is_available {
+            true => "withdrawn",
+            false => "denied",
+        };
+        metrics::counter!("driftnotch_retries_total", "result" => result).increment(1);
+        is_available
     }
 
     /// Records that the request is being sent to an upstream.
