Use the slack of the retry budget only as a listed gateway

Seen: more retries than the gateways together may make. A gateway divided the slack by the gateways that it knew. Until the list of processes arrived it knew none, or those of its failure domain alone, and took all of the slack or a multiple of its share; after a power loss all gateways did at once, and for as long as the store stayed away.

Now a gateway has a share only while it knows the whole list and is on it: the others divide by those that are listed.

--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -2,7 +2,8 @@
 //!
 //! All gateways together may retry `ratio` of the requests of a window, and `slack` more. A gateway
 //! that limits itself to `ratio` of its own requests and its share of the slack keeps the sum within
-//! the budget without coordination.
+//! the budget without coordination. A gateway that doesn't know how many share the slack, or that the
+//! others don't know, uses none of it.
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
@@ -54,8 +55,9 @@
         window.requests.push_back(now);
     }
 
-    /// Withdraws one retry; returns `false` if the budget is used up.
-    pub fn withdraw(&self, service: &ServiceName, gateways: usize, now: Instant) -> bool {
+    /// Withdraws one retry; returns `false` if the budget is used up. `gateways` is the number of
+    /// those that share the slack, or `None` if this one has no share.
+    pub fn withdraw(&self, service: &ServiceName, gateways: Option<usize>, now: Instant) -> bool {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let window = services.entry(service.clone()).or_default();
         let is_available = self.available(window, gateways, now) >= 1.0;
@@ -66,7 +68,7 @@
     }
 
     /// Returns whether a retry is available beside those reserved for requests whose only attempt has failed.
-    pub fn has_spare(&self, service: &ServiceName, gateways: usize, now: Instant) -> bool {
+    pub fn has_spare(&self, service: &ServiceName, gateways: Option<usize>, now: Instant) -> bool {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
         let window = services.entry(service.clone()).or_default();
         let reserved = (self.max(window, gateways) * RESERVED_FRACTION).floor();
@@ -74,13 +76,13 @@
     }
 
     /// Returns the number of retries that are left.
-    fn available(&self, window: &mut Window, gateways: usize, now: Instant) -> f64 {
+    fn available(&self, window: &mut Window, gateways: Option<usize>, now: Instant) -> f64 {
         window.expire(now, self.window);
         self.max(window, gateways) - window.retries.len() as f64
     }
 
-    fn max(&self, window: &Window, gateways: usize) -> f64 {
-        let slack = self.slack / gateways.max(1) as f64;
+    fn max(&self, window: &Window, gateways: Option<usize>) -> f64 {
+        let slack = gateways.map_or(0.0, |n| self.slack / n.max(1) as f64);
         (self.ratio * window.requests.len() as f64 + slack) * USED_FRACTION
     }
 }
--- a/crates/decide/tests/retry_budget.rs
+++ b/crates/decide/tests/retry_budget.rs
@@ -77,7 +77,7 @@
         let budget = &budgets[arrivals.requests.len() % GATEWAYS];
         arrivals.requests.push(now);
         budget.deposit(&service(), now);
-        if budget.withdraw(&service(), GATEWAYS, now) {
+        if budget.withdraw(&service(), Some(GATEWAYS), now) {
             arrivals.retries.push(now);
         }
     }
--- a/crates/gateway/src/dispatch.rs
+++ b/crates/gateway/src/dispatch.rs
@@ -181,14 +181,14 @@
     }
 
     fn has_spare_retry(&self) -> bool {
-        let gateways = self.cx.gateways();
+        let gateways = self.cx.retry_sharers();
         self.cx
             .retry_budget
             .has_spare(&self.req.service, gateways, clock::now())
     }
 
     fn withdraw(&self) -> bool {
-        let gateways = self.cx.gateways();
+        let gateways = self.cx.retry_sharers();
         let is_available = self
             .cx
             .retry_budget
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -1,5 +1,5 @@
-//! Gauges of a gateway's state: revision and age of its configuration, the newest revision among its peers, the known
-//! gateways, upstreams that limit their rate or are draining, and suspects.
+//! Gauges of a gateway's state: revision and age of its configuration, the newest revision among its peers, the gateways
+//! that share the retry budget, upstreams that limit their rate or are draining, and suspects.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,7 +30,7 @@
         .set(newest.number as f64);
     metrics::gauge!("driftnotch_configuration_age_seconds").set(age.as_secs_f64());
     metrics::gauge!("driftnotch_store_reached").set(f64::from(reaches_store));
-    metrics::gauge!("driftnotch_known_gateways").set(cx.gateways() as f64);
+    metrics::gauge!("driftnotch_retry_sharers").set(cx.retry_sharers().unwrap_or(0) as f64);
     let feedback = cx.feedback.current();
     metrics::gauge!("driftnotch_rate_limited_upstreams").set(feedback.rate_limited() as f64);
     metrics::gauge!("driftnotch_draining_upstreams").set(feedback.draining() as f64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -184,6 +184,8 @@
 pub struct Peers {
     /// Whether this gateway is listed, and thus known to others.
     pub includes_self: bool,
+    /// Whether these are all listed processes, not only some of the own failure domain.
+    pub is_complete: bool,
     /// Datagram addresses of the loaders in the own failure domain.
     pub near_loaders: Vec<std::net::SocketAddr>,
     /// Datagram addresses of the other gateways in the own failure domain.
@@ -192,6 +194,14 @@
     pub far_gateways: Vec<Vec<std::net::SocketAddr>>,
 }
 
+impl Peers {
+    /// Returns the number of gateways, including this one.
+    fn gateways(&self) -> usize {
+        let far: usize = self.far_gateways.iter().map(Vec::len).sum();
+        self.near_gateways.len() + far + 1
+    }
+}
+
 impl Cx {
     /// Creates a context that knows no upstreams yet.
     pub fn new(deps: Dependencies) -> Cx {
@@ -239,11 +249,17 @@
         hash as f64 / f64::from(u32::MAX)
     }
 
-    /// Returns the number of gateways that share the retry budget, including this one.
+    /// Returns the number of known gateways, including this one.
     pub fn gateways(&self) -> usize {
+        self.peers.borrow().gateways()
+    }
+
+    /// Returns the number of gateways that share the slack of the retry budget, including this one; `None` while not
+    /// all of them are known, or this one isn't known to the others.
+    pub fn retry_sharers(&self) -> Option<usize> {
         let peers = self.peers.borrow();
-        let far: usize = peers.far_gateways.iter().map(Vec::len).sum();
-        peers.near_gateways.len() + far + 1
+        let is_sharer = peers.is_complete && peers.includes_self;
+        is_sharer.then(|| peers.gateways())
     }
 
     /// Returns the number of gateways in the own failure domain, including this one.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -35,7 +35,7 @@
 /// Uses up the budget and returns the number of retries that it allowed.
 fn use_up(budget: &RetryBudget, gateways: usize, now: Instant) -> usize {
     (0..10_000)
-        .take_while(|_| budget.withdraw(&service(), gateways, now))
+        .take_while(|_| budget.withdraw(&service(), Some(gateways), now))
         .count()
 }
 
@@ -65,7 +65,7 @@
     let budget = RetryBudget::new(WINDOW, 0.2, 10.0);
     let now = Instant::now();
     let spent = use_up(&budget, 1, now);
-    assert!(spent > 0 && !budget.withdraw(&service(), 1, now));
+    assert!(spent > 0 && !budget.withdraw(&service(), Some(1), now));
 
     let later = now + WINDOW + Duration::from_millis(1);
 
