Keep the retry budget across restarts with token buckets that start empty

A gateway limited its retries by the requests and retries of a sliding window that it kept in memory. After a restart the retries of the last incarnation were forgotten and the share of the slack was there again, while the bound still counted both.

Each gateway now has a token bucket. It starts empty, gains four fifths of the budget with requests and time, and holds at most a fifth of a window's budget. The retries in a window are the tokens gained in it and those held before, so they keep within the budget at any number of restarts, whoever remembers what.

gateways_that_restart_do_not_exceed_the_retry_budget failed before (509 retries of 506 allowed) and passes; a property test plays up to 60 restarts at any time.

Two tests of decisions took the whole budget at one instant, which is what the restarts did.

--- a/crates/decide/src/retry_budget.rs
+++ b/crates/decide/src/retry_budget.rs
@@ -1,9 +1,11 @@
 //! Retry budget over all gateways.
 //!
-//! All gateways together may retry `ratio` of the requests of a window, and `slack` more. A gateway
-//! that limits itself to `ratio` of its own requests and its share of the slack keeps the sum within
-//! the budget without coordination. A gateway that doesn't know how many share the slack, or that the
-//! others don't know, uses none of it.
+//! All gateways together may retry `ratio` of the requests of a window, and `slack` more. Each of them has a token
+//! bucket that starts empty, gains tokens with its own requests and its share of the slack with time, and holds no
+//! more than a fifth of what a window allows. So the retries of a window are at most the tokens gained in it, four
+//! fifths of the budget, and those held before: however often gateways restart, the sum keeps within the budget
+//! without coordination. A gateway that doesn't know how many share the slack, or that the others don't know, uses
+//! none of it.
 
 use std::collections::VecDeque;
 use std::sync::{Mutex, PoisonError};
@@ -12,18 +14,20 @@
 use base::Map;
 use catalog::ServiceName;
 
-/// Fraction of the budget that is used. The rest allows for the windows of the other gateways and of
-/// the bound, which differ.
-const USED_FRACTION: f64 = 0.8;
+/// Fraction of the budget of a window that may be held as tokens. The rest is gained during the window.
+const HELD_FRACTION: f64 = 0.2;
 
-/// Fraction of the retries that is reserved for requests whose only attempt has failed.
+/// Fraction of the held tokens that is reserved for requests whose only attempt has failed.
 const RESERVED_FRACTION: f64 = 0.5;
 
-/// Times of requests and retries.
-#[derive(Debug, Default)]
-struct Window {
+/// Token bucket of a service.
+#[derive(Debug)]
+struct Bucket {
+    /// Retries that are available.
+    tokens: f64,
+    refilled: Instant,
+    /// Requests of the last window.
     requests: VecDeque<Instant>,
-    retries: VecDeque<Instant>,
 }
 
 /// Retry budget of each service.
@@ -32,17 +36,19 @@
     window: Duration,
     ratio: f64,
     slack: f64,
-    services: Mutex<Map<ServiceName, Window>>,
+    started: Instant,
+    services: Mutex<Map<ServiceName, Bucket>>,
 }
 
 impl RetryBudget {
     /// Creates a budget of `ratio` of the requests in a window, plus `slack` for all gateways
-    /// together.
-    pub fn new(window: Duration, ratio: f64, slack: f64) -> RetryBudget {
+    /// together. Nothing is available at the start, since an earlier incarnation may have used it.
+    pub fn new(window: Duration, ratio: f64, slack: f64, now: Instant) -> RetryBudget {
         RetryBudget {
             window,
             ratio,
             slack,
+            started: now,
             services: Mutex::default(),
         }
     }
@@ -50,19 +56,21 @@
     /// Records a request that arrived.
     pub fn deposit(&self, service: &ServiceName, now: Instant) {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = services.entry(service.clone()).or_default();
-        window.expire(now, self.window);
-        window.requests.push_back(now);
+        let bucket = self.bucket(&mut services, service);
+        bucket.requests.push_back(now);
+        bucket.tokens += self.ratio * (1.0 - HELD_FRACTION);
+        bucket.expire(now, self.window);
     }
 
     /// Withdraws one retry; returns `false` if the budget is used up. `gateways` is the number of
     /// those that share the slack, or `None` if this one has no share.
     pub fn withdraw(&self, service: &ServiceName, gateways: Option<usize>, now: Instant) -> bool {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = services.entry(service.clone()).or_default();
-        let is_available = self.available(window, gateways, now) >= 1.0;
+        let bucket = self.bucket(&mut services, service);
+        self.refill(bucket, gateways, now);
+        let is_available = bucket.tokens >= 1.0;
         if is_available {
-            window.retries.push_back(now);
+            bucket.tokens -= 1.0;
         }
         is_available
     }
@@ -70,29 +78,42 @@
     /// Returns whether a retry is available beside those reserved for requests whose only attempt has failed.
     pub fn has_spare(&self, service: &ServiceName, gateways: Option<usize>, now: Instant) -> bool {
         let mut services = self.services.lock().unwrap_or_else(PoisonError::into_inner);
-        let window = services.entry(service.clone()).or_default();
-        let reserved = (self.max(window, gateways) * RESERVED_FRACTION).floor();
-        self.available(window, gateways, now) >= 1.0 + reserved
+        let bucket = self.bucket(&mut services, service);
+        let max = self.refill(bucket, gateways, now);
+        bucket.tokens >= 1.0 + (max * RESERVED_FRACTION).floor()
     }
 
-    /// Returns the number of retries that are left.
-    fn available(&self, window: &mut Window, gateways: Option<usize>, now: Instant) -> f64 {
-        window.expire(now, self.window);
-        self.max(window, gateways) - window.retries.len() as f64
+    fn bucket<'a>(
+        &self,
+        services: &'a mut Map<ServiceName, Bucket>,
+        service: &ServiceName,
+    ) -> &'a mut Bucket {
+        services.entry(service.clone()).or_insert_with(|| Bucket {
+            tokens: 0.0,
+            refilled: self.started,
+            requests: VecDeque::new(),
+        })
     }
 
-    fn max(&self, window: &Window, gateways: Option<usize>) -> f64 {
-        let slack = gateways.map_or(0.0, |n| self.slack / n.max(1) as f64);
-        (self.ratio * window.requests.len() as f64 + slack) * USED_FRACTION
+    /// Adds the share of the slack since the last time, and returns the maximum number of tokens.
+    fn refill(&self, bucket: &mut Bucket, gateways: Option<usize>, now: Instant) -> f64 {
+        bucket.expire(now, self.window);
+        let share = gateways.map_or(0.0, |n| self.slack / n.max(1) as f64);
+        // A small share is held as a whole retry where it allows one.
+        let held_share = (share * HELD_FRACTION).max(share.min(1.0));
+        let elapsed = now.saturating_duration_since(bucket.refilled);
+        let gained = (share - held_share) * elapsed.div_duration_f64(self.window);
+        let max = self.ratio * bucket.requests.len() as f64 * HELD_FRACTION + held_share;
+        bucket.tokens = (bucket.tokens + gained).min(max);
+        bucket.refilled = now;
+        max
     }
 }
 
-impl Window {
+impl Bucket {
     fn expire(&mut self, now: Instant, window: Duration) {
-        for times in [&mut self.requests, &mut self.retries] {
-            while times.front().is_some_and(|at| now - *at > window) {
-                times.pop_front();
-            }
+        while self.requests.front().is_some_and(|at| now - *at > window) {
+            self.requests.pop_front();
         }
     }
 }
--- a/crates/decide/tests/retry_budget.rs
+++ b/crates/decide/tests/retry_budget.rs
@@ -2,7 +2,10 @@
 
 use std::time::{Duration, Instant};
 
+use cases::cases;
 use decide::retry_budget::RetryBudget;
+use proptest::collection::vec;
+use proptest::prelude::*;
 
 const WINDOW: Duration = Duration::from_secs(10);
 const RATIO: f64 = 0.2;
@@ -57,19 +60,19 @@
     "llm".to_owned()
 }
 
-fn budget() -> RetryBudget {
-    RetryBudget::new(WINDOW, RATIO, SLACK)
+fn budget(now: Instant) -> RetryBudget {
+    RetryBudget::new(WINDOW, RATIO, SLACK, now)
 }
 
 /// Plays requests that come to the gateways in turn, each of which is to be retried.
 fn play(restarts: &[Restart]) -> Arrivals {
     let start = Instant::now() + 2 * WINDOW;
-    let mut budgets: Vec<RetryBudget> = (0..GATEWAYS).map(|_| budget()).collect();
+    let mut budgets: Vec<RetryBudget> = (0..GATEWAYS).map(|_| budget(start)).collect();
     let mut arrivals = Arrivals::default();
     for ms in 0..TIME {
         let now = start + Duration::from_millis(ms);
         for restart in restarts.iter().filter(|r| r.at == ms) {
-            budgets[restart.gateway] = budget();
+            budgets[restart.gateway] = budget(now);
         }
         if !ms.is_multiple_of(1000 / REQUESTS_PER_SECOND) {
             continue;
@@ -105,3 +108,40 @@
         }
     }
 }
+
+proptest! {
+    #![proptest_config(cases(48))]
+
+    #[test]
+    fn gateways_that_restart_at_any_time_do_not_exceed_the_retry_budget(
+        restarts in vec((0..GATEWAYS, 0..TIME), 0..60),
+    ) {
+        let restarts: Vec<Restart> = restarts
+            .into_iter()
+            .map(|(gateway, at)| Restart { gateway, at })
+            .collect();
+
+        let arrivals = play(&restarts);
+
+        arrivals.assert_within_limit();
+    }
+}
+
+#[test]
+fn gateways_without_restarts_may_use_most_of_the_retry_budget() {
+    let arrivals = play(&[]);
+
+    let from = arrivals.requests[arrivals.requests.len() / 2];
+    let (retries, limit) = arrivals.retries_and_limit(from);
+    assert!(retries as f64 >= limit * 0.75, "{retries} of {limit}");
+}
+
+#[test]
+fn small_share_of_the_slack_allows_a_retry() {
+    let start = Instant::now();
+    let budget = RetryBudget::new(WINDOW, RATIO, 20.0, start);
+
+    let is_available = budget.withdraw(&service(), Some(10), start + WINDOW);
+
+    assert!(is_available);
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -207,7 +207,12 @@
     pub fn new(deps: Dependencies) -> Cx {
         let cfg = deps.cfg;
         Cx {
-            retry_budget: RetryBudget::new(cfg.retry_window, cfg.retry_ratio, cfg.retry_slack),
+            retry_budget: RetryBudget::new(
+                cfg.retry_window,
+                cfg.retry_ratio,
+                cfg.retry_slack,
+                clock::now(),
+            ),
             upstreams: UpstreamTable::new(cfg.node.domain.clone(), cfg.return_time),
             drains: Drains::default(),
             feedback: Feedback::default(),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -42,17 +42,20 @@
 #[test]
 fn retry_budget_holds_over_all_gateways() {
     let (ratio, slack, gateways) = (0.2, 100.0, 7);
-    let now = Instant::now();
+    let start = Instant::now();
     let mut spent = 0;
     let mut requests = 0;
 
     for n in 0..gateways {
-        let budget = RetryBudget::new(WINDOW, ratio, slack);
-        for _ in 0..n * 50 {
-            budget.deposit(&service(), now);
-            requests += 1;
+        let budget = RetryBudget::new(WINDOW, ratio, slack, start);
+        for step in 1..=50 {
+            let now = start + WINDOW / 50 * step;
+            for _ in 0..n {
+                budget.deposit(&service(), now);
+                requests += 1;
+            }
+            spent += use_up(&budget, gateways, now);
         }
-        spent += use_up(&budget, gateways, now);
     }
 
     let limit = ratio * requests as f64 + slack;
@@ -62,8 +65,9 @@
 
 #[test]
 fn retry_budget_refills_after_its_window() {
-    let budget = RetryBudget::new(WINDOW, 0.2, 10.0);
-    let now = Instant::now();
+    let start = Instant::now();
+    let budget = RetryBudget::new(WINDOW, 0.2, 10.0, start);
+    let now = start + WINDOW;
     let spent = use_up(&budget, 1, now);
     assert!(spent > 0 && !budget.withdraw(&service(), Some(1), now));
 
