--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -109,8 +109,8 @@
             record_health(upstream, Health::Unreachable);
             info!(
                 target: PART,
-                "{PART}: event=upstream_ended upstream={} addr={} request={} route={} id={} why=\"{loss}\"",
-                upstream.instance, upstream.addr, req.fingerprint(), req.route.name, req.metadata.attempt_id,
+                "{PART}: event=upstream_ended upstream={} addr={} request={} parts={} route={} id={} why=\"{loss}\"",
+                upstream.instance, upstream.addr, req.fingerprint(), req.metadata.shared_parts.join(","), req.route.name, req.metadata.attempt_id,
             );
             cx.suspects.record_exit(req, upstream);
         }
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -21,6 +21,9 @@
 /// Id of an event in a stream.
 pub type EventId = String;
 
+/// Id of a part of a prompt, given by the caller.
+pub type PromptPart = String;
+
 /// Metadata of a request, from its head.
 #[derive(Debug, Clone, Default)]
 pub struct RequestMetadata {
@@ -40,8 +43,8 @@
     pub max_tokens: u64,
     /// Caller's estimate of the number of generated tokens.
     pub expected_tokens: Option<u64>,
-    /// Last part of the prompt that other requests share, such as its session or subject.
-    pub shared_prefix: Option<String>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PromptPart>,
     /// Event after which to resume a stream.
     pub last_event_id: Option<EventId>,
 }
