Quarantine parts of prompts under which upstreams exit

Cause: the quarantine knows a request by the fingerprint of all of its content, so each of these requests was a new one, and ended as many engines as it may be sent to. What exits had in common was recorded nowhere.

Gateways now share the runs that were lost with their upstream, each with the fingerprints of the shared parts of its prompt, and which of these parts have completed since (new messages, which processes of earlier releases skip). A part at work at four exits that followed each other, without a completion after the first, is blamed, and quarantined like a request by a fingerprint of its own: its requests are refused at once, other gateways, the store and starting gateways know it, and a single trial follows after the hold time. Runs that overlap count once, so that an outage blames no common part; an exit that a blamed part explains counts against no other; parts that were at work at the same exits stop only requests that have all of them, until one completes alone.

--- a/crates/beacon/src/lib.rs
+++ b/crates/beacon/src/lib.rs
@@ -11,7 +11,8 @@
 
 pub use member::{Member, Role};
 pub use msg::{
-    ChunkMap, Demand, DemandUpdate, EngineStatus, Holding, Load, LoadChange, LoadUpdate, Msg,
-    NORMAL_PACE, PaceUpdate, RateLimitUpdate, SuspectUpdate, TrialUpdate,
+    ChunkMap, Demand, DemandUpdate, EngineStatus, Holding, Load, LoadChange, LoadUpdate,
+    LostRunUpdate, Msg, NORMAL_PACE, PaceUpdate, PartUpdate, RateLimitUpdate, SuspectUpdate,
+    TrialUpdate,
 };
 pub use socket::{Beacon, MAX_DATAGRAM, batch_messages, decode, encode};
--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -200,6 +200,35 @@
     pub ago: Duration,
 }
 
+/// A gateway's evidence on a part of a prompt. Durations are times elapsed since the event.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PartUpdate {
+    /// A run of a request was lost because its upstream exited.
+    Lost(LostRunUpdate),
+    /// A request with the part completed.
+    Completed {
+        /// Part.
+        part: Fingerprint,
+        /// Time since then.
+        ago: Duration,
+    },
+}
+
+/// A run of a request that was lost because its upstream exited.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LostRunUpdate {
+    /// Fingerprint of the request.
+    pub request: Fingerprint,
+    /// Upstream incarnation that exited.
+    pub incarnation: UpstreamIncarnation,
+    /// Time since the request was sent to it.
+    pub started: Duration,
+    /// Time since the exit.
+    pub ended: Duration,
+    /// Fingerprints of the parts of its prompt that other requests may share.
+    pub parts: Vec<Fingerprint>,
+}
+
 /// Rate limit of an upstream, as advertised in its latest response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RateLimitUpdate {
@@ -295,6 +324,8 @@
             Msg::Demand(_) => "demand",
             Msg::DomainDemand(_) => "domain_demand",
             Msg::RelayedDemand(_) => "relayed_demand",
+            Msg::Parts(_) => "parts",
+            Msg::FarParts(_) => "far_parts",
         }
     }
 }
@@ -334,4 +365,8 @@
     DomainDemand(DemandUpdate),
     /// A [`Msg::DomainDemand`] of any failure domain, to the gateways of the sender's failure domain.
     RelayedDemand(DemandUpdate),
+    /// From a gateway to gateways of its failure domain: evidence on parts of prompts.
+    Parts(Vec<PartUpdate>),
+    /// [`Msg::Parts`] to a gateway of another failure domain, which relays what is new to it.
+    FarParts(Vec<PartUpdate>),
 }
--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -15,6 +15,7 @@
 //! - [`hedging`]: second attempts beside an upstream that is silent.
 //! - [`load_balancing`]: choice of the upstream for a request.
 //! - [`outlier_detection`]: upstreams that are avoided because they fail most of their requests.
+//! - [`part_evidence`]: parts of prompts that are blamed for exits of upstreams.
 //! - [`priority`]: whether a request may take a slot while more urgent ones may need it.
 //! - [`quarantine`]: requests that run on trial or are quarantined because upstreams exited under
 //!   them.
@@ -44,6 +45,7 @@
 pub mod hedging;
 pub mod load_balancing;
 pub mod outlier_detection;
+pub mod part_evidence;
 pub mod priority;
 pub mod quarantine;
 pub mod queue;
--- a/crates/decide/src/quarantine.rs
+++ b/crates/decide/src/quarantine.rs
@@ -83,8 +83,8 @@
     pub trial: Option<Trial>,
 }
 
-/// Decision on a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Decision on a request, the least strict first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Decision {
     /// The request isn't a suspect and may run anywhere.
     Allow,
@@ -98,8 +98,8 @@
     Quarantined(Instant),
 }
 
-/// Isolation of a suspect from other suspects.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Isolation of a suspect from other suspects, the least strict first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Isolation {
     /// Away from other suspects where there is free capacity.
     Preferred,
--- a/crates/gateway/src/activity.rs
+++ b/crates/gateway/src/activity.rs
@@ -18,6 +18,8 @@
 struct State {
     /// Upstream, once the attempt has a slot there.
     upstream: Option<Arc<Upstream>>,
+    /// When the attempt was about to be sent.
+    started: Option<Instant>,
     /// When bytes last arrived, or the wait for them began.
     last: Option<Instant>,
     /// Whether the silence since then was reported.
@@ -32,8 +34,10 @@
     /// Starts the activity of an attempt that is about to be sent.
     pub(crate) fn start(&self, upstream: &Arc<Upstream>) {
         let mut state = self.state();
+        let now = clock::now();
         state.upstream = Some(upstream.clone());
-        state.last = Some(clock::now());
+        state.started = Some(now);
+        state.last = Some(now);
     }
 
     /// Returns the upstream, if the attempt has a slot.
@@ -41,6 +45,11 @@
         self.state().upstream.clone()
     }
 
+    /// Returns when the attempt was about to be sent.
+    pub(crate) fn started(&self) -> Option<Instant> {
+        self.state().started
+    }
+
     /// Records that bytes arrived.
     pub(crate) fn record_bytes(&self) {
         let now = clock::now();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -1,5 +1,5 @@
-//! Receives datagrams from other processes; [`crate::load_updates`], [`crate::suspect_updates`] and
-//! [`crate::rate_limit_updates`] send them.
+//! Receives datagrams from other processes; [`crate::load_updates`], [`crate::suspect_updates`],
+//! [`crate::part_updates`] and [`crate::rate_limit_updates`] send them.
 //!
 //! Loads of other gateways are stored in [`crate::loads::LoadTable`]. A document that another gateway has in a newer
 //! revision is fetched from it. A loader whose status shows that it missed a release is sent the newest releases.
@@ -56,6 +56,8 @@
             Msg::Engine(status) => apply_engine_status(&cx, &beacon, status, from),
             Msg::Suspects(updates) => apply_suspects(&cx, updates, None),
             Msg::FarSuspects(updates) => apply_suspects(&cx, updates, Some(Scope::Near)),
+            Msg::Parts(updates) => cx.suspects.receive_parts(updates, None),
+            Msg::FarParts(updates) => cx.suspects.receive_parts(updates, Some(Scope::Near)),
             Msg::RateLimits(updates) => apply_rate_limits(&cx, updates, None),
             Msg::FarRateLimits(updates) => apply_rate_limits(&cx, updates, Some(Scope::Near)),
             Msg::Pace(update) => apply_pace(&cx, update),
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -19,6 +19,7 @@
 use crate::activity::Activity;
 use crate::request::RoutedRequest;
 use crate::send::record_health;
+use crate::suspects::LostResponse;
 use crate::upstream::{Health, Upstream};
 
 /// Log prefix of this part.
@@ -112,7 +113,8 @@
                 "{PART}: event=upstream_ended upstream={} addr={} request={} parts={} route={} id={} why=\"{loss}\"",
                 upstream.instance, upstream.addr, req.fingerprint(), req.metadata.shared_parts.join(","), req.route.name, req.metadata.attempt_id,
             );
-            cx.suspects.record_exit(req, upstream);
+            cx.suspects
+                .record_exit(&LostResponse::of(req, activity), upstream);
         }
         // A deadline that passes within the objective shows nothing about the upstream.
         (UpstreamOutcome::TimedOut, _) if activity.silence() >= req.route.objective => {
@@ -124,7 +126,8 @@
         (UpstreamOutcome::Outdated, _) => {}
         (UpstreamOutcome::Unknown, _) => {
             record_health(upstream, Health::Failed);
-            cx.suspects.record_lost_response(req, upstream);
+            cx.suspects
+                .record_lost_response(LostResponse::of(req, activity), upstream);
         }
     }
     metrics::counter!("driftnotch_lost_answers_total", "upstream" => outcome.name(), "why" => loss.name())
@@ -158,7 +161,8 @@
         }
     };
     // The platform's list may show later that it exited under the request.
-    cx.suspects.record_lost_response(req, &upstream);
+    cx.suspects
+        .record_lost_response(LostResponse::of(req, activity), &upstream);
     metrics::counter!("driftnotch_silences_total", "of" => of).increment(1);
     Some(upstream)
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -109,6 +109,7 @@
         status,
         source,
         slot,
+        has_events: !first.is_empty(),
         first: Some(first),
         second: None,
         second_after: clock::now(),
@@ -133,6 +134,8 @@
     source: EventSource,
     slot: Slot,
     first: Option<Bytes>,
+    /// Whether any event was relayed.
+    has_events: bool,
     /// Attempt to resume the stream at another upstream, while the source is silent.
     second: Option<Attempt>,
     second_after: Instant,
@@ -173,6 +176,7 @@
             // A resumed stream may end without further events.
             if !events.is_empty() {
                 self.cancel_second();
+                self.has_events = true;
                 self.record.record_event();
                 return Ok(Some(events));
             }
@@ -224,7 +228,10 @@
     fn finish(&mut self) {
         self.cancel_second();
         let Dispatch { cx, req, .. } = &*self.dispatch;
-        cx.suspects.record_completion(req);
+        // An upstream that exits before its first event may end the stream like a complete one.
+        if self.has_events {
+            cx.suspects.record_completion(req);
+        }
         self.record.outcome = RequestOutcome::Answered(self.status);
     }
 
--- a/crates/gateway/src/request.rs
+++ b/crates/gateway/src/request.rs
@@ -216,6 +216,14 @@
         })
     }
 
+    /// Returns the fingerprints of the shared parts of its prompt, which differ between services.
+    pub fn part_fingerprints(&self) -> Vec<Fingerprint> {
+        let parts = self.metadata.shared_parts.iter();
+        let fingerprint =
+            |id: &PromptPart| Fingerprint::of(&[self.service.as_bytes(), b"part", id.as_bytes()]);
+        parts.map(fingerprint).collect()
+    }
+
     /// Returns whether the request may run in a failure domain.
     pub fn can_run_in(&self, domains: &Domains, domain: &str) -> bool {
         let workspace = self
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -28,6 +28,7 @@
 use crate::handle::handle;
 use crate::introduction;
 use crate::load_updates::{relay_changes, send_domain_updates, send_releases, send_updates};
+use crate::part_updates::send_parts;
 use crate::rate_limit_updates::send_rate_limits;
 use crate::suspect_updates::send_suspects;
 use crate::timeouts::CallerTimeouts;
@@ -92,6 +93,7 @@
     tokio::spawn(update_plans(cx.clone()));
     tokio::spawn(send_releases(cx.clone(), beacon.clone()));
     tokio::spawn(send_suspects(cx.clone(), beacon.clone()));
+    tokio::spawn(send_parts(cx.clone(), beacon.clone()));
     tokio::spawn(send_rate_limits(cx.clone(), beacon.clone()));
     tokio::spawn(listen(cx.clone(), beacon));
     serve_callers(&cx, caller_listener).await;
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -3,24 +3,32 @@
 //! [`decide::quarantine`] decides about them. Each attempt is checked here before it waits for a slot and again when
 //! it has one: a first attempt, a retry after a lost response, and a stream that is resumed at another upstream.
 //! `crate::suspect_updates` sends updates to other gateways.
+//!
+//! A part of a prompt that is blamed for exits is quarantined like a request, by its own fingerprint, and with it all
+//! requests that have it. `crate::prompt_parts` has the evidence.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use base::{Fingerprint, Set, UpstreamIncarnation};
-use beacon::SuspectUpdate;
-use decide::quarantine::{Decision, Isolation, Quarantine, UpstreamExit};
+use beacon::{PartUpdate, SuspectUpdate};
+use decide::part_evidence::{BlamedPart, LostRun};
+use decide::quarantine::{
+    Decision, Isolation, QUARANTINE_THRESHOLD, Quarantine, SuspectState, UpstreamExit,
+};
 use log::info;
 use rand::RngExt;
 use tokio::sync::watch;
 
 use crate::Cx;
+use crate::activity::Activity;
 use crate::announcements::{
     DueSuspects, PendingUpdates, Scope, suspect_from_update, suspect_update,
 };
+use crate::prompt_parts::PromptParts;
 use crate::refusal::Refusal;
-use crate::request::RoutedRequest;
+use crate::request::{PromptPart, RoutedRequest};
 use crate::unconfirmed::{UnconfirmedExit, UnconfirmedExits};
 use crate::upstream::Upstream;
 
@@ -58,6 +66,8 @@
 pub struct Suspects {
     quarantine: Mutex<Quarantine>,
     unconfirmed: UnconfirmedExits,
+    /// Evidence on parts of prompts.
+    pub(crate) parts: PromptParts,
     /// Pending updates to other gateways.
     pub(crate) pending: PendingUpdates,
     /// Notifies of changes of the quarantined requests.
@@ -68,6 +78,44 @@
     store_loaded: watch::Sender<bool>,
 }
 
+/// Run of a request whose response was lost.
+#[derive(Debug)]
+pub(crate) struct LostResponse {
+    /// Fingerprint of the request.
+    pub(crate) request: Fingerprint,
+    /// Fingerprints of the shared parts of its prompt.
+    parts: Vec<Fingerprint>,
+    /// Ids of these parts.
+    part_ids: Vec<PromptPart>,
+    route: String,
+    workspace: Option<String>,
+    /// When it was sent to the upstream.
+    started: Instant,
+}
+
+impl LostResponse {
+    /// Returns the run of an attempt.
+    pub(crate) fn of(req: &RoutedRequest, activity: &Activity) -> LostResponse {
+        LostResponse {
+            request: req.fingerprint(),
+            parts: req.part_fingerprints(),
+            part_ids: req.metadata.shared_parts.clone(),
+            route: req.route.name.clone(),
+            workspace: req.workspace.as_ref().map(|w| w.workspace.clone()),
+            started: activity.started().unwrap_or_else(clock::now),
+        }
+    }
+
+    fn workspace(&self) -> &str {
+        self.workspace.as_deref().unwrap_or("-")
+    }
+
+    fn part_id(&self, part: &Fingerprint) -> &str {
+        let i = self.parts.iter().position(|p| p == part);
+        i.and_then(|i| self.part_ids.get(i)).map_or("-", |id| id)
+    }
+}
+
 /// Trial of a suspect, which ends when this is dropped.
 #[derive(Debug)]
 pub struct TrialGuard {
@@ -94,6 +142,7 @@
         Suspects {
             quarantine: Mutex::new(Quarantine::new(hold_time)),
             unconfirmed: UnconfirmedExits::default(),
+            parts: PromptParts::new(hold_time),
             pending: PendingUpdates::default(),
             changed: watch::Sender::new(()),
             unstored: Mutex::default(),
@@ -108,12 +157,27 @@
     }
 
     fn decision(&self, req: &RoutedRequest) -> Decision {
+        self.strictest(req)
+            .map_or(Decision::Allow, |(_, decision)| decision)
+    }
+
+    /// Returns the strictest decision on a request and the quarantined parts of its prompt, and what it is about; `None`
+    /// if nothing is known of them.
+    fn strictest(&self, req: &RoutedRequest) -> Option<(Fingerprint, Decision)> {
         let quarantine = self.quarantine();
-        match quarantine.is_empty() {
-            // The usual case, which needs neither the fingerprint nor the time.
-            true => Decision::Allow,
-            false => quarantine.decide(&req.fingerprint(), clock::now()),
+        if quarantine.is_empty() {
+            // The usual case, which needs neither the fingerprints nor the time.
+            return None;
         }
+        let now = clock::now();
+        let parts = req.part_fingerprints();
+        let blamed = parts
+            .iter()
+            .filter(|part| is_blamed(&quarantine, part))
+            .filter(|part| !self.parts.is_doubtful(part, &parts));
+        let subjects = blamed.copied().chain([req.fingerprint()]);
+        let decisions = subjects.map(|subject| (subject, quarantine.decide(&subject, now)));
+        decisions.max_by_key(|(_, decision)| *decision)
     }
 
     /// Returns the upstreams where suspects are on trial.
@@ -128,10 +192,10 @@
         req: &RoutedRequest,
         upstream: SocketAddr,
     ) -> Result<Option<TrialGuard>, Refusal> {
-        if self.decision(req) == Decision::Allow {
-            return Ok(None);
-        }
-        let request = req.fingerprint();
+        let request = match self.strictest(req) {
+            None | Some((_, Decision::Allow)) => return Ok(None),
+            Some((subject, _)) => subject,
+        };
         let trial = self
             .quarantine()
             .begin_trial(&request, upstream, clock::now());
@@ -156,9 +220,9 @@
     }
 
     /// Records that a response was lost; whether its upstream exited may become known later.
-    pub(crate) fn record_lost_response(&self, req: &RoutedRequest, upstream: &Upstream) {
+    pub(crate) fn record_lost_response(&self, run: LostResponse, upstream: &Upstream) {
         self.unconfirmed.add(UnconfirmedExit {
-            request: req.fingerprint(),
+            run,
             upstream: upstream.addr,
             exit: exit_of(upstream),
         });
@@ -168,21 +232,76 @@
     /// lost there.
     pub fn confirm_exits(&self, listed: &Set<UpstreamIncarnation>) {
         for unconfirmed in self.unconfirmed.take_confirmed(listed, clock::now()) {
-            self.add_exit(
-                unconfirmed.request,
-                unconfirmed.upstream,
-                unconfirmed.exit,
-                "-",
-                "-",
-            );
+            self.add_lost_run(&unconfirmed.run, unconfirmed.upstream, unconfirmed.exit);
         }
     }
 
     /// Records that an upstream exited while it ran a request.
-    pub(crate) fn record_exit(&self, req: &RoutedRequest, upstream: &Upstream) {
-        let workspace = req.workspace.as_ref().map_or("-", |w| &w.workspace);
-        let (request, exit) = (req.fingerprint(), exit_of(upstream));
-        self.add_exit(request, upstream.addr, exit, &req.route.name, workspace);
+    pub(crate) fn record_exit(&self, run: &LostResponse, upstream: &Upstream) {
+        self.add_lost_run(run, upstream.addr, exit_of(upstream));
+    }
+
+    /// Adds an exit to the request, unless parts of its prompt are blamed: then to those that were known to be when it
+    /// was sent.
+    fn add_lost_run(&self, run: &LostResponse, upstream: SocketAddr, exit: UpstreamExit) {
+        let blamed = self.blamed_parts(&run.parts);
+        if blamed.is_empty() {
+            self.add_exit(run.request, upstream, exit, run);
+        }
+        for (part, last_exit) in blamed {
+            if run.started >= last_exit {
+                self.add_exit(part, upstream, exit, run);
+            }
+        }
+        let lost = LostRun {
+            request: run.request,
+            incarnation: exit.incarnation,
+            started: run.started,
+            ended: exit.at,
+            parts: run.parts.clone(),
+        };
+        for blamed in self.parts.record_lost(lost) {
+            let id = run.part_id(&blamed.part);
+            info!(target: PART, "{PART}: event=held request={} part={id} ends={} route={} workspace={}", blamed.part, blamed.exits.len(), run.route, run.workspace());
+            metrics::counter!("driftnotch_held_total").increment(1);
+            self.unstored().insert(blamed.part);
+            self.quarantine_part(blamed);
+        }
+    }
+
+    /// Returns those of these parts that are blamed, each with the time of its last exit.
+    fn blamed_parts(&self, parts: &[Fingerprint]) -> Vec<(Fingerprint, Instant)> {
+        let quarantine = self.quarantine();
+        let blamed = parts.iter().filter(|part| is_blamed(&quarantine, part));
+        let with_last_exit = blamed.filter_map(|part| {
+            let last = quarantine.suspect(part)?.exits.last()?;
+            Some((*part, last.at))
+        });
+        with_last_exit.collect()
+    }
+
+    fn quarantine_part(&self, blamed: BlamedPart) {
+        let state = SuspectState {
+            exits: blamed.exits,
+            ..SuspectState::default()
+        };
+        if self.quarantine().merge(blamed.part, state) {
+            self.pending.add(blamed.part, Scope::Everywhere);
+            self.changed.send_replace(());
+        }
+    }
+
+    /// Applies another gateway's evidence on parts of prompts, and relays what is new to `relay_to`.
+    pub(crate) fn receive_parts(&self, updates: Vec<PartUpdate>, relay_to: Option<Scope>) {
+        let now = clock::now();
+        let changes = self.parts.receive(updates, relay_to, now);
+        for blamed in changes.blamed {
+            info!(target: PART, "{PART}: event=heard request={} held=true", blamed.part);
+            self.quarantine_part(blamed);
+        }
+        for part in changes.cleared {
+            self.record_subject_completion(&part, now);
+        }
     }
 
     fn add_exit(
@@ -190,8 +309,7 @@
         request: Fingerprint,
         upstream: SocketAddr,
         exit: UpstreamExit,
-        route: &str,
-        workspace: &str,
+        run: &LostResponse,
     ) {
         let now = clock::now();
         let mut quarantine = self.quarantine();
@@ -203,7 +321,7 @@
             self.pending.add(request, Scope::Everywhere);
         }
         if is_quarantined && is_new {
-            info!(target: PART, "{PART}: event=held request={request} ends={exits} route={route} workspace={workspace}");
+            info!(target: PART, "{PART}: event=held request={request} part={} ends={exits} route={} workspace={}", run.part_id(&request), run.route, run.workspace());
             metrics::counter!("driftnotch_held_total").increment(1);
             self.unstored().insert(request);
             self.changed.send_replace(());
@@ -214,14 +332,22 @@
     pub(crate) fn record_completion(&self, req: &RoutedRequest) {
         let now = clock::now();
         self.unconfirmed.forget(|| req.fingerprint());
-        let mut quarantine = self.quarantine();
-        if quarantine.is_empty() {
+        if self.is_empty() && self.parts.is_empty() {
             return;
         }
-        let request = req.fingerprint();
-        if quarantine.record_completion(&request, now) {
+        let parts = req.part_fingerprints();
+        self.parts.record_completion(&parts, now);
+        for subject in parts.iter().chain([&req.fingerprint()]) {
+            self.record_subject_completion(subject, now);
+        }
+    }
+
+    /// Records that a request, or a part of its prompt, ran to completion.
+    fn record_subject_completion(&self, subject: &Fingerprint, now: Instant) {
+        let mut quarantine = self.quarantine();
+        if quarantine.record_completion(subject, now) {
             drop(quarantine);
-            self.pending.add(request, Scope::Everywhere);
+            self.pending.add(*subject, Scope::Everywhere);
             self.changed.send_replace(());
         }
     }
@@ -234,6 +360,7 @@
             quarantine.is_quarantined(request, now) && quarantine.record_completion(request, now);
         drop(quarantine);
         if is_cleared {
+            self.parts.clear(request, now);
             info!(target: PART, "{PART}: event=cleared request={request}");
             self.pending.add(*request, Scope::Everywhere);
             self.changed.send_replace(());
@@ -265,6 +392,9 @@
             if let Some(scope) = relay_to.filter(|_| is_new) {
                 self.pending.add(request, scope);
             }
+            if was_quarantined && !is_quarantined {
+                self.parts.clear(&request, now);
+            }
             if was_quarantined != is_quarantined {
                 info!(target: PART, "{PART}: event=heard request={request} held={is_quarantined}");
                 self.changed.send_replace(());
@@ -387,6 +517,12 @@
     }
 }
 
+/// Returns whether a part of a prompt is blamed for exits.
+fn is_blamed(quarantine: &Quarantine, part: &Fingerprint) -> bool {
+    let suspect = quarantine.suspect(part);
+    suspect.is_some_and(|s| s.exits.len() >= QUARANTINE_THRESHOLD)
+}
+
 fn exit_of(upstream: &Upstream) -> UpstreamExit {
     UpstreamExit {
         incarnation: upstream.incarnation,
--- a/crates/gateway/src/unconfirmed.rs
+++ b/crates/gateway/src/unconfirmed.rs
@@ -11,6 +11,8 @@
 use base::{Fingerprint, Set, UpstreamIncarnation};
 use decide::quarantine::UpstreamExit;
 
+use crate::suspects::LostResponse;
+
 /// Time within which the platform's list shows an exit that a probe didn't show: an entry expires after three
 /// heartbeats, and a list is up to 1.4 s old.
 const CONFIRM_TIME: Duration = Duration::from_secs(10);
@@ -19,10 +21,10 @@
 const MAX_UNCONFIRMED: usize = 1024;
 
 /// Possible exit of an upstream whose response was lost.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 pub(crate) struct UnconfirmedExit {
-    /// Request whose response was lost.
-    pub(crate) request: Fingerprint,
+    /// Run whose response was lost.
+    pub(crate) run: LostResponse,
     /// Upstream that it was sent to.
     pub(crate) upstream: SocketAddr,
     /// Exit of that upstream, if it exited.
@@ -69,7 +71,7 @@
         let mut exits = self.exits();
         if !exits.is_empty() {
             let request = request();
-            exits.retain(|e| e.request != request);
+            exits.retain(|e| e.run.request != request);
         }
     }
 }
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -96,7 +96,9 @@
                 | Msg::FarPace(_)
                 | Msg::Demand(_)
                 | Msg::DomainDemand(_)
-                | Msg::RelayedDemand(_),
+                | Msg::RelayedDemand(_)
+                | Msg::Parts(_)
+                | Msg::FarParts(_),
                 _,
             ) => {}
         }
