Soak: requests with a deadly prompt part in common

--deadly-part makes the deadly callers send requests that are different but for a part of their prompts; at most three may reach engines later than contact_time after the fifth exit. All callers' prompts share their first part.

--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use soak::deadly::DeadlyKind;
 use soak::options::{Options, Seed};
 
 /// Length of the phase with faults.
@@ -116,6 +117,28 @@
     assert!(report.served > 0 && report.engine_exits > 0);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn quarantines_prompt_part_under_which_engines_exit_during_faults() {
+    let options = Options {
+        deadly: DEADLY_CALLERS,
+        deadly_kind: DeadlyKind::Part,
+        ..options(FAULT_TIME)
+    };
+    println!("seed {DEADLY_SEED}");
+
+    let report = soak::run(options, DEADLY_SEED)
+        .await
+        .expect("the run completes");
+
+    assert_eq!(
+        report.violations,
+        [],
+        "seed {DEADLY_SEED}: {:?}",
+        report.faults
+    );
+    assert!(report.served > 0 && report.engine_exits > 0);
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_request_is_interrupted_while_engines_pause() {
     let options = Options {
