--- a/crates/beacon/tests/messages.rs
+++ b/crates/beacon/tests/messages.rs
@@ -5,8 +5,8 @@
 
 use base::{Era, Fingerprint, StoreRevision};
 use beacon::{
-    Beacon, Demand, DemandUpdate, LoadUpdate, MAX_DATAGRAM, Msg, PaceUpdate, SuspectUpdate,
-    TrialUpdate, batch_messages, decode, encode,
+    Beacon, Demand, DemandUpdate, LoadUpdate, LostRunUpdate, MAX_DATAGRAM, Msg, PaceUpdate,
+    PartUpdate, SuspectUpdate, TrialUpdate, batch_messages, decode, encode,
 };
 use proptest::prelude::*;
 use tokio::net::UdpSocket;
@@ -139,6 +139,30 @@
 
 /// Guards against a receiver that stops, or that reads another message, when a newer process sends a kind that it
 /// doesn't know.
+#[test]
+fn kinds_of_part_updates_are_transmitted_and_come_after_all_earlier_ones() {
+    let part = Fingerprint::of(&[b"part"]);
+    let update = |n| {
+        PartUpdate::Lost(LostRunUpdate {
+            request: part,
+            incarnation: n,
+            started: Duration::from_millis(300),
+            ended: Duration::ZERO,
+            parts: vec![part; 3],
+        })
+    };
+    let earlier = encode(&Msg::RelayedDemand(demand_update())).expect("an encoded message");
+    for (msg, kind) in [
+        (Msg::Parts(vec![update(3)]), earlier[0] + 1),
+        (Msg::FarParts(vec![update(4)]), earlier[0] + 2),
+    ] {
+        let buf = encode(&msg).expect("an encoded message");
+
+        assert_eq!(buf[0], kind);
+        assert_eq!(decode(&buf), Ok(msg));
+    }
+}
+
 #[tokio::test]
 async fn datagram_of_an_unknown_kind_is_skipped() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
