Let a completion that becomes known late clear no later exit

An update of a completed part is repeated for 1.3 s. One that arrived after further exits cleared these too, and the part's quarantine with them; and evidence older than the hold time counted until the next update was due. Found by reading. Completions now clear what ended before them, also of the quarantine, and evidence expires before any is added.

completion_that_becomes_known_late_clears_no_later_exit fails without it.

--- a/crates/decide/src/part_evidence.rs
+++ b/crates/decide/src/part_evidence.rs
@@ -102,17 +102,14 @@
         true
     }
 
-    /// Records that a request with these parts completed. Returns the parts that this clears.
-    pub fn record_completion(&mut self, parts: &[Fingerprint], now: Instant) -> Vec<Fingerprint> {
-        let mut cleared = Vec::new();
-        for part in parts {
-            let has_evidence = self.runs_with(part).next().is_some();
+    /// Records that a request with these parts completed. Returns the parts that this clears of an earlier exit.
+    pub fn record_completion(&mut self, parts: &[Fingerprint], at: Instant) -> Vec<Fingerprint> {
+        let is_earlier = |run: &LostRun| run.ended <= at;
+        let has_earlier = |part: &&Fingerprint| self.runs_with(part).any(is_earlier);
+        let cleared: Vec<Fingerprint> = parts.iter().filter(has_earlier).copied().collect();
+        for part in &cleared {
+            self.completed.insert(*part, at);
             self.blamed.remove(part);
-            if has_evidence {
-                let at = self.completed.entry(*part).or_insert(now);
-                *at = now.max(*at);
-                cleared.push(*part);
-            }
         }
         cleared
     }
--- a/crates/decide/tests/part_evidence.rs
+++ b/crates/decide/tests/part_evidence.rs
@@ -86,6 +86,27 @@
     assert_eq!(blamed(&mut evidence), [part(9)]);
 }
 
+#[test]
+fn completion_that_becomes_known_late_clears_no_later_exit() {
+    let start = Instant::now();
+    let mut evidence = with_runs(
+        start,
+        &[
+            (0, 1, &[9]),
+            (400, 2, &[9]),
+            (800, 3, &[9]),
+            (1200, 4, &[9]),
+        ],
+    );
+
+    let before_all = evidence.record_completion(&parts(&[9]), start + ms(200));
+    assert_eq!(blamed(&mut evidence), [part(9)]);
+    let before_last = evidence.record_completion(&parts(&[9]), start + ms(1000));
+
+    assert_eq!((before_all, before_last), (vec![], parts(&[9])));
+    assert_eq!(blamed(&mut evidence), []);
+}
+
 #[test]
 fn part_of_fewer_exits_is_not_blamed_for_those_of_another() {
     let start = Instant::now();
--- a/crates/gateway/src/part_updates.rs
+++ b/crates/gateway/src/part_updates.rs
@@ -1,5 +1,5 @@
-//! Sends updates of the evidence on parts of prompts to other gateways, like those of suspects. While no upstream
-//! exits, nothing is sent.
+//! Sends updates of the evidence on parts of prompts to other gateways, like those of suspects, and purges expired
+//! evidence. While no upstream exits, nothing is sent.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -12,6 +12,9 @@
 /// Time for which updates are batched.
 const BATCH_TIME: Duration = Duration::from_millis(3);
 
+/// Time between two purges.
+const PURGE_INTERVAL: Duration = Duration::from_secs(60);
+
 /// Maximum number of updates in a message to another failure domain.
 const MAX_FAR: usize = 15;
 
@@ -33,16 +36,11 @@
     }
 }
 
-/// Waits until an update may be due. Without pending ones no timer runs.
 async fn wait_until_due(cx: &Cx, next: Option<Instant>) {
-    let due = async {
-        match next {
-            Some(next) => clock::sleep_until(next).await,
-            None => std::future::pending().await,
-        }
-    };
+    let until = clock::now() + PURGE_INTERVAL;
+    let until = next.map_or(until, |next| next.min(until));
     tokio::select! {
         () = cx.suspects.parts.changed() => tokio::time::sleep(BATCH_TIME).await,
-        () = due => {}
+        () = clock::sleep_until(until) => {}
     }
 }
--- a/crates/gateway/src/prompt_parts.rs
+++ b/crates/gateway/src/prompt_parts.rs
@@ -48,8 +48,8 @@
 pub(crate) struct PartChanges {
     /// Parts that are blamed now.
     pub(crate) blamed: Vec<BlamedPart>,
-    /// Parts that completed.
-    pub(crate) cleared: Vec<Fingerprint>,
+    /// Parts that completed, and when.
+    pub(crate) cleared: Vec<(Fingerprint, Instant)>,
 }
 
 /// Evidence on parts of prompts.
@@ -86,6 +86,7 @@
     /// Records a lost run of this gateway. Returns the parts that are blamed now.
     pub(crate) fn record_lost(&self, run: LostRun) -> Vec<BlamedPart> {
         let mut evidence = self.evidence();
+        evidence.expire(run.ended);
         if !evidence.add(run.clone()) {
             return Vec::new();
         }
@@ -122,6 +123,7 @@
         now: Instant,
     ) -> PartChanges {
         let mut changes = PartChanges::default();
+        self.evidence().expire(now);
         for update in updates {
             let observation = observation(update, now);
             let mut evidence = self.evidence();
@@ -129,7 +131,9 @@
                 Observation::Lost(run) => evidence.add(run.clone()),
                 Observation::Completed { part, at } => {
                     let cleared = evidence.record_completion(&[*part], *at);
-                    changes.cleared.extend(&cleared);
+                    changes
+                        .cleared
+                        .extend(cleared.iter().map(|part| (*part, *at)));
                     !cleared.is_empty()
                 }
             };
--- a/crates/gateway/src/suspects.rs
+++ b/crates/gateway/src/suspects.rs
@@ -299,8 +299,8 @@
             info!(target: PART, "{PART}: event=heard request={} held=true", blamed.part);
             self.quarantine_part(blamed);
         }
-        for part in changes.cleared {
-            self.record_subject_completion(&part, now);
+        for (part, at) in changes.cleared {
+            self.record_subject_completion(&part, at);
         }
     }
 
@@ -343,9 +343,9 @@
     }
 
     /// Records that a request, or a part of its prompt, ran to completion.
-    fn record_subject_completion(&self, subject: &Fingerprint, now: Instant) {
+    fn record_subject_completion(&self, subject: &Fingerprint, at: Instant) {
         let mut quarantine = self.quarantine();
-        if quarantine.record_completion(subject, now) {
+        if quarantine.record_completion(subject, at) {
             drop(quarantine);
             self.pending.add(*subject, Scope::Everywhere);
             self.changed.send_replace(());
