--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -159,8 +159,9 @@
     field(
         "hold_time",
         Duration("10m", "10ms", "24h"),
-        "How long a request under which three upstreams ended is sent to no more of them; twice as long each \
-         time that it ends one more afterwards. Each try costs an upstream for seconds.",
+        "How long a request under which three upstreams ended, or all requests with a part of their prompts \
+         under which four did, are sent to no more of them; twice as long each time that one more ends \
+         afterwards. Each try costs an upstream for seconds.",
     ),
     field(
         "stop_notice",
