Log why a release isn't fetched yet

A loader that knew of a release and didn't begin it logged nothing, and the failures of the origin to give a manifest were logged at debug alone. A loader that doesn't know of a release, one that waits for an older fetch, and one whose origin answers 410 couldn't be told apart.

Now deferred (which release waits for which fetch) and origin_failed (once for each reason) are logged, and driftnotch_origin_manifest_failures_total counts the latter.

--- a/crates/loader/src/manifest.rs
+++ b/crates/loader/src/manifest.rs
@@ -9,7 +9,7 @@
 
 use base::rendezvous::rank;
 use beacon::Member;
-use log::{debug, info};
+use log::{debug, info, warn};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use web::Client;
@@ -44,6 +44,7 @@
 pub(crate) async fn manifest(cx: &Cx, origin: &OriginVersion, client: &Client) -> Manifest {
     let started = clock::now();
     let mut origin_tried = None;
+    let mut origin_error = None;
     loop {
         let preceding = preceding(cx, origin);
         let delay = TIME_PER_RANK * preceding.len() as u32;
@@ -71,6 +72,9 @@
             }
             Err(e) => {
                 debug!(target: PART, "{PART}: event=no_manifest version={} why=\"{e}\"", origin.version);
+                if from_origin {
+                    log_change(origin, &mut origin_error, e.to_string());
+                }
                 let random = rand::rng().random_range(0.0..1.0);
                 tokio::time::sleep(RETRY_PAUSE.mul_f64(0.5 + random)).await;
             }
@@ -78,6 +82,15 @@
     }
 }
 
+/// Counts a failed request to the origin, and logs it unless the last one failed for the same reason.
+fn log_change(origin: &OriginVersion, last: &mut Option<String>, why: String) {
+    metrics::counter!("driftnotch_origin_manifest_failures_total").increment(1);
+    if last.as_ref() != Some(&why) {
+        warn!(target: PART, "{PART}: event=origin_failed model={} version={} why=\"{why}\"", origin.model, origin.version);
+        *last = Some(why);
+    }
+}
+
 /// Waits for a random time, so that the loaders that need a manifest don't all request it from its few holders at
 /// once, which would delay every response to the time of the last.
 async fn jitter(loaders: usize, holders: usize) {
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -77,6 +77,8 @@
     client: Client,
     state: watch::Receiver<Option<EngineState>>,
     fetches: Map<Model, CurrentFetch>,
+    /// Newest versions whose fetch waits for that of an older one, for the log.
+    deferred: Map<Model, WeightsVersion>,
     pending_order: Option<PendingOrder>,
     /// The task that gives the pending order; dropped with the order.
     ordering: JoinSet<Result<OrderResult, ApiError>>,
@@ -94,6 +96,7 @@
         client,
         state,
         fetches: Map::default(),
+        deferred: Map::default(),
         pending_order: None,
         ordering: JoinSet::new(),
         last_state: None,
@@ -152,9 +155,13 @@
         let mut older = Vec::new();
         if let Some(current) = self.fetches.get(model) {
             let done = current.task.is_finished();
-            if current.version >= version
-                || !(done || self.can_start(model, current.version, version))
-            {
+            if current.version >= version {
+                return;
+            }
+            if !(done || self.can_start(model, current.version, version)) {
+                if self.deferred.insert(model.clone(), version) != Some(version) {
+                    info!(target: PART, "{PART}: event=deferred model={model} version={version} for={}", current.version);
+                }
                 return;
             }
             info!(target: PART, "{PART}: event=left version={} done={done} for={version}", current.version);
