Fetch later releases beside a version that can't be completed

The origin had been down for 10 s, and three releases fell into that time.

Cause: a newer version was fetched beside an older one in progress only if it was released within the bound of the older one or while that was young. Otherwise the older fetch was waited for without an end, and it had none: the origin answered 410 for its manifest, as two newer versions were released. Evidence: all loaders logged deferred for=2 for both later releases, and requested nothing else.

Now the manifest of a newer version is requested at once. Once it has arrived, the prediction that was made for close releases decides for all; a version without a manifest, or one that the origin has withdrawn and that loaders don't hold together, has no precedence. Without predict_rollout an older version is waited for only while its chunks arrive. Engines whose version has expired leave at once also if the releases since are far apart.

The test of follows_within_bound got the name of what it checks.

--- a/crates/decide/src/rollout.rs
+++ b/crates/decide/src/rollout.rs
@@ -61,8 +61,7 @@
     until.min()
 }
 
-/// Returns whether a version was released within the bound of an older one. Only then may a version in progress
-/// compete with its successor.
+/// Returns whether a version was released within the bound of an older one.
 pub fn follows_within_bound(
     releases: &[Release],
     older: WeightsVersion,
--- a/crates/decide/tests/rollout.rs
+++ b/crates/decide/tests/rollout.rs
@@ -331,7 +331,7 @@
 }
 
 #[test]
-fn releases_further_apart_than_the_bound_do_not_compete() {
+fn release_after_the_bound_of_an_older_one_does_not_follow_within_it() {
     let start = Instant::now();
     let releases = releases(start, &kiosks_outage());
 
--- a/crates/loader/src/api.rs
+++ b/crates/loader/src/api.rs
@@ -28,12 +28,16 @@
     /// There was no complete answer; the call may have been carried out, or may be later. A process that pauses looks
     /// like this, and so does one that is gone.
     Unanswered(String),
+    /// The origin doesn't provide the version any more, since newer ones were released.
+    Gone(String),
 }
 
 impl fmt::Display for ApiError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            ApiError::Failed(why) | ApiError::Unanswered(why) => f.write_str(why),
+            ApiError::Failed(why) | ApiError::Unanswered(why) | ApiError::Gone(why) => {
+                f.write_str(why)
+            }
         }
     }
 }
--- a/crates/loader/src/chunk_set.rs
+++ b/crates/loader/src/chunk_set.rs
@@ -35,6 +35,8 @@
     last_progress: Mutex<Instant>,
     /// Whether chunks staged at the engine have been read back.
     read_back: AtomicBool,
+    /// Whether the origin has answered that it doesn't provide the version any more.
+    withdrawn: AtomicBool,
 }
 
 impl ChunkSet {
@@ -51,6 +53,7 @@
             successor: Mutex::default(),
             last_progress: Mutex::new(clock::now()),
             read_back: AtomicBool::new(false),
+            withdrawn: AtomicBool::new(false),
         }
     }
 
@@ -90,6 +93,17 @@
         self.read_back.load(Relaxed)
     }
 
+    /// Records whether the origin has answered that it doesn't provide the version any more. Returns whether that is
+    /// a change.
+    pub fn set_withdrawn(&self, withdrawn: bool) -> bool {
+        self.withdrawn.swap(withdrawn, Relaxed) != withdrawn
+    }
+
+    /// Returns whether neither the origin nor the loaders together provide all chunks.
+    pub fn is_unobtainable(&self) -> bool {
+        self.withdrawn.load(Relaxed) && self.unavailable() > 0
+    }
+
     /// Returns the time since the last chunk arrived.
     pub fn stalled_for(&self) -> Duration {
         clock::since(*self.last_progress())
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -15,7 +15,7 @@
 
 use crate::Cx;
 use crate::announcer::Announcer;
-use crate::api::OriginVersion;
+use crate::api::{ApiError, OriginVersion};
 use crate::chunk::{ChunkError, Fetched, fetch_chunk};
 use crate::chunk_set::ChunkSet;
 use crate::peers::{PeerChunks, Scope, announce, loaders};
@@ -395,6 +395,14 @@
         ORIGIN_BACK_OFF.mul_f64(factor * rand::rng().random_range(0.5..1.5))
     }
 
+    /// Records whether the origin still provides the version, if a failed request to it says so.
+    fn record_origin_error(&self, e: &ApiError) {
+        let withdrawn = matches!(e, ApiError::Gone(_));
+        if withdrawn && self.set.set_withdrawn(true) {
+            info!(target: PART, "{PART}: event=withdrawn model={} version={} missing={}", self.set.model, self.set.version, self.set.unavailable());
+        }
+    }
+
     fn is_near(&self, addr: SocketAddr) -> bool {
         let near = |p: &&Peer| p.addr == addr && p.domain == self.policy.domain;
         self.swarm.peers().iter().any(|p| near(&p))
@@ -425,6 +433,7 @@
             }
             (Ok(true), Source::Origin) => {
                 self.counts.origin += 1;
+                self.set.set_withdrawn(false);
                 if self.origin_unreachable {
                     self.resume_origin();
                 }
@@ -450,6 +459,7 @@
             (Err(e), Source::Origin) => {
                 if let ChunkError::Failed(e) = e {
                     debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
+                    self.record_origin_error(e);
                 }
                 self.counts.failed += 1;
                 let now = clock::now();
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -17,6 +17,7 @@
 use crate::fetch::fetch;
 use crate::manifest::manifest;
 use crate::peers::{BYTES_PER_MBIT, Scope, announce, loaders};
+use crate::precedence::MAX_STALL;
 use crate::slot::{PendingVersion, can_skip, last_slot_start, should_complete, slot_start};
 use crate::stage::{EngineWatch, read_back, stage, until_answered, verify};
 use crate::succession::{OlderFetch, Releases, choose_predecessor, takes_older_version};
@@ -49,6 +50,7 @@
 /// Fetch of the newest version.
 struct CurrentFetch {
     version: WeightsVersion,
+    started: Instant,
     task: JoinHandle<()>,
     /// Fetches of older versions that may still be running; aborted when this version can be fetched.
     older: Vec<OlderFetch>,
@@ -149,8 +151,8 @@
         known.since.get(&(model.clone(), version)).copied()
     }
 
-    /// Starts the fetch of a version. A fetch in progress is completed first, unless the newer version can replace it
-    /// in time.
+    /// Starts the fetch of a version, beside that of an older one in progress. Without `predict_rollout`, the latter is
+    /// completed first, unless it has stalled or the newer version can replace it in time.
     fn fetch(&mut self, catalog: &Catalog, model: &Model, version: WeightsVersion) {
         let mut older = Vec::new();
         if let Some(current) = self.fetches.get(model) {
@@ -158,7 +160,7 @@
             if current.version >= version {
                 return;
             }
-            if !(done || self.can_start(model, current.version, version)) {
+            if !(done || self.can_start(model, current, version)) {
                 if self.deferred.insert(model.clone(), version) != Some(version) {
                     info!(target: PART, "{PART}: event=deferred model={model} version={version} for={}", current.version);
                 }
@@ -190,6 +192,7 @@
         ));
         let current = CurrentFetch {
             version,
+            started: clock::now(),
             task,
             older,
         };
@@ -198,9 +201,18 @@
 
     /// Returns whether the manifest of a newer version is fetched while an older version is in progress. Once it has
     /// arrived, a prediction decides which of competing versions is fetched first.
-    fn can_start(&self, model: &Model, older: WeightsVersion, newer: WeightsVersion) -> bool {
-        let competes = Releases::of(&self.cx, model).compete(older, newer);
-        (self.cx.cfg.predict_rollout && competes) || self.can_skip(model, older)
+    fn can_start(&self, model: &Model, older: &CurrentFetch, newer: WeightsVersion) -> bool {
+        let competes = Releases::of(&self.cx, model).compete(older.version, newer);
+        (self.cx.cfg.predict_rollout && competes)
+            || self.can_skip(model, older.version)
+            || self.has_stalled(model, older)
+    }
+
+    /// Returns whether a fetch has waited for its manifest or for a chunk for a long time.
+    fn has_stalled(&self, model: &Model, fetch: &CurrentFetch) -> bool {
+        let set = self.cx.sets.get(model, fetch.version);
+        let stalled_for = set.map_or_else(|| clock::since(fetch.started), |set| set.stalled_for());
+        stalled_for >= MAX_STALL
     }
 
     /// Returns whether a newer version can be on all engines before the bound of a version that is skipped. Otherwise
@@ -443,7 +455,9 @@
     let mut remaining = abort_older(&cx, &origin.model, others);
     let set = ChunkSet::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
-    let has_competitors = !competing.is_empty();
+    let has_competitors = competing.iter().any(|older| {
+        !older.task.is_finished() || releases.follow_within_bound(older.version, origin.version)
+    });
     let succession = choose_predecessor(&cx, &set, competing, &state);
     remaining.extend(succession.remaining);
     // Aborts the read-back when this task ends.
@@ -495,6 +509,7 @@
     let mut running = Vec::new();
     for OlderFetch { version, task } in older {
         let set = cx.sets.get(model, version);
+        let set = set.filter(|set| !set.is_unobtainable());
         let available = set.map_or(0.0, |set| set.available_fraction());
         let should_keep = should_complete(available);
         info!(target: PART, "{PART}: event=older version={version} obtainable={available:.2} kept={should_keep}");
--- a/crates/loader/src/slot.rs
+++ b/crates/loader/src/slot.rs
@@ -5,8 +5,7 @@
 //! without coordination. Their slots follow each other over a part of the bound by which all engines have to hold
 //! the version, so that as few engines as possible are out of service at any time.
 //!
-//! [`should_complete`] and [`can_skip`] apply to versions that were released further apart than the bound, or if
-//! `predict_rollout` is off; otherwise [`decide::rollout`] decides.
+//! [`should_complete`] and [`can_skip`] apply if `predict_rollout` is off; otherwise [`decide::rollout`] decides.
 
 use std::time::{Duration, Instant};
 
--- a/crates/loader/src/succession.rs
+++ b/crates/loader/src/succession.rs
@@ -57,17 +57,20 @@
         }
     }
 
-    /// Returns whether the order of two versions is decided by prediction.
+    /// Returns whether the order of two versions is decided by prediction: both releases are known.
     pub(crate) fn compete(&self, older: WeightsVersion, newer: WeightsVersion) -> bool {
+        let is_known = |version| self.known.iter().any(|r| r.version == version);
+        older < newer && is_known(older) && is_known(newer)
+    }
+
+    /// Returns whether a version was released within the bound of an older one.
+    pub(crate) fn follow_within_bound(&self, older: WeightsVersion, newer: WeightsVersion) -> bool {
         follows_within_bound(&self.known, older, newer, self.bound)
     }
 
     /// Returns whether a version may begin no requests any more, and two releases since compete.
     pub(crate) fn has_expired(&self, held: WeightsVersion, now: Instant) -> bool {
-        let mut newer: Vec<_> = self.known.iter().map(|r| r.version).collect();
-        newer.retain(|version| *version > held);
-        newer.sort_unstable();
-        let competes = newer.windows(2).any(|pair| self.compete(pair[0], pair[1]));
+        let competes = self.known.iter().filter(|r| r.version > held).count() >= 2;
         let until = may_begin_until(&self.known, held, self.bound);
         competes && until.is_some_and(|until| until <= now)
     }
@@ -87,7 +90,7 @@
     fn access(&mut self, cx: &Cx, newer: &ChunkSet, newer_held: usize) -> Access {
         let now = clock::now();
         let progress = Progress {
-            is_finished: self.task.is_finished(),
+            is_finished: self.task.is_finished() || self.set.is_unobtainable(),
             missing: self.set.unavailable(),
             stalled_for: self.set.unavailable_stalled_for(now),
             newer_held,
@@ -216,7 +219,7 @@
     let mut remaining = Vec::new();
     for OlderFetch { version, task } in older {
         let set = cx.sets.get(&newer.model, version);
-        let Some(set) = set.filter(|_| !task.is_finished()) else {
+        let Some(set) = set.filter(|set| !task.is_finished() && !set.is_unobtainable()) else {
             info!(target: PART, "{PART}: event=older version={version} done={}", task.is_finished());
             task.abort();
             continue;
--- a/crates/loader/tests/slots.rs
+++ b/crates/loader/tests/slots.rs
@@ -195,3 +195,18 @@
         "a start time that is no longer reported"
     );
 }
+
+#[test]
+fn withdrawn_set_is_unobtainable_unless_loaders_hold_it_together() {
+    let set = set(2, &[b"a", b"b"]);
+    set.put(0, Bytes::from_static(b"a"));
+
+    let before = set.is_unobtainable();
+    set.set_withdrawn(true);
+    let withdrawn = set.is_unobtainable();
+    set.set_available(2);
+
+    assert!(!before);
+    assert!(withdrawn);
+    assert!(!set.is_unobtainable());
+}
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -32,6 +32,21 @@
     served: Vec<(WeightsVersion, usize)>,
     /// Requested chunks, served or not.
     requested: Vec<(WeightsVersion, usize)>,
+    /// Requested manifests, served or not.
+    manifests_requested: Vec<WeightsVersion>,
+    /// Oldest version that it provides.
+    oldest: WeightsVersion,
+}
+
+impl OriginState {
+    /// Returns the error of a request for a version, if it fails.
+    fn error(&self, version: WeightsVersion) -> Option<ApiError> {
+        match self.remaining {
+            0 => Some(ApiError::Failed("unreachable".to_owned())),
+            _ if version < self.oldest => Some(ApiError::Gone("withdrawn".to_owned())),
+            _ => None,
+        }
+    }
 }
 
 /// Engine that switches at once.
@@ -64,7 +79,6 @@
 }
 
 fn api(origin: &Shared<OriginState>, engine: &Shared<EngineStandIn>) -> Api {
-    let unreachable = || ApiError::Failed("unreachable".to_owned());
     let (state, put, get, start) = (
         engine.clone(),
         engine.clone(),
@@ -100,18 +114,19 @@
             Ok(OrderResult::Taken)
         }),
         manifest: call(move |of: loader::api::OriginVersion| {
-            let is_open = lock(&manifests).remaining > 0;
+            let mut origin = lock(&manifests);
+            origin.manifests_requested.push(of.version);
             let digest = |i| Sha256::digest(content(of.version, i)).into();
             let digests = (0..CHUNKS).map(digest).collect();
-            is_open
-                .then_some(Manifest { digests })
-                .ok_or_else(unreachable)
+            origin
+                .error(of.version)
+                .map_or(Ok(Manifest { digests }), Err)
         }),
         chunk: call(move |(of, i): (loader::api::OriginVersion, usize)| {
             let mut origin = lock(&chunks);
             origin.requested.push((of.version, i));
-            if origin.remaining == 0 {
-                return Err(unreachable());
+            if let Some(e) = origin.error(of.version) {
+                return Err(e);
             }
             origin.remaining -= 1;
             origin.served.push((of.version, i));
@@ -130,6 +145,7 @@
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     listed: watch::Sender<Vec<Member>>,
     stop: watch::Sender<bool>,
+    predict_rollout: bool,
 }
 
 /// Returns an address below the range of ephemeral ports, so that no outgoing connection takes its port before a loader
@@ -184,6 +200,10 @@
 
 impl Fleet {
     fn start() -> Fleet {
+        Fleet::start_with(true)
+    }
+
+    fn start_with(predict_rollout: bool) -> Fleet {
         let member = |i| Member {
             vm: format!("l-{i}"),
             role: Role::Loader,
@@ -206,6 +226,7 @@
             members,
             catalog: watch::Sender::new(Some(Arc::new(catalog()))),
             stop: watch::Sender::new(false),
+            predict_rollout,
             known: (0..LOADERS)
                 .map(|_| Arc::new(watch::Sender::default()))
                 .collect(),
@@ -218,13 +239,14 @@
     fn start_loader(&mut self, i: usize) {
         let member = &self.members[i];
         let text = format!(
-            "role: loader\nvm: {}\ndomain: recife\nservice: llm\nengine: {}\nchunks: {}\nbeacon: {}\nmetrics: {}\nstore: {}\nversion_time: 10s\nengine_poll: 20ms\norigin_patience: 400ms\n",
+            "role: loader\nvm: {}\ndomain: recife\nservice: llm\nengine: {}\nchunks: {}\nbeacon: {}\nmetrics: {}\nstore: {}\nversion_time: 10s\nengine_poll: 20ms\norigin_patience: 400ms\npredict_rollout: {}\n",
             member.vm,
             free_addr(),
             member.peer_addr,
             member.beacon,
             free_addr(),
             free_addr(),
+            self.predict_rollout,
         );
         let settings::Settings::Loader(cfg) = settings::check(&text).expect("valid settings")
         else {
@@ -299,6 +321,12 @@
         requested.filter(|(v, _)| *v == version).count()
     }
 
+    fn manifests_requested(&self, version: WeightsVersion) -> usize {
+        let origin = lock(&self.origin);
+        let requested = origin.manifests_requested.iter();
+        requested.filter(|v| **v == version).count()
+    }
+
     fn all_hold(&self, version: WeightsVersion) -> bool {
         self.engines.iter().all(|e| lock(e).version == version)
     }
@@ -417,3 +445,63 @@
         fleet.served(3)
     );
 }
+
+/// Releases version 2 while the origin serves `held` of its chunks and then is unreachable, version 3 after the bound of
+/// version 2, and version 4 at once. The origin returns without version 2.
+fn withdraw_version_during_outage(fleet: &Fleet, held: usize) {
+    fleet.open(held);
+    fleet.release(2, Duration::from_secs(12));
+    wait_until("the origin is unreachable", || match held {
+        0 => fleet.manifests_requested(2) > 0,
+        held => fleet.served(2) == held,
+    });
+    fleet.release(3, Duration::from_secs(1));
+    fleet.release(4, Duration::ZERO);
+    lock(&fleet.origin).oldest = 3;
+    fleet.open(usize::MAX);
+}
+
+/// Guards against a fetch that waits for a manifest for good and holds up all later releases.
+#[test]
+fn version_withdrawn_before_its_manifest_arrived_holds_up_no_release() {
+    let fleet = Fleet::start();
+
+    withdraw_version_during_outage(&fleet, 0);
+
+    wait_until("all engines hold version 4", || fleet.all_hold(4));
+}
+
+/// Guards against a fetch that waits for chunks for good and holds up all later releases.
+#[test]
+fn version_withdrawn_halfway_holds_up_no_release() {
+    let fleet = Fleet::start();
+
+    withdraw_version_during_outage(&fleet, CHUNKS / 3);
+
+    wait_until("all engines hold version 4", || fleet.all_hold(4));
+}
+
+/// Guards against the same with the setting that completes the older version first.
+#[test]
+fn withdrawn_version_holds_up_no_release_without_prediction() {
+    for held in [0, CHUNKS - 4] {
+        let fleet = Fleet::start_with(false);
+
+        withdraw_version_during_outage(&fleet, held);
+
+        wait_until("all engines hold version 4", || fleet.all_hold(4));
+    }
+}
+
+/// Guards against a version that is dropped, although loaders hold it together, since the origin has withdrawn it.
+#[test]
+fn withdrawn_version_that_loaders_hold_is_completed() {
+    let mut fleet = Fleet::start();
+    fleet.open(usize::MAX);
+    fleet.release(2, Duration::ZERO);
+    wait_until("a loader holds version 2", || fleet.served(2) >= CHUNKS);
+    lock(&fleet.origin).oldest = 3;
+    fleet.restart_loader(0);
+
+    wait_until("all engines hold version 2", || fleet.all_hold(2));
+}
