Correct wrong digests in a manifest

Cause: loaders took over any manifest that could be parsed, copied it from each other and never doubted it. No chunk matches a wrong digest. Evidence: 367 to 445 bad_chunk lines at each loader, all for one chunk and from the origin; with bytes that are spoilt on the way they would spread over chunks and sources.

Now a chunk that doesn't match leads to a check of the manifest: at the loader that sent it, or at the origin if the same content has come twice. Only digests of chunks that are missing are replaced, so the digests that chunks have proved stay. A loader with the right digest isn't banned by those with the wrong one. A manifest of another model, version or number of chunks is rejected.

--- a/crates/catalog/src/engine.rs
+++ b/crates/catalog/src/engine.rs
@@ -25,6 +25,8 @@
     pub prompt_rate: f64,
     /// Size of a chunk of weights, in bytes; 0 if unknown.
     pub chunk_bytes: u64,
+    /// Number of chunks of weights; 0 if unknown.
+    pub chunks: u32,
     /// Speed of its iterations.
     pub iteration: Iteration,
 }
--- a/crates/catalog/tests/priorities.rs
+++ b/crates/catalog/tests/priorities.rs
@@ -38,6 +38,7 @@
             layers: 1,
             prompt_rate: 30_000.0,
             chunk_bytes: 0,
+            chunks: 0,
             iteration: Iteration::default(),
         }),
         origin: None,
--- a/crates/decide/tests/engine_model.rs
+++ b/crates/decide/tests/engine_model.rs
@@ -452,6 +452,7 @@
         layers: 1,
         prompt_rate,
         chunk_bytes: 0,
+        chunks: 0,
         iteration,
     };
     let kiosks = Iteration {
--- a/crates/loader/src/chunk_set.rs
+++ b/crates/loader/src/chunk_set.rs
@@ -10,11 +10,18 @@
 use decide::rollout::ObservedRate;
 use sha2::{Digest, Sha256};
 
-use crate::api::Manifest;
+use crate::api::{ChunkDigest, Manifest};
 
 /// Maximum number of versions held per model: the one in use, and two that were released since.
 const MAX_VERSIONS: usize = 3;
 
+/// Chunks of a version and their digests, which are equal in number.
+#[derive(Debug)]
+struct Contents {
+    digests: Vec<ChunkDigest>,
+    chunks: Vec<Option<Bytes>>,
+}
+
 /// Chunks of one version.
 #[derive(Debug)]
 pub struct ChunkSet {
@@ -22,9 +29,9 @@
     pub model: Model,
     /// Version.
     pub version: WeightsVersion,
-    /// Manifest.
-    pub manifest: Manifest,
-    chunks: Mutex<Vec<Option<Bytes>>>,
+    /// Number of chunks of the version.
+    len: usize,
+    contents: Mutex<Contents>,
     /// Number of chunks that this loader or another holds.
     available: AtomicUsize,
     /// Rate at which that number has increased.
@@ -42,12 +49,16 @@
 impl ChunkSet {
     /// Creates a set without chunks.
     pub fn new(model: Model, version: WeightsVersion, manifest: Manifest) -> ChunkSet {
-        let chunks = Mutex::new(vec![None; manifest.digests.len()]);
+        let len = manifest.digests.len();
+        let contents = Contents {
+            digests: manifest.digests,
+            chunks: vec![None; len],
+        };
         ChunkSet {
             model,
             version,
-            manifest,
-            chunks,
+            len,
+            contents: Mutex::new(contents),
             available: AtomicUsize::new(0),
             rate: Mutex::default(),
             successor: Mutex::default(),
@@ -57,26 +68,58 @@
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Option<Bytes>>> {
-        self.chunks.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Contents> {
+        self.contents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the manifest.
+    pub fn manifest(&self) -> Manifest {
+        let digests = self.lock().digests.clone();
+        Manifest { digests }
     }
 
     /// Returns whether a buffer matches the digest of a chunk in the manifest.
     pub fn is_chunk(&self, i: usize, buf: &[u8]) -> bool {
-        let digest: [u8; 32] = Sha256::digest(buf).into();
-        self.manifest.digests.get(i) == Some(&digest)
+        self.lock().digests.get(i) == Some(&digest(buf))
     }
 
     /// Stores a chunk if it matches the manifest; returns whether it does.
     pub fn put(&self, i: usize, buf: Bytes) -> bool {
-        let is_valid = self.is_chunk(i, &buf);
+        let digest = digest(&buf);
+        let mut contents = self.lock();
+        let is_valid = contents.digests.get(i) == Some(&digest);
         if is_valid {
-            self.lock()[i] = Some(buf);
+            contents.chunks[i] = Some(buf);
+            drop(contents);
             *self.last_progress() = clock::now();
         }
         is_valid
     }
 
+    /// Returns whether the chunks that are held show a manifest to be of the same version: it has as many digests, and
+    /// those of most of them. A chunk is held only if it has matched its digest.
+    pub fn confirms(&self, manifest: &Manifest) -> bool {
+        let contents = self.lock();
+        let same = |i: &usize| contents.digests[*i] == manifest.digests[*i];
+        let held: Vec<usize> = (0..self.len.min(manifest.digests.len()))
+            .filter(|i| contents.chunks[*i].is_some())
+            .collect();
+        let confirmed = held.iter().copied().filter(same).count();
+        manifest.digests.len() == self.len && 2 * confirmed > held.len()
+    }
+
+    /// Replaces the digest of a chunk by that of another manifest, unless the chunk is held. Returns whether the digest
+    /// has changed.
+    pub fn correct_digest(&self, i: usize, digest: ChunkDigest) -> bool {
+        let mut contents = self.lock();
+        let is_wrong =
+            i < self.len && contents.chunks[i].is_none() && contents.digests[i] != digest;
+        if is_wrong {
+            contents.digests[i] = digest;
+        }
+        is_wrong
+    }
+
     fn last_progress(&self) -> MutexGuard<'_, Instant> {
         self.last_progress
             .lock()
@@ -111,7 +154,8 @@
 
     /// Returns the number of missing chunks.
     pub fn missing(&self) -> usize {
-        self.lock().iter().filter(|c| c.is_none()).count()
+        let contents = self.lock();
+        contents.chunks.iter().filter(|c| c.is_none()).count()
     }
 
     /// Records how many chunks this loader or another holds.
@@ -167,22 +211,22 @@
 
     /// Returns a chunk, if it is held.
     pub fn get(&self, i: usize) -> Option<Bytes> {
-        self.lock().get(i).cloned().flatten()
+        self.lock().chunks.get(i).cloned().flatten()
     }
 
     /// Returns a flag for each chunk, set if it is held.
     pub fn have(&self) -> Vec<bool> {
-        self.lock().iter().map(Option::is_some).collect()
+        self.lock().chunks.iter().map(Option::is_some).collect()
     }
 
     /// Returns whether all chunks are held.
     pub fn is_complete(&self) -> bool {
-        self.lock().iter().all(Option::is_some)
+        self.lock().chunks.iter().all(Option::is_some)
     }
 
     /// Returns the number of chunks of the version.
     pub fn len(&self) -> usize {
-        self.manifest.digests.len()
+        self.len
     }
 
     /// Returns whether the version consists of no chunks.
@@ -191,6 +235,11 @@
     }
 }
 
+/// Returns the digest of a chunk.
+pub(crate) fn digest(buf: &[u8]) -> ChunkDigest {
+    Sha256::digest(buf).into()
+}
+
 /// Chunk sets of all models.
 #[derive(Debug, Default)]
 pub struct ChunkSets {
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -6,6 +6,7 @@
 
 use agent::swarm::{Source, SourcePolicy, Swarm};
 use base::{Digest, Map, Set as HashSet};
+use bytes::Bytes;
 use log::{debug, info, warn};
 use rand::RngExt;
 use rand::seq::SliceRandom;
@@ -18,6 +19,7 @@
 use crate::api::{ApiError, OriginVersion};
 use crate::chunk::{ChunkError, Fetched, fetch_chunk};
 use crate::chunk_set::ChunkSet;
+use crate::manifest_check::{Checked, ManifestChecks};
 use crate::peers::{PeerChunks, Scope, announce, loaders};
 use crate::precedence::{Access, MAX_STALL};
 use crate::presence::Presence;
@@ -86,6 +88,7 @@
     /// Number of other loaders in the failure domain.
     pub(crate) near_loaders: usize,
     pub(crate) counts: Counts,
+    checks: ManifestChecks,
 }
 
 /// Outcomes of chunk fetches by source, for the log.
@@ -136,6 +139,7 @@
         last_read: now,
         near_loaders: 0,
         counts: Counts::default(),
+        checks: ManifestChecks::new(now),
         cx,
     };
     announce(&fetch.cx, &fetch.set, true, Scope::NearAndSample);
@@ -153,6 +157,13 @@
                 }
                 Err(e) => warn!(target: PART, "{PART}: event=task_failed why=\"{e}\""),
             },
+            checked = fetch.checks.next(), if !fetch.checks.is_idle() => match checked {
+                Some(checked) => {
+                    fetch.handle_checked(checked);
+                    announcer.announce_to_receivers(&fetch);
+                }
+                None => warn!(target: PART, "{PART}: event=check_failed version={}", fetch.set.version),
+            },
             () = announced(&fetch.cx, fetch.last_read) => fetch.read_new_announcements(),
             _ = ticks.tick() => {
                 fetch.read_announcements();
@@ -331,11 +342,13 @@
         }
         let (waited, stalled) = (clock::since(self.started), clock::since(self.last_progress));
         let have = self.set.have();
+        let digests = self.set.manifest().digests;
         let selector = self.swarm.selector(&self.policy, waited, stalled);
         let mut ready: Vec<_> = (0..have.len())
             .filter(|i| !have[*i] && !self.in_flight.contains(i))
+            .filter(|i| !self.checks.is_in_progress(*i))
             .filter_map(|i| {
-                let digest = Digest::from_slice(&self.set.manifest.digests[i]).ok()?;
+                let digest = Digest::from_slice(&digests[i]).ok()?;
                 let choice = selector.choose(i, &digest)?;
                 Some((choice.urgency, i, choice.source))
             })
@@ -408,30 +421,17 @@
         self.swarm.peers().iter().any(|p| near(&p))
     }
 
-    /// Handles the outcome of a chunk fetch.
-    fn handle(&mut self, fetched: Fetched) {
-        let Fetched {
-            i,
-            source,
-            elapsed,
-            result,
-        } = fetched;
-        self.cx.window.record_latency(elapsed);
-        self.in_flight.remove(&i);
+    /// Handles a chunk that matches its digest.
+    fn handle_chunk(&mut self, source: Source) {
         match source {
-            Source::Origin => self.from_origin -= 1,
-            Source::Peer(addr) => self.swarm.record_completed(addr),
-        }
-        let is_valid = result.as_ref().map(|buf| self.set.put(i, buf.clone()));
-        match (is_valid, source) {
-            (Ok(true), Source::Peer(addr)) => {
+            Source::Peer(addr) => {
                 self.last_progress = clock::now();
                 match self.is_near(addr) {
                     true => self.counts.near += 1,
                     false => self.counts.far += 1,
                 }
             }
-            (Ok(true), Source::Origin) => {
+            Source::Origin => {
                 self.counts.origin += 1;
                 self.set.set_withdrawn(false);
                 if self.origin_unreachable {
@@ -439,13 +439,58 @@
                 }
                 metrics::counter!("driftnotch_origin_chunks_total").increment(1);
             }
-            (Ok(false), source) => {
-                warn!(target: PART, "{PART}: event=bad_chunk chunk={i} version={} source={source:?}", self.set.version);
-                metrics::counter!("driftnotch_bad_chunks_total").increment(1);
-                if let Source::Peer(addr) = source {
-                    self.swarm.record_bad_chunk(addr, &self.policy);
-                }
+        }
+    }
+
+    /// Handles a chunk that doesn't match its digest: either of them may be wrong.
+    fn handle_mismatch(&mut self, i: usize, buf: Bytes, source: Source) {
+        match self.checks.source(i, &buf, source, clock::now()) {
+            Some(at) => {
+                let chunk = (i, buf);
+                self.checks
+                    .start(&self.cx, &self.client, &self.origin, chunk, at);
             }
+            None => self.record_bad_chunk(i, source),
+        }
+    }
+
+    /// Handles the end of a check of a digest.
+    fn handle_checked(&mut self, checked: Checked) {
+        let (i, source) = (checked.i, checked.source);
+        match self.checks.apply(&self.cx, &self.set, checked) {
+            true => self.handle_chunk(source),
+            false => self.record_bad_chunk(i, source),
+        }
+    }
+
+    fn record_bad_chunk(&mut self, i: usize, source: Source) {
+        warn!(target: PART, "{PART}: event=bad_chunk chunk={i} version={} source={source:?}", self.set.version);
+        metrics::counter!("driftnotch_bad_chunks_total").increment(1);
+        if let Source::Peer(addr) = source {
+            self.swarm.record_bad_chunk(addr, &self.policy);
+        }
+    }
+
+    /// Handles the outcome of a chunk fetch.
+    fn handle(&mut self, fetched: Fetched) {
+        let Fetched {
+            i,
+            source,
+            elapsed,
+            result,
+        } = fetched;
+        self.cx.window.record_latency(elapsed);
+        self.in_flight.remove(&i);
+        match source {
+            Source::Origin => self.from_origin -= 1,
+            Source::Peer(addr) => self.swarm.record_completed(addr),
+        }
+        let is_valid = result
+            .as_ref()
+            .is_ok_and(|buf| self.set.put(i, buf.clone()));
+        match (result, source) {
+            (Ok(_), source) if is_valid => self.handle_chunk(source),
+            (Ok(buf), source) => self.handle_mismatch(i, buf, source),
             (Err(ChunkError::Busy), Source::Peer(addr)) => {
                 self.counts.busy += 1;
                 self.swarm.record_busy(addr);
@@ -459,7 +504,7 @@
             (Err(e), Source::Origin) => {
                 if let ChunkError::Failed(e) = e {
                     debug!(target: PART, "{PART}: event=no_chunk chunk={i} source=origin why=\"{e}\"");
-                    self.record_origin_error(e);
+                    self.record_origin_error(&e);
                 }
                 self.counts.failed += 1;
                 let now = clock::now();
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -3,6 +3,7 @@
 //! `rollout` decides which version the engine should hold and runs these steps:
 //!
 //! - `manifest` fetches the list of a version's chunks.
+//! - `manifest_check` corrects wrong digests in that list.
 //! - `fetch` fetches missing chunks from other loaders and, by [`schedule`], from the origin into [`chunk_set`],
 //!   as many concurrently as [`window`] permits. `announcer` announces them to other loaders; `presence` decides
 //!   by such announcements which loaders count as present.
@@ -22,6 +23,7 @@
 pub mod chunk_set;
 mod fetch;
 mod manifest;
+mod manifest_check;
 pub mod pace;
 mod peers;
 pub mod precedence;
--- a/crates/loader/src/manifest.rs
+++ b/crates/loader/src/manifest.rs
@@ -15,7 +15,7 @@
 use web::Client;
 
 use crate::Cx;
-use crate::api::{Manifest, OriginVersion};
+use crate::api::{ApiError, Manifest, OriginVersion};
 use crate::peers::{fetch_manifest, loaders};
 
 /// Log prefix of this part.
@@ -65,7 +65,7 @@
                 fetch_manifest(client, from.unwrap_or(cx.cfg.chunks), origin).await
             }
         };
-        match fetched {
+        match fetched.and_then(|manifest| check_length(cx, manifest)) {
             Ok(manifest) => {
                 info!(target: PART, "{PART}: event=manifest version={} took={:?}", origin.version, clock::since(started));
                 return manifest;
@@ -82,6 +82,21 @@
     }
 }
 
+/// Rejects a manifest with another number of chunks than the configuration states.
+pub(crate) fn check_length(cx: &Cx, manifest: Manifest) -> Result<Manifest, ApiError> {
+    let catalog = cx.catalog.borrow();
+    let service = catalog.as_ref().and_then(|c| c.service(&cx.service));
+    let engine = service.and_then(|s| s.engine.as_ref());
+    let expected = engine.map_or(0, |e| e.chunks as usize);
+    match manifest.digests.len() {
+        0 => Err(ApiError::Failed("the manifest is empty".to_owned())),
+        n if expected > 0 && n != expected => Err(ApiError::Failed(format!(
+            "the manifest lists {n} chunks instead of {expected}"
+        ))),
+        _ => Ok(manifest),
+    }
+}
+
 /// Counts a failed request to the origin, and logs it unless the last one failed for the same reason.
 fn log_change(origin: &OriginVersion, last: &mut Option<String>, why: String) {
     metrics::counter!("driftnotch_origin_manifest_failures_total").increment(1);
--- a/crates/loader/src/peers.rs
+++ b/crates/loader/src/peers.rs
@@ -224,7 +224,7 @@
 
 fn manifest(cx: &Cx, rest: &str) -> Response {
     match find(cx, rest) {
-        Some(set) => Response::new(full(set.manifest.digests.concat())),
+        Some(set) => Response::new(full(set.manifest().digests.concat())),
         None => text(404, "no such manifest here\n"),
     }
 }
@@ -251,12 +251,10 @@
     }
     let body = read_body(res.into_body(), MAX_MANIFEST_BYTES, MANIFEST_TIMEOUT).await;
     let buf = body.map_err(|e| failed(&e))?;
-    let digests: Vec<ChunkDigest> = buf
-        .chunks_exact(std::mem::size_of::<ChunkDigest>())
-        .filter_map(|d| d.try_into().ok())
-        .collect();
-    match digests.is_empty() {
-        true => Err(ApiError::Failed("the manifest is empty".to_owned())),
-        false => Ok(Manifest { digests }),
-    }
+    let digests = buf
+        .chunks(std::mem::size_of::<ChunkDigest>())
+        .map(ChunkDigest::try_from)
+        .collect::<Result<_, _>>();
+    let digests: Vec<ChunkDigest> = digests.map_err(|e| failed(&e))?;
+    Ok(Manifest { digests })
 }
--- a/crates/loader/tests/slots.rs
+++ b/crates/loader/tests/slots.rs
@@ -210,3 +210,30 @@
     assert!(withdrawn);
     assert!(!set.is_unobtainable());
 }
+
+#[test]
+fn digest_of_a_chunk_that_is_held_is_never_replaced() {
+    let set = set(2, &[b"a", b"b"]);
+    set.put(0, Bytes::from_static(b"a"));
+    let other = Sha256::digest(b"c").into();
+
+    assert!(!set.correct_digest(0, other));
+    assert!(set.correct_digest(1, other));
+    assert!(set.is_chunk(0, b"a"));
+    assert!(set.put(1, Bytes::from_static(b"c")));
+}
+
+#[test]
+fn manifest_is_confirmed_by_most_chunks_that_are_held() {
+    let held = set(2, &[b"a", b"b", b"c", b"d"]);
+    let confirms = |chunks: &[&'static [u8]]| held.confirms(&set(2, chunks).manifest());
+
+    assert!(!confirms(&[b"a", b"b", b"c", b"d"]), "none is held");
+    for (i, chunk) in ["a", "b", "c"].into_iter().enumerate() {
+        held.put(i, Bytes::from_static(chunk.as_bytes()));
+    }
+
+    assert!(confirms(&[b"a", b"b", b"x", b"y"]));
+    assert!(!confirms(&[b"a", b"x", b"x", b"d"]));
+    assert!(!confirms(&[b"a", b"b", b"c"]), "too few");
+}
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -36,13 +36,18 @@
     manifests_requested: Vec<WeightsVersion>,
     /// Oldest version that it provides.
     oldest: WeightsVersion,
+    /// Digests that are wrong in the next manifests of version 2, one manifest each.
+    wrong_digests: Vec<Vec<usize>>,
+    /// Whether only the first loader reaches it.
+    is_cut_off: bool,
 }
 
 impl OriginState {
-    /// Returns the error of a request for a version, if it fails.
-    fn error(&self, version: WeightsVersion) -> Option<ApiError> {
+    /// Returns the error of a loader's request for a version, if it fails.
+    fn error(&self, loader: usize, version: WeightsVersion) -> Option<ApiError> {
         match self.remaining {
             0 => Some(ApiError::Failed("unreachable".to_owned())),
+            _ if self.is_cut_off && loader > 0 => Some(ApiError::Failed("cut off".to_owned())),
             _ if version < self.oldest => Some(ApiError::Gone("withdrawn".to_owned())),
             _ => None,
         }
@@ -78,7 +83,7 @@
     Bytes::from(format!("chunk {i} of version {version}"))
 }
 
-fn api(origin: &Shared<OriginState>, engine: &Shared<EngineStandIn>) -> Api {
+fn api(loader: usize, origin: &Shared<OriginState>, engine: &Shared<EngineStandIn>) -> Api {
     let (state, put, get, start) = (
         engine.clone(),
         engine.clone(),
@@ -117,15 +122,19 @@
             let mut origin = lock(&manifests);
             origin.manifests_requested.push(of.version);
             let digest = |i| Sha256::digest(content(of.version, i)).into();
-            let digests = (0..CHUNKS).map(digest).collect();
+            let mut digests: Vec<[u8; 32]> = (0..CHUNKS).map(digest).collect();
+            if of.version == 2 && origin.error(loader, 2).is_none() {
+                let wrong = origin.wrong_digests.pop().unwrap_or_default();
+                wrong.iter().for_each(|i| digests[*i][0] ^= 1);
+            }
             origin
-                .error(of.version)
+                .error(loader, of.version)
                 .map_or(Ok(Manifest { digests }), Err)
         }),
         chunk: call(move |(of, i): (loader::api::OriginVersion, usize)| {
             let mut origin = lock(&chunks);
             origin.requested.push((of.version, i));
-            if let Some(e) = origin.error(of.version) {
+            if let Some(e) = origin.error(loader, of.version) {
                 return Err(e);
             }
             origin.remaining -= 1;
@@ -178,6 +187,7 @@
         layers: 1,
         prompt_rate: 1000.0,
         chunk_bytes: 10_000,
+        chunks: CHUNKS as u32,
         iteration: Iteration::default(),
     };
     let origin = Origin {
@@ -260,7 +270,7 @@
         let deps = Dependencies {
             cfg: *cfg,
             service: "llm".to_owned(),
-            api: api(&self.origin, &self.engines[i]),
+            api: api(i, &self.origin, &self.engines[i]),
             catalog: self.catalog.subscribe(),
             known: self.known[i].clone(),
             members: self.listed.subscribe(),
@@ -505,3 +515,45 @@
 
     wait_until("all engines hold version 2", || fleet.all_hold(2));
 }
+
+/// Guards against a manifest that is believed for good: no chunk matches its wrong digests.
+#[test]
+fn wrong_digests_in_a_manifest_are_corrected() {
+    let fleet = Fleet::start();
+    lock(&fleet.origin).wrong_digests = vec![vec![7], vec![5, 6, 31]];
+    fleet.open(usize::MAX);
+
+    fleet.release(2, Duration::ZERO);
+
+    wait_until("all engines hold version 2", || fleet.all_hold(2));
+}
+
+/// Guards against loaders that keep a wrong digest, or ban the loader that has the right one, when only one of them
+/// reaches the origin.
+#[test]
+fn wrong_digest_is_corrected_by_the_manifest_of_another_loader() {
+    let fleet = Fleet::start();
+    lock(&fleet.origin).wrong_digests = vec![vec![5]];
+    lock(&fleet.origin).is_cut_off = true;
+    fleet.open(usize::MAX);
+
+    fleet.release(2, Duration::ZERO);
+
+    wait_until("all engines hold version 2", || fleet.all_hold(2));
+}
+
+/// Guards against a chunk that is never requested again after checks of its digest have failed.
+#[test]
+fn wrong_digest_is_corrected_after_an_outage() {
+    let fleet = Fleet::start();
+    lock(&fleet.origin).wrong_digests = vec![vec![5]];
+    fleet.open(CHUNKS / 2);
+    fleet.release(2, Duration::ZERO);
+    wait_until("the origin is unreachable", || {
+        fleet.served(2) == CHUNKS / 2
+    });
+
+    fleet.open(usize::MAX);
+
+    wait_until("all engines hold version 2", || fleet.all_hold(2));
+}
