Request weights at the origin's current address

A fetch kept the origin's address of its start. If the configuration named another one meanwhile, its manifest or missing chunks were requested at the old address until the loader restarted, and engines stayed without the version. Nobody has reported it; it was found while looking for other fetches that can't end.

Each request now goes to the address that the configuration states.

fetch_follows_an_origin_that_moves failed before (after a minute no engine had version 2) and passes.

--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -19,6 +19,7 @@
 use crate::api::{ApiError, OriginVersion};
 use crate::chunk::{ChunkError, Fetched, fetch_chunk};
 use crate::chunk_set::ChunkSet;
+use crate::manifest::at_configured_origin;
 use crate::manifest_check::{Checked, ManifestChecks};
 use crate::peers::{PeerChunks, Scope, announce, loaders};
 use crate::precedence::{Access, MAX_STALL};
@@ -378,7 +379,8 @@
             }
             self.in_flight.insert(i);
             let (cx, set) = (self.cx.clone(), self.set.clone());
-            let (origin, client) = (self.origin.clone(), self.client.clone());
+            let origin = at_configured_origin(&self.cx, &self.origin);
+            let client = self.client.clone();
             let in_flight = self.cx.window.begin();
             fetching.spawn(async move {
                 let started = clock::now();
@@ -446,9 +448,9 @@
     fn handle_mismatch(&mut self, i: usize, buf: Bytes, source: Source) {
         match self.checks.source(i, &buf, source, clock::now()) {
             Some(at) => {
-                let chunk = (i, buf);
+                let (chunk, origin) = ((i, buf), at_configured_origin(&self.cx, &self.origin));
                 self.checks
-                    .start(&self.cx, &self.client, &self.origin, chunk, at);
+                    .start(&self.cx, &self.client, &origin, chunk, at);
             }
             None => self.record_bad_chunk(i, source),
         }
--- a/crates/loader/src/manifest.rs
+++ b/crates/loader/src/manifest.rs
@@ -56,7 +56,7 @@
         let fetched = match from_origin {
             true => {
                 origin_tried = Some(clock::now());
-                (cx.api.manifest)(origin.clone()).await
+                (cx.api.manifest)(at_configured_origin(cx, origin)).await
             }
             false => {
                 let holders = manifest_holders(cx, origin, &preceding);
@@ -82,6 +82,17 @@
     }
 }
 
+/// Returns the version at the address that the configuration states now: the origin may have moved since the fetch has
+/// started.
+pub(crate) fn at_configured_origin(cx: &Cx, version: &OriginVersion) -> OriginVersion {
+    let catalog = cx.catalog.borrow();
+    let configured = catalog.as_ref().and_then(|c| c.origin());
+    OriginVersion {
+        origin: configured.map_or(version.origin, |origin| origin.addr),
+        ..version.clone()
+    }
+}
+
 /// Rejects a manifest with another number of chunks than the configuration states.
 pub(crate) fn check_length(cx: &Cx, manifest: Manifest) -> Result<Manifest, ApiError> {
     let catalog = cx.catalog.borrow();
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -12,7 +12,9 @@
     Access, Catalog, Engine, Iteration, Origin, Priorities, Release, ReleaseList, RequestLimits,
     Service, WeightsVersion,
 };
-use loader::api::{Api, ApiError, Call, EngineState, Manifest, OrderResult, SwitchOrder};
+use loader::api::{
+    Api, ApiError, Call, EngineState, Manifest, OrderResult, OriginVersion, SwitchOrder,
+};
 use loader::pace::Pace;
 use loader::{Dependencies, KnownReleases};
 use sha2::{Digest, Sha256};
@@ -40,15 +42,20 @@
     wrong_digests: Vec<Vec<usize>>,
     /// Whether only the first loader reaches it.
     is_cut_off: bool,
+    /// Address at which it answers; any if `None`.
+    addr: Option<SocketAddr>,
 }
 
 impl OriginState {
     /// Returns the error of a loader's request for a version, if it fails.
-    fn error(&self, loader: usize, version: WeightsVersion) -> Option<ApiError> {
+    fn error(&self, loader: usize, of: &OriginVersion) -> Option<ApiError> {
         match self.remaining {
+            _ if self.addr.is_some_and(|addr| addr != of.origin) => {
+                Some(ApiError::Failed("nobody is there".to_owned()))
+            }
             0 => Some(ApiError::Failed("unreachable".to_owned())),
             _ if self.is_cut_off && loader > 0 => Some(ApiError::Failed("cut off".to_owned())),
-            _ if version < self.oldest => Some(ApiError::Gone("withdrawn".to_owned())),
+            _ if of.version < self.oldest => Some(ApiError::Gone("withdrawn".to_owned())),
             _ => None,
         }
     }
@@ -118,23 +125,23 @@
             engine.version = order.version;
             Ok(OrderResult::Taken)
         }),
-        manifest: call(move |of: loader::api::OriginVersion| {
+        manifest: call(move |of: OriginVersion| {
             let mut origin = lock(&manifests);
             origin.manifests_requested.push(of.version);
             let digest = |i| Sha256::digest(content(of.version, i)).into();
             let mut digests: Vec<[u8; 32]> = (0..CHUNKS).map(digest).collect();
-            if of.version == 2 && origin.error(loader, 2).is_none() {
+            if of.version == 2 && origin.error(loader, &of).is_none() {
                 let wrong = origin.wrong_digests.pop().unwrap_or_default();
                 wrong.iter().for_each(|i| digests[*i][0] ^= 1);
             }
             origin
-                .error(loader, of.version)
+                .error(loader, &of)
                 .map_or(Ok(Manifest { digests }), Err)
         }),
-        chunk: call(move |(of, i): (loader::api::OriginVersion, usize)| {
+        chunk: call(move |(of, i): (OriginVersion, usize)| {
             let mut origin = lock(&chunks);
             origin.requested.push((of.version, i));
-            if let Some(e) = origin.error(loader, of.version) {
+            if let Some(e) = origin.error(loader, &of) {
                 return Err(e);
             }
             origin.remaining -= 1;
@@ -174,7 +181,7 @@
 }
 
 /// Returns a catalog in which the origin's link takes 100 ms for each chunk.
-fn catalog() -> Catalog {
+fn catalog(revision: u64, origin: SocketAddr) -> Catalog {
     let service = |name: &str, engine, origin| Service {
         name: name.to_owned(),
         engine,
@@ -191,7 +198,7 @@
         iteration: Iteration::default(),
     };
     let origin = Origin {
-        addr: free_addr(),
+        addr: origin,
         max_connections: 40,
         link_mbps: 0.8,
     };
@@ -205,7 +212,7 @@
         head_time: Duration::from_secs(3),
         idle_time: Duration::from_secs(10),
     };
-    Catalog::new(1, Vec::new(), services, Access::Open, limits)
+    Catalog::new(revision, Vec::new(), services, Access::Open, limits)
 }
 
 impl Fleet {
@@ -234,7 +241,7 @@
             loaders: (0..LOADERS).map(|_| None).collect(),
             listed: watch::Sender::new(members.clone()),
             members,
-            catalog: watch::Sender::new(Some(Arc::new(catalog()))),
+            catalog: watch::Sender::new(Some(Arc::new(catalog(1, free_addr())))),
             stop: watch::Sender::new(false),
             predict_rollout,
             known: (0..LOADERS)
@@ -557,3 +564,25 @@
 
     wait_until("all engines hold version 2", || fleet.all_hold(2));
 }
+
+/// Guards against a fetch that goes on to ask an address that the origin has left.
+#[test]
+fn fetch_follows_an_origin_that_moves() {
+    for held in [0, CHUNKS / 2] {
+        let fleet = Fleet::start();
+        fleet.open(held);
+        fleet.release(2, Duration::ZERO);
+        wait_until("the fetch has started", || match held {
+            0 => fleet.manifests_requested(2) > 0,
+            held => fleet.served(2) == held,
+        });
+        let addr = free_addr();
+        lock(&fleet.origin).addr = Some(addr);
+        fleet.open(usize::MAX);
+
+        let moved = Arc::new(catalog(2, addr));
+        fleet.catalog.send_replace(Some(moved));
+
+        wait_until("all engines hold version 2", || fleet.all_hold(2));
+    }
+}
