Name the digest of a chunk and the record of a failure

Read as a newcomer: a local named as the function that it came from, and a function that counts and logs named log_change. No behaviour changes; the tests of loader pass.

--- a/crates/loader/src/chunk_set.rs
+++ b/crates/loader/src/chunk_set.rs
@@ -80,12 +80,12 @@
 
     /// Returns whether a buffer matches the digest of a chunk in the manifest.
     pub fn is_chunk(&self, i: usize, buf: &[u8]) -> bool {
-        self.lock().digests.get(i) == Some(&digest(buf))
+        self.lock().digests.get(i) == Some(&chunk_digest(buf))
     }
 
     /// Stores a chunk if it matches the manifest; returns whether it does.
     pub fn put(&self, i: usize, buf: Bytes) -> bool {
-        let digest = digest(&buf);
+        let digest = chunk_digest(&buf);
         let mut contents = self.lock();
         let is_valid = contents.digests.get(i) == Some(&digest);
         if is_valid {
@@ -236,7 +236,7 @@
 }
 
 /// Returns the digest of a chunk.
-pub(crate) fn digest(buf: &[u8]) -> ChunkDigest {
+pub(crate) fn chunk_digest(buf: &[u8]) -> ChunkDigest {
     Sha256::digest(buf).into()
 }
 
--- a/crates/loader/src/manifest.rs
+++ b/crates/loader/src/manifest.rs
@@ -73,7 +73,7 @@
             Err(e) => {
                 debug!(target: PART, "{PART}: event=no_manifest version={} why=\"{e}\"", origin.version);
                 if from_origin {
-                    log_change(origin, &mut origin_error, e.to_string());
+                    record_origin_failure(origin, &mut origin_error, e.to_string());
                 }
                 let random = rand::rng().random_range(0.0..1.0);
                 tokio::time::sleep(RETRY_PAUSE.mul_f64(0.5 + random)).await;
@@ -109,7 +109,7 @@
 }
 
 /// Counts a failed request to the origin, and logs it unless the last one failed for the same reason.
-fn log_change(origin: &OriginVersion, last: &mut Option<String>, why: String) {
+fn record_origin_failure(origin: &OriginVersion, last: &mut Option<String>, why: String) {
     metrics::counter!("driftnotch_origin_manifest_failures_total").increment(1);
     if last.as_ref() != Some(&why) {
         warn!(target: PART, "{PART}: event=origin_failed model={} version={} why=\"{why}\"", origin.model, origin.version);
--- a/crates/loader/src/manifest_check.rs
+++ b/crates/loader/src/manifest_check.rs
@@ -19,7 +19,7 @@
 
 use crate::Cx;
 use crate::api::{ApiError, ChunkDigest, Manifest, OriginVersion};
-use crate::chunk_set::{ChunkSet, digest};
+use crate::chunk_set::{ChunkSet, chunk_digest};
 use crate::manifest::check_length;
 use crate::peers::fetch_manifest;
 
@@ -77,7 +77,7 @@
         source: Source,
         now: Instant,
     ) -> Option<Source> {
-        let digest = digest(buf);
+        let digest = chunk_digest(buf);
         let is_repeated = self.mismatches.insert(i, digest) == Some(digest);
         match source {
             Source::Origin if is_repeated && now >= self.next_at_origin => {
@@ -168,7 +168,7 @@
 
 /// Takes over the digest of a chunk from the manifest of the loader that sent the chunk; returns whether it differed.
 fn correct_one(set: &ChunkSet, manifest: &Manifest, i: usize, buf: &[u8]) -> bool {
-    let digest = digest(buf);
+    let digest = chunk_digest(buf);
     let is_consistent = manifest.digests.get(i) == Some(&digest);
     is_consistent && set.confirms(manifest) && set.correct_digest(i, digest)
 }
