--- a/crates/cli/tests/soak.rs
+++ b/crates/cli/tests/soak.rs
@@ -40,6 +40,12 @@
 /// Seed on which everything but the store loses power.
 const POWER_LOSS_SEED: Seed = 1300;
 
+/// Seed on which loaders waited for a version that the origin had withdrawn, and engines didn't get the newest one.
+const RELEASES_SEED: Seed = 7104;
+
+/// Length of the phase with faults on that seed.
+const RELEASES_FAULT_TIME: Duration = Duration::from_secs(12);
+
 fn options(fault_time: Duration) -> Options {
     Options {
         fault_time,
@@ -168,3 +174,24 @@
     );
     assert!(report.served > 0 && !report.changes.is_empty());
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engines_get_the_newest_version_after_releases_during_outages_of_the_origin() {
+    let options = Options {
+        releases: true,
+        ..options(RELEASES_FAULT_TIME)
+    };
+    println!("seed {RELEASES_SEED}");
+
+    let report = soak::run(options, RELEASES_SEED)
+        .await
+        .expect("the run completes");
+
+    assert_eq!(
+        report.violations,
+        [],
+        "seed {RELEASES_SEED}: {:?}",
+        report.faults
+    );
+    assert!(report.served > 0);
+}
