--- a/crates/decide/src/rollout.rs
+++ b/crates/decide/src/rollout.rs
@@ -8,7 +8,7 @@
 //! fetches chunks that others don't need, or later than they do; it never makes an engine serve a version that it may
 //! not serve.
 //!
-//! Expected load: releases follow each other within their bound while the origin is unreachable for several seconds.
+//! Expected load: releases follow each other while the origin is unreachable for several seconds.
 
 use std::time::{Duration, Instant};
 
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -446,7 +446,7 @@
 
     /// Handles a chunk that doesn't match its digest: either of them may be wrong.
     fn handle_mismatch(&mut self, i: usize, buf: Bytes, source: Source) {
-        match self.checks.source(i, &buf, source, clock::now()) {
+        match self.checks.record_mismatch(i, &buf, source, clock::now()) {
             Some(at) => {
                 let (chunk, origin) = ((i, buf), at_configured_origin(&self.cx, &self.origin));
                 self.checks
--- a/crates/loader/src/manifest_check.rs
+++ b/crates/loader/src/manifest_check.rs
@@ -70,7 +70,7 @@
     }
 
     /// Records a chunk from a source that didn't match, and returns the source to request the manifest from, if any.
-    pub(crate) fn source(
+    pub(crate) fn record_mismatch(
         &mut self,
         i: usize,
         buf: &[u8],
--- a/crates/loader/src/precedence.rs
+++ b/crates/loader/src/precedence.rs
@@ -13,7 +13,7 @@
 /// Progress of the two fetches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
-    /// Whether the fetch of the older version has ended at this loader.
+    /// Whether the fetch of the older version has ended at this loader, or can't be completed.
     pub is_finished: bool,
     /// Chunks of the older version that no loader holds.
     pub missing: usize,
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -456,7 +456,7 @@
     let set = ChunkSet::new(origin.model.clone(), origin.version, manifest);
     let set = cx.sets.add(set);
     let has_competitors = competing.iter().any(|older| {
-        !older.task.is_finished() || releases.follow_within_bound(older.version, origin.version)
+        !older.task.is_finished() || releases.follows_within_bound(older.version, origin.version)
     });
     let succession = choose_predecessor(&cx, &set, competing, &state);
     remaining.extend(succession.remaining);
--- a/crates/loader/src/succession.rs
+++ b/crates/loader/src/succession.rs
@@ -64,7 +64,11 @@
     }
 
     /// Returns whether a version was released within the bound of an older one.
-    pub(crate) fn follow_within_bound(&self, older: WeightsVersion, newer: WeightsVersion) -> bool {
+    pub(crate) fn follows_within_bound(
+        &self,
+        older: WeightsVersion,
+        newer: WeightsVersion,
+    ) -> bool {
         follows_within_bound(&self.known, older, newer, self.bound)
     }
 
