Say what the ages of events are in the test of outages

The comment claimed zero for events that aren't releases; they have the age of their place in the series, which play doesn't use. Only the comment changes: formatting and lints of loader pass, the tests weren't run again for it.

--- a/crates/loader/tests/outages.rs
+++ b/crates/loader/tests/outages.rs
@@ -39,7 +39,7 @@
     ]
 }
 
-/// Returns the time from each release to the last one, and zero for other events.
+/// Returns for each event how long before the last release it happened, by the gaps of the releases after it.
 fn release_ages(events: &[(Event, u64)]) -> Vec<Duration> {
     let mut age = 0;
     let mut ages: Vec<Duration> = Vec::new();
