Order engines to load chunks only by a recent verification

A loader that was suspended for 4.5 s between its verification of the staged chunks and the switch order gave the order for a chunk that had become corrupt meanwhile.

Cause: the verification had no time, so its result held for ever. The same gap was open if the engine paused, if the suspension came in the middle of the verification or if reads were slow, and the order itself can be taken seconds after it was given.

In the stand-ins of the loader's tests all three cases of a suspension or of slow reads load a corrupt chunk on the code before.

Change: each read has its time by the clock that counts suspension. An order needs reads of the last 2 s and a state read after them. An order that was answered late or not at all is followed by another verification before the engine returns to service; a version that may have been loaded corrupt is unloaded and ordered again. `order: event=ordered` now has the age of the verification, which logs couldn't tell.

--- a/crates/loader/src/api.rs
+++ b/crates/loader/src/api.rs
@@ -102,10 +102,21 @@
     pub orders: u64,
 }
 
+/// An order to drop the loaded weights of a model; staged chunks are kept.
+#[derive(Debug, Clone)]
+pub struct UnloadOrder {
+    /// Model.
+    pub model: Model,
+    /// Loaded version.
+    pub version: WeightsVersion,
+    /// Number of orders that the engine must have accepted so far; otherwise it refuses.
+    pub orders: u64,
+}
+
 /// Result of an order.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum OrderResult {
-    /// The switch has started, or the version is in use already.
+    /// The order is being carried out, or has no effect since the engine is in the ordered state already.
     Taken,
     /// The order conflicts with the engine's state, which has to be read again; holds the HTTP status.
     Conflict(u16),
@@ -133,6 +144,8 @@
     pub get: Call<(Model, usize), Option<Bytes>>,
     /// Orders the engine to switch to the staged chunks.
     pub start: Call<SwitchOrder, OrderResult>,
+    /// Orders the engine to drop the loaded weights of a model.
+    pub unload: Call<UnloadOrder, OrderResult>,
     /// Fetches the manifest of a version from the origin.
     pub manifest: Call<OriginVersion, Manifest>,
     /// Fetches a chunk of a version from the origin.
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -9,7 +9,7 @@
 //!   by such announcements which loaders count as present.
 //! - `succession` decides whether a version in progress is completed before its successor, and [`precedence`] what the
 //!   successor may fetch meanwhile.
-//! - `stage` stages the chunks at the engine and verifies them.
+//! - `stage` stages the chunks at the engine and verifies them; `order` orders the engine to switch to them.
 //! - [`slot`] decides when the engine may leave service to switch.
 //!
 //! `status` publishes the state of the engine to gateways, and [`pace`] decides when to publish its speed. The calls to
@@ -24,6 +24,7 @@
 mod fetch;
 mod manifest;
 mod manifest_check;
+mod order;
 pub mod pace;
 mod peers;
 pub mod precedence;
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -12,14 +12,15 @@
 use web::{Client, DialOptions};
 
 use crate::Cx;
-use crate::api::{ApiError, EngineState, OrderResult, OriginVersion, SwitchOrder};
+use crate::api::{ApiError, EngineState, OrderResult, OriginVersion};
 use crate::chunk_set::ChunkSet;
 use crate::fetch::fetch;
 use crate::manifest::manifest;
+use crate::order::stage_and_order;
 use crate::peers::{BYTES_PER_MBIT, Scope, announce, loaders};
 use crate::precedence::MAX_STALL;
 use crate::slot::{PendingVersion, can_skip, last_slot_start, should_complete, slot_start};
-use crate::stage::{EngineWatch, read_back, stage, until_answered, verify};
+use crate::stage::read_back;
 use crate::succession::{OlderFetch, Releases, choose_predecessor, takes_older_version};
 
 /// Log prefix of this part.
@@ -31,12 +32,6 @@
 /// Interval while the engine holds the newest version; changes wake the loop earlier.
 const IDLE_TICK: Duration = Duration::from_millis(1000);
 
-/// Time from publishing that the engine leaves service to the switch order; chunks are staged meanwhile. Requests that
-/// haven't started by then wait until the engine has the new weights or, if it freezes, start on the old ones when
-/// it resumes. The notice doesn't delay the switch, since the engine completes running requests meanwhile, which
-/// takes longer.
-const LEAVE_NOTICE: Duration = Duration::from_millis(200);
-
 /// Shift of an engine's slot that isn't published to gateways.
 const PLAN_SLACK: Duration = Duration::from_millis(100);
 
@@ -61,7 +56,7 @@
 struct PendingOrder {
     model: Model,
     version: WeightsVersion,
-    /// When the engine answered it; `None` while the order is being given.
+    /// When it was known to be taken with intact chunks; `None` while the order is being given.
     answered: Option<Instant>,
 }
 
@@ -240,6 +235,8 @@
         let next = wanted.as_ref().map(|set| set.version);
         self.plan(model, held, next);
         match &self.pending_order {
+            // Until then it isn't known whether the engine has loaded intact chunks.
+            Some(pending) if pending.answered.is_none() => return,
             Some(pending) if pending.model == *model && held >= Some(pending.version) => {
                 self.ordering = JoinSet::new();
                 self.pending_order = None;
@@ -395,46 +392,6 @@
     }
 }
 
-/// Stages a version and orders the engine to switch to it, with notice to gateways if the engine `serves`.
-async fn stage_and_order(
-    cx: &Cx,
-    set: &ChunkSet,
-    serves: bool,
-    engine: &EngineWatch,
-) -> Result<OrderResult, ApiError> {
-    let notice = match serves {
-        true => LEAVE_NOTICE,
-        false => Duration::ZERO,
-    };
-    let (_, staged) = tokio::join!(tokio::time::sleep(notice), stage(cx, set, engine));
-    staged?;
-    verify(cx, set, engine).await?;
-    let state = until_answered(engine, || (cx.api.state)(())).await?;
-    let switch_order = SwitchOrder {
-        model: set.model.clone(),
-        version: set.version,
-        orders: state.orders,
-    };
-    let result = give(cx, &switch_order, engine).await?;
-    info!(target: PART, "{PART}: event=ordered model={} version={} orders={} result={result:?}", set.model, set.version, state.orders);
-    cx.poll_engine.notify_one();
-    Ok(result)
-}
-
-/// Gives an order. An unanswered one is repeated unchanged: if it was taken, the engine has accepted more orders than the
-/// repetition expects and refuses it.
-async fn give(cx: &Cx, order: &SwitchOrder, engine: &EngineWatch) -> Result<OrderResult, ApiError> {
-    match (cx.api.start)(order.clone()).await {
-        Err(ApiError::Unanswered(why)) => {
-            info!(target: PART, "{PART}: event=order_unanswered version={} why=\"{why}\"", order.version);
-        }
-        answered => return answered,
-    }
-    match until_answered(engine, || (cx.api.start)(order.clone())).await? {
-        OrderResult::Taken | OrderResult::Conflict(_) => Ok(OrderResult::Taken),
-    }
-}
-
 /// Fetches a version: reads back chunks that are staged at the engine and fetches the others meanwhile. Once the manifest
 /// has arrived, it is decided which older versions in progress are completed first; the others are aborted. Fetches of
 /// older versions that don't compete are aborted then too or, if they are almost complete, once this version is
--- a/crates/loader/tests/common/mod.rs
+++ b/crates/loader/tests/common/mod.rs
@@ -2,27 +2,27 @@
 
 #![allow(dead_code)] // Each test file uses a part.
 
+pub mod engine;
+
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use base::Map;
-use beacon::{Holding, Member, Role};
+use beacon::{Member, Role};
 use bytes::Bytes;
 use catalog::{
     Access, Catalog, Engine, FIRST_VERSION, Iteration, Origin, Priorities, Release, ReleaseList,
     RequestLimits, Service, WeightsVersion,
 };
-use loader::api::{
-    Api, ApiError, Call, EngineState, Manifest, OrderResult, OriginVersion, SwitchOrder,
-};
-use loader::pace::Pace;
+use loader::api::{Api, ApiError, Call, Manifest, OriginVersion};
 use loader::{Dependencies, KnownReleases};
 use sha2::{Digest, Sha256};
 use tokio::runtime::{Builder, Runtime};
 use tokio::sync::watch;
 
+pub use engine::EngineStandIn;
+
 pub const MODEL: &str = "m0";
 pub const CHUNKS: usize = 32;
 pub const LOADERS: usize = 3;
@@ -63,15 +63,6 @@
     }
 }
 
-/// Engine that switches at once.
-#[derive(Default)]
-pub struct EngineStandIn {
-    pub staged: Map<usize, Bytes>,
-    pub version: WeightsVersion,
-    /// Versions that it was ordered to switch to.
-    pub orders: Vec<WeightsVersion>,
-}
-
 /// Shares of the stand-ins that the loaders' calls and the test use.
 pub type Shared<T> = Arc<Mutex<T>>;
 
@@ -93,40 +84,13 @@
 }
 
 fn api(loader: usize, origin: &Shared<OriginState>, engine: &Shared<EngineStandIn>) -> Api {
-    let (state, put, get, start) = (
-        engine.clone(),
-        engine.clone(),
-        engine.clone(),
-        engine.clone(),
-    );
     let (manifests, chunks) = (origin.clone(), origin.clone());
     Api {
-        state: call(move |()| {
-            let engine = lock(&state);
-            Ok(EngineState {
-                switching: false,
-                orders: engine.orders.len() as u64,
-                holdings: vec![Holding {
-                    model: MODEL.to_owned(),
-                    version: Some(engine.version),
-                }],
-                running: 0,
-                queued: 0,
-                start_time: Some(1),
-                pace: Pace::NORMAL,
-            })
-        }),
-        put: call(move |chunk: loader::api::StagedChunk| {
-            lock(&put).staged.insert(chunk.chunk, chunk.buf);
-            Ok(())
-        }),
-        get: call(move |(_, i): (String, usize)| Ok(lock(&get).staged.get(&i).cloned())),
-        start: call(move |order: SwitchOrder| {
-            let mut engine = lock(&start);
-            engine.orders.push(order.version);
-            engine.version = order.version;
-            Ok(OrderResult::Taken)
-        }),
+        state: engine::call(engine, EngineStandIn::state),
+        put: engine::step(engine, EngineStandIn::put),
+        get: engine::slow_step(engine, EngineStandIn::get),
+        start: engine::step(engine, EngineStandIn::start),
+        unload: engine::step(engine, EngineStandIn::unload),
         manifest: call(move |of: OriginVersion| {
             let mut origin = lock(&manifests);
             origin.manifests_requested.push(of.version);
@@ -157,6 +121,7 @@
 pub struct Fleet {
     pub origin: Shared<OriginState>,
     pub engines: Vec<Shared<EngineStandIn>>,
+    pub engine_addrs: Vec<SocketAddr>,
     pub loaders: Vec<Option<Runtime>>,
     pub members: Vec<Member>,
     pub known: Vec<Arc<watch::Sender<KnownReleases>>>,
@@ -230,16 +195,12 @@
             beacon: free_addr(),
             peer_addr: free_addr(),
         };
-        let engine = || {
-            Arc::new(Mutex::new(EngineStandIn {
-                version: 1,
-                ..EngineStandIn::default()
-            }))
-        };
+        let engine = || Arc::new(Mutex::new(EngineStandIn::with_version(1)));
         let members: Vec<Member> = (0..LOADERS).map(member).collect();
         let mut fleet = Fleet {
             origin: Shared::default(),
             engines: (0..LOADERS).map(|_| engine()).collect(),
+            engine_addrs: (0..LOADERS).map(|_| free_addr()).collect(),
             loaders: (0..LOADERS).map(|_| None).collect(),
             listed: watch::Sender::new(members.clone()),
             members,
@@ -260,7 +221,7 @@
         let text = format!(
             "role: loader\nvm: {}\ndomain: recife\nservice: llm\nengine: {}\nchunks: {}\nbeacon: {}\nmetrics: {}\nstore: {}\nversion_time: 10s\nengine_poll: 20ms\norigin_patience: 400ms\npredict_rollout: {}\n",
             member.vm,
-            free_addr(),
+            self.engine_addrs[i],
             member.peer_addr,
             member.beacon,
             free_addr(),
@@ -352,7 +313,7 @@
 }
 
 /// Waits until a condition holds; fails after a minute.
-pub fn wait_until(what: &str, condition: impl Fn() -> bool) {
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
     let started = Instant::now();
     while !condition() {
         assert!(started.elapsed() < Duration::from_secs(60), "{what}");
