Unload versions that expire before a newer one is complete

Cause: only gateways kept the bound, with a margin for the time that a request takes to its engine. On a narrow link requests and their cancellations wait behind chunks for seconds, and the engine began them whenever they arrived, until it could load a newer version. Gateways that send too late are ruled out: requests began 8.3 to 8.5 s after the release, and none is sent later than 6.5 s after it.

Change: 0.75 s before the bound the loader orders an engine that still holds the older version to unload it. Gateways have stopped sending to it by then. The engine completes what runs and refuses whatever arrives later as not run. What it loads next is decided as if it held the version still. No order is given while the engine carries one out. The margin of gateways, which decide and gateway each had a copy of, has one definition.

--- a/crates/decide/src/rollout.rs
+++ b/crates/decide/src/rollout.rs
@@ -14,10 +14,15 @@
 
 use catalog::WeightsVersion;
 
-/// Part of the bound that gateways leave unused, as in `gateway::release`: a version may begin requests until this
-/// time before the bound.
+/// Part of the bound that gateways leave unused: a version may begin requests until this time before the bound. A request
+/// may be queued at an engine before it begins, and on a narrow link it may arrive a second after it was sent, or even
+/// after it was cancelled.
 pub const GATEWAY_MARGIN: Duration = Duration::from_millis(1500);
 
+/// Time before the bound at which an engine is ordered to unload an older version: after the last requests have arrived
+/// that gateways send in time, unless a link delays them.
+pub const UNLOAD_MARGIN: Duration = Duration::from_millis(750);
+
 /// Difference of two gaps that counts as a tie: the time of about one chunk, which the loaders' inputs differ by.
 pub const TIE: Duration = Duration::from_millis(50);
 
@@ -56,9 +61,25 @@
     version: WeightsVersion,
     bound: Duration,
 ) -> Option<Instant> {
+    let expires = expires_at(releases, version, bound)?;
+    Some(expires - GATEWAY_MARGIN.min(bound))
+}
+
+/// Returns the time from which on an engine should hold a version no longer, whether or not it can load a newer one; `None`
+/// if no newer one is released.
+pub fn unload_at(
+    releases: &[Release],
+    version: WeightsVersion,
+    bound: Duration,
+) -> Option<Instant> {
+    let expires = expires_at(releases, version, bound)?;
+    Some(expires - UNLOAD_MARGIN.min(bound))
+}
+
+/// Returns the bound of the first release after a version.
+fn expires_at(releases: &[Release], version: WeightsVersion, bound: Duration) -> Option<Instant> {
     let newer = releases.iter().filter(|r| r.version > version);
-    let until = newer.map(|r| r.at + bound.saturating_sub(GATEWAY_MARGIN));
-    until.min()
+    newer.map(|r| r.at + bound).min()
 }
 
 /// Returns whether a version was released within the bound of an older one.
--- a/crates/decide/tests/rollout.rs
+++ b/crates/decide/tests/rollout.rs
@@ -5,6 +5,7 @@
 use decide::rollout::{
     Candidate, Complete, Decision, GATEWAY_MARGIN, Inputs, Links, MIN_USEFUL, ObservedRate,
     Prediction, Release, TIE, decide, follows_within_bound, may_begin_until, predict, takes_older,
+    unload_at,
 };
 use proptest::prelude::*;
 
@@ -407,3 +408,23 @@
 
     assert_eq!(rate.chunk_time(), None);
 }
+
+/// Guards against an engine that holds an older version past its bound, or loses it while gateways may still send.
+#[test]
+fn older_version_is_unloaded_between_the_last_request_and_the_bound() {
+    let now = Instant::now();
+    let release = |version, at| Release {
+        version,
+        at: now + ms(at),
+    };
+    let releases = [release(4, 5000), release(2, 0), release(3, 3000)];
+    let bound = ms(8000);
+
+    let first = unload_at(&releases, 1, bound).expect("a newer version");
+    let second = unload_at(&releases, 2, bound).expect("a newer version");
+
+    assert!(Some(first) > may_begin_until(&releases, 1, bound));
+    assert!(first < now + bound);
+    assert_eq!(second, first + ms(3000), "by the first release after it");
+    assert_eq!(unload_at(&releases, 4, bound), None);
+}
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -5,13 +5,10 @@
 
 use base::{Map, Model};
 use catalog::{FIRST_VERSION, Release, ReleaseList, WeightsVersion};
+use decide::rollout::GATEWAY_MARGIN;
 use tokio::sync::watch;
 
-/// Part of the bound that is left unused. A request may be queued at an engine before it begins, and on a
-/// narrow link it may arrive a second after it was sent, or even after it was cancelled.
-const MARGIN: Duration = Duration::from_millis(1500);
-
-/// Part of [`MARGIN`] after which a request that was sent and hasn't begun is cancelled.
+/// Part of [`GATEWAY_MARGIN`] after which a request that was sent and hasn't begun is cancelled.
 const BEGIN_MARGIN: Duration = Duration::from_millis(900);
 
 /// A released version, and the time until which older versions may begin requests.
@@ -59,7 +56,7 @@
             false => self.version_time,
         };
         drop(is_first_list);
-        self.add(&list, now + bound.saturating_sub(MARGIN));
+        self.add(&list, now + bound.saturating_sub(GATEWAY_MARGIN));
     }
 
     /// Records a version that a loader reports for its engine. It was released at an unknown time, even where the
@@ -74,7 +71,7 @@
             releases: vec![Release { model, version }],
         };
         let bound = self.contact_time.min(self.version_time);
-        self.add(&list, now + bound.saturating_sub(MARGIN));
+        self.add(&list, now + bound.saturating_sub(GATEWAY_MARGIN));
     }
 
     fn add(&self, list: &ReleaseList, until: Instant) {
--- a/crates/loader/src/api.rs
+++ b/crates/loader/src/api.rs
@@ -102,7 +102,8 @@
     pub orders: u64,
 }
 
-/// An order to drop the loaded weights of a model; staged chunks are kept.
+/// An order to stop requests by the loaded weights of a model, and to drop them once the running requests have completed.
+/// Staged chunks are kept.
 #[derive(Debug, Clone)]
 pub struct UnloadOrder {
     /// Model.
@@ -111,6 +112,8 @@
     pub version: WeightsVersion,
     /// Number of orders that the engine must have accepted so far; otherwise it refuses.
     pub orders: u64,
+    /// Whether parts that are kept may be used by a later load of the same version.
+    pub may_keep_parts: bool,
 }
 
 /// Result of an order.
--- a/crates/loader/src/order.rs
+++ b/crates/loader/src/order.rs
@@ -9,6 +9,8 @@
 
 use std::time::Duration;
 
+use base::Model;
+use catalog::WeightsVersion;
 use log::{info, warn};
 
 use crate::Cx;
@@ -183,9 +185,9 @@
             // The engine takes no order before it has carried out the last one.
             true => {}
             false if is_replaced => return Ok(()),
-            false if !holds(&state, set) => {
-                let is_unloaded = engine.borrow().as_ref().is_some_and(|s| !holds(s, set));
-                if is_unloaded {
+            false if !holds(&state, &set.model, set.version) => {
+                let is_unloaded = |s: &EngineState| !holds(s, &set.model, set.version);
+                if engine.borrow().as_ref().is_some_and(is_unloaded) {
                     return Ok(());
                 }
                 cx.poll_engine.notify_one();
@@ -195,17 +197,48 @@
                     model: set.model.clone(),
                     version: set.version,
                     orders: state.orders,
+                    may_keep_parts: false,
                 };
-                let result = until_answered(engine, || (cx.api.unload)(order.clone())).await?;
-                info!(target: PART, "{PART}: event=unloaded model={} version={} result={result:?}", set.model, set.version);
+                give_unload(cx, &order, engine).await?;
             }
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
+/// Orders the engine to unload a version that may begin no requests any more, unless it carries out an order.
+pub(crate) async fn unload_expired(
+    cx: &Cx,
+    model: Model,
+    version: WeightsVersion,
+    engine: &EngineWatch,
+) -> Result<OrderResult, ApiError> {
+    let state = until_answered(engine, || (cx.api.state)(())).await?;
+    if state.switching || !holds(&state, &model, version) {
+        return Ok(OrderResult::Taken);
+    }
+    let order = UnloadOrder {
+        model,
+        version,
+        orders: state.orders,
+        may_keep_parts: true,
+    };
+    give_unload(cx, &order, engine).await
+}
+
+async fn give_unload(
+    cx: &Cx,
+    order: &UnloadOrder,
+    engine: &EngineWatch,
+) -> Result<OrderResult, ApiError> {
+    let result = until_answered(engine, || (cx.api.unload)(order.clone())).await?;
+    info!(target: PART, "{PART}: event=unloaded model={} version={} may_keep_parts={} result={result:?}", order.model, order.version, order.may_keep_parts);
+    cx.poll_engine.notify_one();
+    Ok(result)
+}
+
 /// Returns whether an engine holds a version.
-fn holds(state: &EngineState, set: &ChunkSet) -> bool {
-    let mut held = state.holdings.iter().filter(|h| h.model == set.model);
-    held.any(|h| h.version == Some(set.version))
+fn holds(state: &EngineState, model: &Model, version: WeightsVersion) -> bool {
+    let mut held = state.holdings.iter().filter(|h| h.model == *model);
+    held.any(|h| h.version == Some(version))
 }
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -16,7 +16,7 @@
 use crate::chunk_set::ChunkSet;
 use crate::fetch::fetch;
 use crate::manifest::manifest;
-use crate::order::stage_and_order;
+use crate::order::{stage_and_order, unload_expired};
 use crate::peers::{BYTES_PER_MBIT, Scope, announce, loaders};
 use crate::precedence::MAX_STALL;
 use crate::slot::{PendingVersion, can_skip, last_slot_start, should_complete, slot_start};
@@ -51,11 +51,28 @@
     older: Vec<OlderFetch>,
 }
 
+/// What an order is to achieve.
+#[derive(Debug, Clone, Copy)]
+enum Goal {
+    Switch(WeightsVersion),
+    Unload(WeightsVersion),
+}
+
+impl Goal {
+    /// Returns whether an engine that holds a version has carried the order out.
+    fn is_achieved(self, held: Option<WeightsVersion>) -> bool {
+        match self {
+            Goal::Switch(version) => held >= Some(version),
+            Goal::Unload(version) => held != Some(version),
+        }
+    }
+}
+
 /// An order that is being given, or that may not have taken effect yet.
 #[derive(Debug, Clone)]
 struct PendingOrder {
     model: Model,
-    version: WeightsVersion,
+    goal: Goal,
     /// When it was known to be taken with intact chunks; `None` while the order is being given.
     answered: Option<Instant>,
 }
@@ -81,6 +98,8 @@
     ordering: JoinSet<Result<OrderResult, ApiError>>,
     /// Last known state of the engine.
     last_state: Option<EngineState>,
+    /// Versions that the engine has unloaded since they expired. What it loads next is decided as if it held them.
+    unloaded: Map<Model, WeightsVersion>,
 }
 
 /// Rolls out released versions to the engine, until the process ends.
@@ -97,6 +116,7 @@
         pending_order: None,
         ordering: JoinSet::new(),
         last_state: None,
+        unloaded: Map::default(),
     };
     loop {
         known.borrow_and_update();
@@ -224,8 +244,9 @@
             return;
         };
         self.detect_restart(&state);
-        let held = state.holdings.iter().find(|h| h.model == *model);
-        let held = held.and_then(|h| h.version);
+        let loaded = state.holdings.iter().find(|h| h.model == *model);
+        let loaded = loaded.and_then(|h| h.version);
+        let held = loaded.or_else(|| self.unloaded.get(model).copied());
         let set = self.cx.sets.newest_complete(model);
         let wanted = set.filter(|set| held < Some(set.version));
         let has_expired = held.is_some_and(|held| self.has_expired(model, held));
@@ -237,7 +258,7 @@
         match &self.pending_order {
             // Until then it isn't known whether the engine has loaded intact chunks.
             Some(pending) if pending.answered.is_none() => return,
-            Some(pending) if pending.model == *model && held >= Some(pending.version) => {
+            Some(pending) if pending.model == *model && pending.goal.is_achieved(loaded) => {
                 self.ordering = JoinSet::new();
                 self.pending_order = None;
                 self.cx
@@ -246,21 +267,44 @@
                 self.cx.poll_engine.notify_one();
             }
             Some(pending) if pending.is_awaited(state.switching) => return,
+            // The engine takes no order before it has carried out the last one.
+            None if state.switching => return,
             _ => {}
         }
-        match wanted {
-            Some(set)
+        match (wanted, loaded) {
+            (Some(set), _)
                 if is_idle
-                    || held.is_none()
+                    || loaded.is_none()
                     || has_expired
                     || clock::now() >= self.slot(&set.model, set.version) =>
             {
-                self.order(set, held.is_some());
+                self.order(set, loaded.is_some());
             }
+            (_, Some(loaded)) if self.should_unload(model, loaded) => self.unload(model, loaded),
             _ => {}
         }
     }
 
+    /// Returns whether the engine should unload a version although no newer one is complete. Gateways have stopped sending
+    /// requests to it, but the last ones may still be queued on a slow link, and the engine would begin them.
+    fn should_unload(&self, model: &Model, loaded: WeightsVersion) -> bool {
+        Releases::of(&self.cx, model).should_unload(loaded, clock::now())
+    }
+
+    /// Starts to order the engine to unload an expired version.
+    fn unload(&mut self, model: &Model, version: WeightsVersion) {
+        self.unloaded.insert(model.clone(), version);
+        self.pending_order = Some(PendingOrder {
+            model: model.clone(),
+            goal: Goal::Unload(version),
+            answered: None,
+        });
+        self.cx.leaving.store(true, Ordering::Relaxed);
+        let (cx, model, engine) = (self.cx.clone(), model.clone(), self.state.clone());
+        self.ordering
+            .spawn(async move { unload_expired(&cx, model, version, &engine).await });
+    }
+
     /// Drops a pending order if the engine has restarted: the new incarnation hasn't received it, and waiting for its
     /// effect would leave the engine without weights for [`ORDER_TIMEOUT`]. Nothing but a restart or an answer ends an
     /// order that is being given: an engine that is silent may go on.
@@ -270,6 +314,7 @@
             info!(target: PART, "{PART}: event=restarted start_time={:?} orders={} holdings={:?}", state.start_time, state.orders, state.holdings);
             self.ordering = JoinSet::new();
             self.pending_order = None;
+            self.unloaded.clear();
             self.cx.leaving.store(false, Ordering::Relaxed);
         }
     }
@@ -355,7 +400,7 @@
     fn order(&mut self, set: Arc<ChunkSet>, serves: bool) {
         self.pending_order = Some(PendingOrder {
             model: set.model.clone(),
-            version: set.version,
+            goal: Goal::Switch(set.version),
             answered: None,
         });
         self.cx.leaving.store(true, Ordering::Relaxed);
@@ -370,20 +415,20 @@
         let Some(pending) = &mut self.pending_order else {
             return;
         };
-        let version = pending.version;
+        let goal = pending.goal;
         match ordered {
             Ok(Ok(OrderResult::Taken)) => {
                 pending.answered = Some(clock::now());
                 return;
             }
             Ok(Ok(OrderResult::Conflict(status))) => {
-                warn!(target: PART, "{PART}: event=order_conflict version={version} status={status}");
+                warn!(target: PART, "{PART}: event=order_conflict goal={goal:?} status={status}");
             }
             Ok(Err(e)) => {
-                warn!(target: PART, "{PART}: event=order_failed version={version} why=\"{e}\"");
+                warn!(target: PART, "{PART}: event=order_failed goal={goal:?} why=\"{e}\"");
             }
             Err(e) => {
-                warn!(target: PART, "{PART}: event=order_failed version={version} why=\"{e}\"");
+                warn!(target: PART, "{PART}: event=order_failed goal={goal:?} why=\"{e}\"");
             }
         }
         self.pending_order = None;
--- a/crates/loader/src/succession.rs
+++ b/crates/loader/src/succession.rs
@@ -7,7 +7,7 @@
 use catalog::{FIRST_VERSION, WeightsVersion};
 use decide::rollout::{
     Candidate, Complete, Decision, Inputs, Links, Prediction, Release, decide,
-    follows_within_bound, may_begin_until, predict, takes_older,
+    follows_within_bound, may_begin_until, predict, takes_older, unload_at,
 };
 use log::info;
 use tokio::sync::watch;
@@ -78,6 +78,12 @@
         let until = may_begin_until(&self.known, held, self.bound);
         competes && until.is_some_and(|until| until <= now)
     }
+
+    /// Returns whether an engine should hold a version no longer, whether or not it can load a newer one.
+    pub(crate) fn should_unload(&self, held: WeightsVersion, now: Instant) -> bool {
+        let at = unload_at(&self.known, held, self.bound);
+        at.is_some_and(|at| at <= now)
+    }
 }
 
 /// The older version that is completed before the one being fetched.
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -235,3 +235,24 @@
         wait_until("all engines hold version 2", || fleet.all_hold(2));
     }
 }
+
+/// Guards against requests that arrive late and begin on a version whose bound has passed: an engine must refuse them
+/// although no newer version is complete.
+#[test]
+fn engine_unloads_a_version_that_expires_before_a_newer_one_is_complete() {
+    let fleet = Fleet::start();
+    fleet.open(CHUNKS / 2);
+
+    // The bound is 10 s.
+    fleet.release(2, Duration::from_secs(8));
+
+    wait_until("all engines have unloaded version 1", || fleet.all_hold(0));
+    let elapsed = fleet.known[0].borrow().since.values().max().copied();
+    let elapsed = elapsed.expect("a release").elapsed();
+    assert!(elapsed < Duration::from_secs(10), "{elapsed:?}");
+    fleet.open(usize::MAX);
+    wait_until("all engines hold version 2", || fleet.all_hold(2));
+    for engine in &fleet.engines {
+        assert_eq!(lock(engine).orders, [2]);
+    }
+}
