Pause between refused orders to unload a version

Found in our own new code: an engine that refuses to unload an expired version was ordered again at once, 298,394 times in 3.5 s in a stand-in. An order to unload is now repeated after 4 s at the earliest, or after 1 s for a version that was loaded corrupt, and one without an effect delays no switch. A model of one layer can't be unloaded, since its only layer would be kept or replaced by one of the previous version; it is left to the gateways' margin.

engine_that_refuses_to_unload_is_rarely_asked_and_gets_the_newer_version failed before and passes.

--- a/crates/loader/src/order.rs
+++ b/crates/loader/src/order.rs
@@ -44,6 +44,9 @@
 /// Interval of checks for whether the engine has carried out an order.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Pause before an order to unload is repeated that the engine has refused.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+
 /// An order that the engine has answered.
 struct AnsweredOrder {
     result: OrderResult,
@@ -181,6 +184,7 @@
         let state = until_answered(engine, || (cx.api.state)(())).await?;
         let newest = cx.sets.newest_complete(&set.model);
         let is_replaced = newest.is_some_and(|newest| newest.version > set.version);
+        let mut pause = POLL_INTERVAL;
         match state.switching {
             // The engine takes no order before it has carried out the last one.
             true => {}
@@ -199,10 +203,12 @@
                     orders: state.orders,
                     may_keep_parts: false,
                 };
-                give_unload(cx, &order, engine).await?;
+                if give_unload(cx, &order, engine).await? != OrderResult::Taken {
+                    pause = REFUSED_PAUSE;
+                }
             }
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -78,10 +78,15 @@
 }
 
 impl PendingOrder {
-    /// Returns whether the order may still take effect, given whether the engine carries out an order.
+    /// Returns whether the order may still take effect, given whether the engine carries out an order. One to unload has
+    /// taken effect at once, and must not delay a switch.
     fn is_awaited(&self, switching: bool) -> bool {
-        self.answered
-            .is_none_or(|at| switching || clock::since(at) < ORDER_TIMEOUT)
+        let is_recent = |at| clock::since(at) < ORDER_TIMEOUT;
+        match (self.answered, self.goal) {
+            (None, _) => true,
+            (Some(at), Goal::Switch(_)) => switching || is_recent(at),
+            (Some(_), Goal::Unload(_)) => switching,
+        }
     }
 }
 
@@ -100,6 +105,8 @@
     last_state: Option<EngineState>,
     /// Versions that the engine has unloaded since they expired. What it loads next is decided as if it held them.
     unloaded: Map<Model, WeightsVersion>,
+    /// When the engine was last ordered to unload a version.
+    last_unload: Option<Instant>,
 }
 
 /// Rolls out released versions to the engine, until the process ends.
@@ -117,6 +124,7 @@
         ordering: JoinSet::new(),
         last_state: None,
         unloaded: Map::default(),
+        last_unload: None,
     };
     loop {
         known.borrow_and_update();
@@ -288,12 +296,15 @@
     /// Returns whether the engine should unload a version although no newer one is complete. Gateways have stopped sending
     /// requests to it, but the last ones may still be queued on a slow link, and the engine would begin them.
     fn should_unload(&self, model: &Model, loaded: WeightsVersion) -> bool {
-        Releases::of(&self.cx, model).should_unload(loaded, clock::now())
+        let was_ordered = |at| clock::since(at) < ORDER_TIMEOUT;
+        let was_ordered = self.last_unload.is_some_and(was_ordered);
+        !was_ordered && Releases::of(&self.cx, model).should_unload(loaded, clock::now())
     }
 
     /// Starts to order the engine to unload an expired version.
     fn unload(&mut self, model: &Model, version: WeightsVersion) {
         self.unloaded.insert(model.clone(), version);
+        self.last_unload = Some(clock::now());
         self.pending_order = Some(PendingOrder {
             model: model.clone(),
             goal: Goal::Unload(version),
@@ -315,6 +326,7 @@
             self.ordering = JoinSet::new();
             self.pending_order = None;
             self.unloaded.clear();
+            self.last_unload = None;
             self.cx.leaving.store(false, Ordering::Relaxed);
         }
     }
--- a/crates/loader/tests/common/engine.rs
+++ b/crates/loader/tests/common/engine.rs
@@ -57,6 +57,10 @@
     /// Time that it takes to read a chunk back.
     pub read_time: Duration,
     pub interruptions: Vec<(Step, Interruption)>,
+    /// Whether it refuses to unload a version.
+    pub refuses_unload: bool,
+    /// Number of refused orders to unload.
+    pub refused_unloads: usize,
     orders_accepted: u64,
     calls: usize,
     corrupt_since: Map<usize, Instant>,
@@ -114,7 +118,8 @@
     }
 
     pub fn unload(&mut self, order: UnloadOrder) -> Result<OrderResult, ApiError> {
-        if order.orders != self.orders_accepted {
+        if order.orders != self.orders_accepted || self.refuses_unload {
+            self.refused_unloads += 1;
             return Ok(OrderResult::Conflict(409));
         }
         self.orders_accepted += 1;
--- a/crates/loader/tests/succession.rs
+++ b/crates/loader/tests/succession.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{CHUNKS, Fleet, LOADERS, catalog, free_addr, lock, wait_until};
 
@@ -256,3 +256,36 @@
         assert_eq!(lock(engine).orders, [2]);
     }
 }
+
+/// Guards against an order to unload that is repeated at each check, or that delays the switch to the newer version.
+#[test]
+fn engine_that_refuses_to_unload_is_rarely_asked_and_gets_the_newer_version() {
+    let fleet = Fleet::start();
+    for engine in &fleet.engines {
+        lock(engine).refuses_unload = true;
+    }
+    fleet.open(CHUNKS / 2);
+
+    // The bound is 10 s.
+    let released = Instant::now();
+    fleet.release(2, Duration::from_secs(12));
+    wait_until("all engines have refused", || {
+        let mut engines = fleet.engines.iter();
+        engines.all(|e| lock(e).refused_unloads > 0)
+    });
+    // Several checks at intervals of 100 ms follow while the last chunks are fetched.
+    fleet.open(usize::MAX);
+
+    wait_until("all engines hold version 2", || fleet.all_hold(2));
+    // An order is repeated every 4 s.
+    let max = 1 + released.elapsed().as_secs() / 4;
+    for engine in &fleet.engines {
+        let engine = lock(engine);
+        assert_eq!(engine.orders, [2]);
+        assert!(
+            engine.refused_unloads as u64 <= max,
+            "{}",
+            engine.refused_unloads
+        );
+    }
+}
