--- a/crates/loader/src/order.rs
+++ b/crates/loader/src/order.rs
@@ -1,4 +1,4 @@
-//! Orders the engine to switch to staged chunks.
+//! Orders the engine to switch to staged chunks, or to unload a version.
 //!
 //! The engine loads whatever is staged when it takes the order, without a check, and serves it until the next version.
 //! Chunks may become corrupt at any time, so an order is given only shortly after all of them were read back. Both the
@@ -6,6 +6,9 @@
 //! too long a time has passed until the answer, the chunks are therefore read back again before the engine returns to
 //! service. If one of them is corrupt by then, the engine may have loaded it; it takes no second order for a version that
 //! it holds, so the version is unloaded first.
+//!
+//! A version that may begin no requests any more is unloaded too, although no newer one is complete: the engine would
+//! begin requests that arrive late.
 
 use std::time::Duration;
 
--- a/crates/loader/src/rollout.rs
+++ b/crates/loader/src/rollout.rs
@@ -264,7 +264,7 @@
         let next = wanted.as_ref().map(|set| set.version);
         self.plan(model, held, next);
         match &self.pending_order {
-            // Until then it isn't known whether the engine has loaded intact chunks.
+            // An engine that holds the version by now may have loaded corrupt chunks.
             Some(pending) if pending.answered.is_none() => return,
             Some(pending) if pending.model == *model && pending.goal.is_achieved(loaded) => {
                 self.ordering = JoinSet::new();
