Count unanswered calls to an engine in one place

The repetition of an order counted unanswered calls by a copy of the code in until_answered. Both use UnansweredCalls now; the limit, the pause and what is logged are unchanged. All tests of loader and platform/tests/loader.rs pass.

--- a/crates/loader/src/order.rs
+++ b/crates/loader/src/order.rs
@@ -20,7 +20,7 @@
 use crate::api::{ApiError, EngineState, OrderResult, SwitchOrder, UnloadOrder};
 use crate::chunk_set::ChunkSet;
 use crate::stage::{
-    EngineWatch, MAX_UNANSWERED, REPEAT_PAUSE, Verification, read_all, stage, until_answered,
+    EngineWatch, REPEAT_PAUSE, UnansweredCalls, Verification, read_all, stage, until_answered,
     verify,
 };
 
@@ -100,7 +100,7 @@
 ) -> Result<AnsweredOrder, ApiError> {
     let mut given: Option<SwitchOrder> = None;
     let mut replaced_before = 0;
-    let mut unanswered = 0;
+    let mut unanswered = UnansweredCalls::default();
     loop {
         let state = verified_state(cx, set, engine, verification).await?;
         let in_doubt = given.is_some();
@@ -128,11 +128,7 @@
         };
         info!(target: PART, "{PART}: event=order_unanswered version={} why=\"{why}\"", set.version);
         given = Some(order);
-        unanswered = match engine.borrow().is_some() {
-            true => unanswered + 1,
-            false => 0,
-        };
-        if unanswered >= MAX_UNANSWERED {
+        if unanswered.record(engine) {
             return Err(ApiError::Unanswered(why));
         }
         tokio::time::sleep(REPEAT_PAUSE).await;
--- a/crates/loader/src/stage.rs
+++ b/crates/loader/src/stage.rs
@@ -31,7 +31,7 @@
 
 /// Maximum number of unanswered calls in a row while the engine answers queries of its state. While it answers nothing at
 /// all, calls are repeated without a limit.
-pub(crate) const MAX_UNANSWERED: u32 = 3;
+const MAX_UNANSWERED: u32 = 3;
 
 /// Pause before an unanswered call is repeated.
 pub(crate) const REPEAT_PAUSE: Duration = Duration::from_millis(50);
@@ -39,6 +39,21 @@
 /// Last state that the engine reported; `None` while it doesn't answer.
 pub(crate) type EngineWatch = watch::Receiver<Option<EngineState>>;
 
+/// Count of unanswered calls in a row.
+#[derive(Debug, Default)]
+pub(crate) struct UnansweredCalls(u32);
+
+impl UnansweredCalls {
+    /// Records an unanswered call; returns whether the limit has been reached, see [`MAX_UNANSWERED`].
+    pub(crate) fn record(&mut self, engine: &EngineWatch) -> bool {
+        self.0 = match engine.borrow().is_some() {
+            true => self.0 + 1,
+            false => 0,
+        };
+        self.0 >= MAX_UNANSWERED
+    }
+}
+
 /// Makes a call that may be carried out more than once, and repeats it until the engine has answered it.
 pub(crate) async fn until_answered<F, R>(
     engine: &EngineWatch,
@@ -47,17 +62,13 @@
 where
     F: Future<Output = Result<R, ApiError>>,
 {
-    let mut unanswered = 0;
+    let mut unanswered = UnansweredCalls::default();
     loop {
         let why = match call().await {
             Err(ApiError::Unanswered(why)) => why,
             answered => return answered,
         };
-        unanswered = match engine.borrow().is_some() {
-            true => unanswered + 1,
-            false => 0,
-        };
-        if unanswered >= MAX_UNANSWERED {
+        if unanswered.record(engine) {
             return Err(ApiError::Unanswered(why));
         }
         debug!(target: PART, "{PART}: event=unanswered why=\"{why}\"");
