--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -214,6 +214,11 @@
         self.services.get(name)
     }
 
+    /// Returns the engine of a service.
+    pub fn engine(&self, service: &str) -> Option<&Engine> {
+        self.service(service).and_then(|s| s.engine.as_ref())
+    }
+
     /// Returns the origin of weights.
     pub fn origin(&self) -> Option<&Origin> {
         self.services.values().find_map(|s| s.origin.as_ref())
@@ -221,8 +226,7 @@
 
     /// Returns the models that the upstreams of a service run.
     pub fn models(&self, service: &str) -> &[Model] {
-        let engine = self.service(service).and_then(|s| s.engine.as_ref());
-        engine.map_or(&[], |e| &e.models)
+        self.engine(service).map_or(&[], |e| &e.models)
     }
 }
 
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -196,8 +196,7 @@
 pub(crate) fn chunk_time(cx: &Cx) -> Duration {
     let catalog = cx.catalog.borrow();
     let origin = catalog.as_ref().and_then(|c| c.origin());
-    let service = catalog.as_ref().and_then(|c| c.service(&cx.service));
-    let engine = service.and_then(|s| s.engine.as_ref());
+    let engine = catalog.as_ref().and_then(|c| c.engine(&cx.service));
     match (origin, engine) {
         (Some(origin), Some(engine)) => origin.transfer_time(engine.chunk_bytes),
         _ => Duration::ZERO,
--- a/crates/loader/src/manifest.rs
+++ b/crates/loader/src/manifest.rs
@@ -96,8 +96,7 @@
 /// Rejects a manifest with another number of chunks than the configuration states.
 pub(crate) fn check_length(cx: &Cx, manifest: Manifest) -> Result<Manifest, ApiError> {
     let catalog = cx.catalog.borrow();
-    let service = catalog.as_ref().and_then(|c| c.service(&cx.service));
-    let engine = service.and_then(|s| s.engine.as_ref());
+    let engine = catalog.as_ref().and_then(|c| c.engine(&cx.service));
     let expected = engine.map_or(0, |e| e.chunks as usize);
     match manifest.digests.len() {
         0 => Err(ApiError::Failed("the manifest is empty".to_owned())),
--- a/crates/loader/src/succession.rs
+++ b/crates/loader/src/succession.rs
@@ -361,8 +361,7 @@
 /// Returns the rates at which chunks arrive.
 fn links(cx: &Cx, observed_chunk: Option<Duration>) -> Links {
     let catalog = cx.catalog.borrow();
-    let service = catalog.as_ref().and_then(|c| c.service(&cx.service));
-    let engine = service.and_then(|s| s.engine.as_ref());
+    let engine = catalog.as_ref().and_then(|c| c.engine(&cx.service));
     let bytes = engine.map_or(0, |e| e.chunk_bytes) as f64;
     let rate = cx.cfg.link_mbps * BYTES_PER_MBIT * cx.cfg.weight_share as f64 / 100.0;
     let loader_chunk = match rate > 0.0 {
