Read single digests instead of a copy of all

Each start of chunk fetches copied the digests of all chunks, of which only those of missing chunks are used, and is_chunk computed a digest while it held the lock of the set. ChunkSet::digest returns one. Behaviour is unchanged; all tests of loader and catalog pass, as do the lints of the workspace.

--- a/crates/loader/src/chunk_set.rs
+++ b/crates/loader/src/chunk_set.rs
@@ -78,9 +78,14 @@
         Manifest { digests }
     }
 
+    /// Returns the digest of a chunk in the manifest.
+    pub fn digest(&self, i: usize) -> Option<ChunkDigest> {
+        self.lock().digests.get(i).copied()
+    }
+
     /// Returns whether a buffer matches the digest of a chunk in the manifest.
     pub fn is_chunk(&self, i: usize, buf: &[u8]) -> bool {
-        self.lock().digests.get(i) == Some(&chunk_digest(buf))
+        self.digest(i) == Some(chunk_digest(buf))
     }
 
     /// Stores a chunk if it matches the manifest; returns whether it does.
--- a/crates/loader/src/fetch.rs
+++ b/crates/loader/src/fetch.rs
@@ -342,13 +342,12 @@
         }
         let (waited, stalled) = (clock::since(self.started), clock::since(self.last_progress));
         let have = self.set.have();
-        let digests = self.set.manifest().digests;
         let selector = self.swarm.selector(&self.policy, waited, stalled);
         let mut ready: Vec<_> = (0..have.len())
             .filter(|i| !have[*i] && !self.in_flight.contains(i))
             .filter(|i| !self.checks.is_in_progress(*i))
             .filter_map(|i| {
-                let digest = Digest::from_slice(&digests[i]).ok()?;
+                let digest = Digest::from_slice(&self.set.digest(i)?).ok()?;
                 let choice = selector.choose(i, &digest)?;
                 Some((choice.urgency, i, choice.source))
             })
