--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+from urllib.parse import parse_qs, quote, urlsplit
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(HERE)
@@ -223,8 +224,6 @@
             writer.close()
 
     async def answer(self, method, target, body):
-        from urllib.parse import parse_qs, urlsplit
-
         url = urlsplit(target)
         query = {k: v[0] for k, v in parse_qs(url.query).items()}
         if url.path == "/driftnotch/rows-get":
@@ -318,9 +317,12 @@
             return await self.reject(writer, 503, head)
         async with Slot(self):
             self.say("runs", attempt)
+            self.say("tenant", f"{attempt}={quote(headers.get('driftnotch-tenant', ''))}")
             head.append(f"Driftnotch-Response-Signature: {self.cfg['id']}.{attempt}")
             if "driftnotch-model" in headers:
                 return await self.stream(writer, head, headers, attempt)
+            if self.cfg["framing"] == "close":
+                return await self.answer_in_parts(writer, head, attempt)
             await asyncio.sleep(self.cfg["work_ms"] / 1000)
             data = f"answer to {attempt} by {self.cfg['id']}\n".encode()
             writer.write(f"HTTP/1.1 200 OK\r\nContent-Length: {len(data)}\r\n".encode())
@@ -329,6 +331,17 @@
         self.say("done", attempt)
         return True
 
+    async def answer_in_parts(self, writer, head, attempt):
+        """Sends an answer without a length, which ends with its connection; returns that this isn't kept."""
+        head = head + ["Connection: close"]
+        writer.write(b"HTTP/1.1 200 OK\r\n" + ("\r\n".join(head) + "\r\n\r\n").encode())
+        for i in range(1, self.cfg["events"] + 1):
+            await asyncio.sleep(self.cfg["work_ms"] / 1000 / self.cfg["events"])
+            writer.write(f"line {i} of {self.cfg['events']}\n".encode())
+            await writer.drain()
+        self.say("done", attempt)
+        return False
+
     async def reject(self, writer, status, head):
         head = head + ["Driftnotch-Not-Executed: 1", "Content-Length: 0"]
         writer.write(f"HTTP/1.1 {status} X\r\n".encode() + ("\r\n".join(head) + "\r\n\r\n").encode())
