--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""The operator raises MaxHeaderBytes. Are larger heads taken on connections that were open before?"""
+"""One report of one runner has a wrong digit: is the model ever served again?"""
 
 import asyncio
 import os
@@ -6,59 +6,122 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(HERE))
+import engine_2 as e  # noqa: E402
 import standins_2 as s  # noqa: E402
 
-CLIENTS = 24
-SECONDS = 16
-CHANGED_AT = 4
-CONFIG_S = 2.0
-LARGER_AT = CHANGED_AT + 2 * CONFIG_S
-SMALL_HEAD, LARGE_HEAD = 1000, 24000
+ZONES = ["rec-a", "for-b", "ssa-c"]
+ENGINES_PER_ZONE = 2
+RATE = 20
+SECONDS = 60
+RELEASED_AT, SPOILT_AT, FINAL_FAULT_AT, DOWN_S, RECOVERY_S = 3, 14, 20, 0.5, 12
+SPOILT_VERSION = 9
 
 
-async def client(d, i, began, until, trouble, answers):
-    """Sends a request every 0.4 s over a kept connection; with larger heads once the change is long in force."""
+async def request(d, n, answers):
+    """Sends a request; nine in ten are for the model."""
     loop = asyncio.get_running_loop()
-    connection = s.Connection(d.gateways[i % len(d.gateways)][2])
-    while loop.time() < until:
-        attempt = s.attempt_id()
-        is_large = trouble and loop.time() >= began + LARGER_AT
-        headers = [
-            ("Host", "registry.example"), ("Driftnotch-Attempt-Id", attempt), ("Authorization", "Token key-1"),
-            ("Driftnotch-Deadline-Ms", "4000"), ("Cookie", "c" * (LARGE_HEAD if is_large else SMALL_HEAD)),
-        ]
-        answer = await connection.send(s.request_bytes("GET", "/sums/a", headers, b""), 4)
-        d.note(f"client {i} attempt {attempt} large {is_large} status {answer.status} {answer.error}")
-        answers.append((is_large, answer))
-        await asyncio.sleep(0.4)
+    sent, attempt, is_plain = loop.time(), s.attempt_id(), n % 10 == 0
+    headers = [
+        ("Host", "registry.example"), ("Driftnotch-Attempt-Id", attempt), ("Authorization", "Token key-1"),
+        ("Driftnotch-Deadline-Ms", "4000"),
+    ]
+    if not is_plain:
+        headers += [("Driftnotch-Model", e.MODEL), ("Driftnotch-Token-Usage", "400,50")]
+    data = s.request_bytes("POST", "/index/a" if is_plain else "/notes/a", headers, attempt.encode())
+    connection = s.Connection(d.gateways[n % len(d.gateways)][2])
+    answer = await connection.send(data, 4)
     connection.close()
+    served = answer.status == 200 and answer.complete and not answer.error
+    d.note(f"client {'index' if is_plain else 'notes'} attempt {attempt} status {answer.status} {answer.error}")
+    answers.append((sent, served, is_plain))
+
+
+async def traffic(d, answers, until):
+    loop = asyncio.get_running_loop()
+    due, n, requests = loop.time(), 0, []
+    while due < until:
+        await asyncio.sleep(max(0, due - loop.time()))
+        requests.append(asyncio.ensure_future(request(d, n, answers)))
+        n, due = n + 1, due + 1 / RATE
+    await asyncio.gather(*requests)
+
+
+def configuration(version, origin):
+    routes = [
+        s.route("notes", "registry.example", "/notes/", "llm-pool", "stream", ResumeStreams=True, TargetGapMs=400),
+        s.route("index", "registry.example", "/index/", "registry-api", "unsafe", MaxAttempts=1, Priority=2),
+    ]
+    services = [
+        {"Name": "llm-pool", "HealthPath": "/healthz", "MaxConnections": 424, "Engine": e.ENGINE},
+        {"Name": "registry-api", "HealthPath": "/healthz", "MaxConnections": 100},
+        {"Name": "portal-web", "HealthPath": "/healthz", "MaxConnections": 48, "Origin": origin, "LinkMbps": 7.3},
+    ]
+    return s.config(version, routes, services, {"hops": ["key-1"]})
+
+
+async def final_fault(d, origin, loaders):
+    """Kills all of the system's processes right after a configuration is acknowledged, and starts them again."""
+    d.store.put("op", "config", configuration(2, origin))
+    processes = [process for _, process, _ in d.gateways.values()] + [loader.process for loader in loaders]
+    for process in processes:
+        process.kill()
+    d.note(f"all {len(processes)} processes of the system are killed")
+    await asyncio.sleep(DOWN_S)
+    for process in processes:
+        process.wait()
+    for i, (domain, _, _) in list(d.gateways.items()):
+        d.start_gateway(i, domain)
+    for loader in loaders:
+        loader.start()
 
 
 async def case(d, trouble):
-    routes = [s.route("sums", "registry.example", "/sums/", "registry-api", "safe", TargetLatencyMs=300)]
-    services = [{"Name": "registry-api", "HealthPath": "/healthz", "MaxConnections": 100}]
-    await d.start(["rec-a", "for-b", "ssa-c"], s.config(1, routes, services, {"hops": ["key-1"]}))
-    for n, zone in enumerate(["rec-a", "for-b", "ssa-c"]):
-        await d.start_runner("registry-api", zone, 30 + n, slots=16, work_ms=20)
+    is_spoilt = trouble and os.environ.get("TROUBLE") != "fault"
+    origin = e.Origin()
+    await origin.start(d.ip(3))
+    await d.start(ZONES, configuration(1, origin.address))
+    engines, loaders = [], []
+    for n in range(ENGINES_PER_ZONE * len(ZONES)):
+        engine = e.Engine(d, f"i-{n:04x}", ZONES[n % len(ZONES)], d.ip(40 + n))
+        await engine.start()
+        engines.append(engine)
+        loaders.append(e.Loader(d, engine, d.seeds))
+        loaders[-1].start()
+    for n, zone in enumerate(ZONES):
+        await d.start_runner("registry-api", zone, 30 + n)
     await d.wait_until_ready()
-    await asyncio.sleep(1.5)
+    await asyncio.sleep(2)
     loop = asyncio.get_running_loop()
     began, answers = loop.time(), []
-    until = began + SECONDS
-    clients = [asyncio.ensure_future(client(d, i, began, until, trouble, answers)) for i in range(CLIENTS)]
-    await asyncio.sleep(CHANGED_AT)
+    running = asyncio.ensure_future(traffic(d, answers, began + SECONDS))
+    until = lambda at: asyncio.sleep(max(0, began + at - loop.time()))
+    await until(RELEASED_AT)
+    origin.newest = 2
+    d.store.put("op", "version/" + e.MODEL, {"Model": e.MODEL, "Version": 2})
+    d.note("version 2 of the weights is named")
+    await until(SPOILT_AT)
+    if any(engine.version != 2 for engine in engines):
+        raise s.CannotRun("the runners don't have version 2 yet")
+    if is_spoilt:
+        engines[0].spoilt_version = SPOILT_VERSION
+    await until(FINAL_FAULT_AT)
     if trouble:
-        d.store.put("op", "config", s.config(2, routes, services, {"hops": ["key-1"]}, MaxHeaderBytes=65536))
-        d.note("version 2 is acknowledged: MaxHeaderBytes 65536 instead of 16384")
-    await asyncio.gather(*clients)
-    denied = [a for _, a in answers if 300 <= a.status < 500 and a.status not in (408, 421, 429)]
-    ok = [a for _, a in answers if a.status == 200]
-    d.note(f"{len(answers)} requests, {len(ok)} served, {len(denied)} denied")
-    if not ok:
-        raise s.CannotRun("no request was served")
-    if len(denied) > 5 + len(answers) / 500:
-        statuses = sorted({a.status for a in denied})
-        return f"DENIED: {len(denied)} of {len(answers)} proper requests ended with {statuses}"
+        await final_fault(d, origin.address, loaders)
+    await running
+    for line in d.gateway_lines("event=released", "event=stored"):
+        d.note(line)
+    share = lambda of: sum(1 for a in of if a[1]) / max(1, len(of))
+    before = [a for a in answers if a[0] < began + FINAL_FAULT_AT]
+    after = [a for a in answers if a[0] > began + FINAL_FAULT_AT + DOWN_S + RECOVERY_S]
+    notes = [a for a in after if not a[2]]
+    d.note(
+        f"{share(before):.3f} of {len(before)} served before the final fault, {share(after):.3f} of {len(after)} after "
+        f"the recovery; of those for the model {share(notes):.3f} of {len(notes)}"
+    )
+    if share(before) < 0.25:
+        raise s.CannotRun("under a quarter was served before the final fault")
+    if share(after) < 0.25:
+        return f"RECOVER: {share(before):.3f} served before the final fault, {share(after):.3f} over {RECOVERY_S} s after it"
     return ""
 
 
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -406,6 +406,7 @@
         self.processes = []
         self.logs = []
         self.net = free_net()
+        self.seeds = ""
 
     def note(self, text):
         self.record_file.write(f"{time.monotonic() - self.started:8.3f} {text}\n")
@@ -421,6 +422,7 @@
         await self.store.start(self.ip(2))
         self.store.put("op", "config", config)
         seeds = ", ".join(f'"{self.ip(10 + i)}:8000"' for i in range(min(3, len(gateways))))
+        self.seeds = seeds
         for i, domain in enumerate(gateways):
             self.write_settings(i, domain, seeds)
         for i, domain in enumerate(gateways):
@@ -584,6 +586,8 @@
 def main(folder, case):
     """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run."""
     deployment = Deployment(os.path.join(folder, "record.txt"))
+    # A script that is told to end still ends its processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     result = 2
     try:
@@ -591,9 +595,9 @@
         result = 1 if broken else 0
         deployment.note(f"trouble: {trouble}; the rule {'was broken: ' + broken if broken else 'held'}")
         print(f"trouble: {trouble}; the rule {'was broken: ' + broken if broken else 'held'}")
-    except CannotRun as e:
-        deployment.note(f"the case couldn't run: {e}")
-        print(f"the case couldn't run: {e}")
+    except Exception as e:
+        deployment.note(f"the case couldn't run: {e!r}")
+        print(f"the case couldn't run: {e!r}")
     finally:
         deployment.end()
     sys.exit(result)
