Take a reported version for a release only once it is verified

Cause: gateways recorded every version that an engine reported as released. The highest version wins everywhere, and nothing keeps its source, so gateways announced it to all loaders and wrote it to the store a second later. Operators who named a lower version had no effect.

Change: a version counts as released if operators have named it or if the origin provides it. A loader whose engine reports a version that no known release names requests the manifest from the origin, and publishes the version if it arrives. Verified releases follow the status message of a loader, where processes of earlier releases ignore them.

The witness is still needed: if the operators' row names an older version again and all processes are lost before the newer one is stored, only engines know it.

--- a/crates/beacon/src/msg.rs
+++ b/crates/beacon/src/msg.rs
@@ -3,7 +3,8 @@
 //! Datagrams are encoded by postcard, which writes fields by position: fields and variants must keep their order.
 //! [`SuspectUpdate`] and [`TrialUpdate`] are also stored as JSON, by field name.
 //!
-//! The eras of a [`LoadUpdate`]'s revisions follow its message, where processes of earlier releases ignore them.
+//! The eras of a [`LoadUpdate`]'s revisions and the verified releases of an [`EngineStatus`] follow the message, where
+//! processes of earlier releases ignore them.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,9 @@
     pub releases: Vec<Release>,
     /// Start time of the engine, if it reports one.
     pub start_time: Option<StartTime>,
+    /// Releases that the loader knows from operators or has verified at the origin; none from an earlier release.
+    #[serde(skip)]
+    pub verified: Vec<Release>,
 }
 
 /// Requests of one gateway, or of one failure domain, at an upstream, and their recent outcomes.
--- a/crates/beacon/src/socket.rs
+++ b/crates/beacon/src/socket.rs
@@ -105,6 +105,9 @@
 /// Encodes a message as a datagram.
 pub fn encode(msg: &Msg) -> postcard::Result<Vec<u8>> {
     let mut buf = postcard::to_stdvec(msg)?;
+    if let Msg::Engine(status) = msg {
+        buf = postcard::to_extend(&status.verified, buf)?;
+    }
     if let Some(update) = msg.load_update() {
         buf = postcard::to_extend(&update.eras(), buf)?;
     }
@@ -114,9 +117,14 @@
 /// Decodes a datagram. One of an earlier release ends with its message.
 pub fn decode(buf: &[u8]) -> postcard::Result<Msg> {
     let (mut msg, rest): (Msg, _) = postcard::take_from_bytes(buf)?;
-    match msg.load_update_mut() {
-        Some(update) if !rest.is_empty() => update.set_eras(postcard::from_bytes(rest)?),
-        _ => {}
+    if rest.is_empty() {
+        return Ok(msg);
+    }
+    if let Msg::Engine(status) = &mut msg {
+        status.verified = postcard::from_bytes(rest)?;
+    }
+    if let Some(update) = msg.load_update_mut() {
+        update.set_eras(postcard::from_bytes(rest)?);
     }
     Ok(msg)
 }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,9 +10,7 @@
 use std::time::Duration;
 
 use base::StoreRevision;
-use beacon::{
-    Beacon, EngineStatus, Holding, LoadUpdate, Msg, PaceUpdate, RateLimitUpdate, SuspectUpdate,
-};
+use beacon::{Beacon, EngineStatus, LoadUpdate, Msg, PaceUpdate, RateLimitUpdate, SuspectUpdate};
 use log::{debug, warn};
 use mirror::DocName;
 use web::{Client, DialOptions};
@@ -107,11 +105,8 @@
 /// Applies a loader's status of its engine, and sends the loader the releases that it missed.
 fn apply_engine_status(cx: &Cx, beacon: &Beacon, status: EngineStatus, from: SocketAddr) {
     let now = clock::now();
-    for Holding { model, version } in &status.holdings {
-        if let Some(version) = version {
-            cx.releases.observe(model, *version, now);
-        }
-    }
+    // A version that the engine alone claims to hold is no release: one corrupt report would end the use of all others.
+    cx.releases.observe(&status.verified, now);
     if let Some(newer) = cx.releases.newer_than(&status.releases) {
         beacon.send(&Msg::Releases(newer), [from]);
     }
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -59,19 +59,22 @@
         self.add(&list, now + bound.saturating_sub(GATEWAY_MARGIN));
     }
 
-    /// Records a version that a loader reports for its engine. It was released at an unknown time, even where the
-    /// store doesn't list it any more.
-    pub fn observe(&self, model: &Model, version: WeightsVersion, now: Instant) {
-        if version <= FIRST_VERSION || self.newest.borrow().version(model) >= Some(version) {
-            return;
-        }
-        let model = model.clone();
+    /// Records releases that another process has verified. They were made at an unknown time, even where the operators'
+    /// rows don't name them any more.
+    pub fn observe(&self, verified: &[Release], now: Instant) {
+        let newest = self.newest.borrow();
+        let is_new = |r: &&Release| {
+            r.version > FIRST_VERSION && newest.version(&r.model).is_none_or(|v| v < r.version)
+        };
         let list = ReleaseList {
             revision: 0,
-            releases: vec![Release { model, version }],
+            releases: verified.iter().filter(is_new).cloned().collect(),
         };
-        let bound = self.contact_time.min(self.version_time);
-        self.add(&list, now + bound.saturating_sub(GATEWAY_MARGIN));
+        drop(newest);
+        if !list.releases.is_empty() {
+            let bound = self.contact_time.min(self.version_time);
+            self.add(&list, now + bound.saturating_sub(GATEWAY_MARGIN));
+        }
     }
 
     fn add(&self, list: &ReleaseList, until: Instant) {
--- a/crates/gateway/tests/membership.rs
+++ b/crates/gateway/tests/membership.rs
@@ -62,6 +62,7 @@
         queued: 0,
         releases: Vec::new(),
         start_time: None,
+        verified: Vec::new(),
     }
 }
 
--- a/crates/loader/src/lib.rs
+++ b/crates/loader/src/lib.rs
@@ -12,6 +12,8 @@
 //! - `stage` stages the chunks at the engine and verifies them; `order` orders the engine to switch to them.
 //! - [`slot`] decides when the engine may leave service to switch.
 //!
+//! `claims` verifies versions at the origin that an engine holds although no known release names them.
+//!
 //! `status` publishes the state of the engine to gateways, and [`pace`] decides when to publish its speed. The calls to
 //! the engine and the origin depend on the platform, which provides them by [`api`].
 
@@ -21,6 +23,7 @@
 pub mod api;
 mod chunk;
 pub mod chunk_set;
+mod claims;
 mod fetch;
 mod manifest;
 mod manifest_check;
@@ -38,7 +41,7 @@
 mod succession;
 pub mod window;
 
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -60,6 +63,10 @@
 pub struct KnownReleases {
     /// Releases.
     pub list: ReleaseList,
+    /// Releases that operators have named, or that were verified at the origin.
+    pub verified: ReleaseList,
+    /// Releases that the store lists without stating that they were verified.
+    pub claimed: ReleaseList,
     /// Time at which each version became known.
     pub since: Map<(Model, WeightsVersion), Instant>,
 }
@@ -76,6 +83,12 @@
         raised
     }
 
+    /// Merges a list of verified releases; returns whether any became known or verified.
+    pub fn merge_verified(&mut self, list: &ReleaseList, now: Instant) -> bool {
+        let is_verified = self.verified.merge(list);
+        self.merge(list, now) || is_verified
+    }
+
     /// Returns the newest version of a model.
     pub fn version(&self, model: &Model) -> WeightsVersion {
         self.list.version(model).unwrap_or(FIRST_VERSION)
@@ -119,6 +132,8 @@
     pub(crate) announced: Notify,
     /// Notified when the engine's state should be polled at once.
     pub(crate) poll_engine: Notify,
+    /// Number of verified claims; gateways are notified when it changes.
+    pub(crate) verified_claims: AtomicU64,
     /// Whether the engine is about to leave service to switch weights.
     pub(crate) leaving: AtomicBool,
     /// Planned time to leave service for new weights; `None` if no switch is planned.
--- a/crates/loader/src/run.rs
+++ b/crates/loader/src/run.rs
@@ -1,7 +1,7 @@
 //! Starts the tasks of a loader and dispatches datagrams.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 
 use beacon::{Beacon, Msg};
 use log::{info, warn};
@@ -10,6 +10,7 @@
 use web::ServerLimits;
 
 use crate::chunk_set::ChunkSets;
+use crate::claims::verify_claims;
 use crate::peers::{Peers, UploadLimits, reply, serve};
 use crate::rollout::roll_out;
 use crate::status::publish;
@@ -37,6 +38,7 @@
         peers: std::sync::Mutex::new(Peers::default()),
         announced: Notify::new(),
         poll_engine: Notify::new(),
+        verified_claims: AtomicU64::new(0),
         leaving: AtomicBool::new(false),
         leaves_at: std::sync::Mutex::new(None),
         cfg: deps.cfg,
@@ -54,6 +56,7 @@
     let (tx, rx) = watch::channel(None);
     tokio::spawn(publish(cx.clone(), tx));
     tokio::spawn(listen(cx.clone()));
+    tokio::spawn(verify_claims(cx.clone(), rx.clone()));
     tokio::spawn(roll_out(cx.clone(), rx));
     let mut stop = cx.stop.clone();
     if stop.wait_for(|stopping| *stopping).await.is_err() {
--- a/crates/loader/src/status.rs
+++ b/crates/loader/src/status.rs
@@ -43,8 +43,8 @@
     let mut sent = clock::now();
     let mut sent_far = clock::now();
     let mut sent_plan = None;
-    // Whether the engine accepted no requests, what it held and when it started, as last read. Silence since then is no
-    // change: an engine that has paused goes on with the same weights.
+    // Whether the engine accepted no requests, what it held and when it started, as last read, and the number of verified
+    // claims. Silence since then is no change: an engine that has paused goes on with the same weights.
     let mut last_read = None;
     let mut changed_at = clock::now();
     let mut paces = PaceTracker::new(clock::now());
@@ -55,7 +55,13 @@
             Ok(state) => {
                 publish_pace(&cx, &mut paces, state.pace);
                 switching = state.switching || cx.leaving.load(Ordering::Relaxed);
-                let read = Some((switching, state.holdings.clone(), state.start_time));
+                let verified = cx.verified_claims.load(Ordering::Relaxed);
+                let read = Some((
+                    switching,
+                    state.holdings.clone(),
+                    state.start_time,
+                    verified,
+                ));
                 let changed = last_read != read;
                 last_read = read;
                 let planned = leaves_at(&cx);
@@ -147,6 +153,7 @@
 
 /// Sends a status update; `switching` states whether the engine accepts no requests.
 fn send(cx: &Cx, sequence: u64, state: &EngineState, switching: bool, receivers: Vec<SocketAddr>) {
+    let known = cx.known.borrow();
     let status = EngineStatus {
         incarnation: cx.incarnation,
         sequence,
@@ -157,7 +164,9 @@
         running: state.running,
         queued: state.queued,
         start_time: state.start_time,
-        releases: cx.known.borrow().list.releases.clone(),
+        releases: known.list.releases.clone(),
+        verified: known.verified.releases.clone(),
     };
+    drop(known);
     cx.beacon.send(&Msg::Engine(status), receivers);
 }
