Bound the memory of bodies in flight, and give up responses without an end

What callers saw: one of three upstreams answers for 6 s with a body that has no end. The gateway grew to 3,573 MB (a VM has 260), and 4 of 296 requests of a safe route got 502 after 4.4 s. Interim responses without an end took requests all of their time, and so did an event of a stream.

Cause: a response is collected before it is relayed, so that an incomplete one is never relayed as complete, and only the deadline bounded it. While bytes arrive the upstream isn't silent, so no second attempt was made. Request bodies were bounded one by one, and not together.

Change: bodies in flight and partial events share a third of `memory`, a new setting that the platform fills in. A body may grow to half of what the others leave, so together they can't exceed the budget, and endless ones leave a part of it to others. What exceeds it is lost like a response that broke off and goes to another upstream where it may run twice. A request for whose body there is no memory is refused with 503 and Retry-After.

--- a/crates/decide/src/lib.rs
+++ b/crates/decide/src/lib.rs
@@ -14,6 +14,7 @@
 //! - [`fanout`]: gateways of a failure domain that a change of load is sent to at once.
 //! - [`hedging`]: second attempts beside an upstream that is silent.
 //! - [`load_balancing`]: choice of the upstream for a request.
+//! - [`memory`]: memory that a body in flight may take up.
 //! - [`outlier_detection`]: upstreams that are avoided because they fail most of their requests.
 //! - [`part_evidence`]: parts of prompts that are blamed for exits of upstreams.
 //! - [`priority`]: whether a request may take a slot while more urgent ones may need it.
@@ -44,6 +45,7 @@
 pub mod fanout;
 pub mod hedging;
 pub mod load_balancing;
+pub mod memory;
 pub mod outlier_detection;
 pub mod part_evidence;
 pub mod priority;
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -268,7 +268,7 @@
         connection,
     } = response;
     let events = EventBuffer::resumed_after(last_event_id);
-    let mut source = EventSource::new(body, connection, events, activity.clone());
+    let mut source = EventSource::new(cx, body, connection, events, activity.clone());
     let started = clock::now();
     let item = source.next().await;
     req.spans.add(Span::FirstEvent, started);
@@ -300,7 +300,7 @@
         body,
         connection,
     } = response;
-    let buf = read_to_end(body).await;
+    let buf = read_to_end(body, cx.memory.share()).await;
     drop(connection);
     let buf = buf?;
     let status = head.status.as_u16();
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -40,6 +40,12 @@
         self.last_id.as_ref()
     }
 
+    /// Returns the number of buffered bytes. Once [`EventBuffer::take_complete`] has returned `None`, they are those of a
+    /// partial event.
+    pub fn buffered(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Returns whether no partial event is buffered.
     pub fn is_complete(&self) -> bool {
         self.buf.is_empty()
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -31,6 +31,7 @@
     metrics::gauge!("driftnotch_configuration_age_seconds").set(age.as_secs_f64());
     metrics::gauge!("driftnotch_store_reached").set(f64::from(reaches_store));
     metrics::gauge!("driftnotch_retry_sharers").set(cx.retry_sharers().unwrap_or(0) as f64);
+    metrics::gauge!("driftnotch_body_memory_bytes").set(cx.memory.used() as f64);
     let feedback = cx.feedback.current();
     metrics::gauge!("driftnotch_rate_limited_upstreams").set(feedback.rate_limited() as f64);
     metrics::gauge!("driftnotch_draining_upstreams").set(feedback.draining() as f64);
--- a/crates/gateway/src/handle.rs
+++ b/crates/gateway/src/handle.rs
@@ -10,7 +10,7 @@
 use hyper::http::request;
 use log::debug;
 use rand::RngExt;
-use web::{BodyError, Request, Response, read_body};
+use web::{BodyError, Request, Response, read_with_memory};
 
 use crate::Cx;
 use crate::confirm::{decision, wait_for_confirmation};
@@ -28,6 +28,9 @@
 /// Retry delay if the gateway has no configuration yet, or can't have it confirmed.
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
+/// Retry delay if there is no memory for a body; most requests complete within this time.
+const NO_MEMORY_RETRY: Duration = Duration::from_millis(500);
+
 /// Handles a request and returns its response.
 pub async fn handle(cx: Arc<Cx>, req: Request) -> Response {
     let arrived = clock::now();
@@ -65,7 +68,7 @@
         .attempt_ages
         .attempt_age(&route.name, metadata.timeout, arrived);
     record.attempt_age_ms = attempt_age.as_millis() as u64;
-    let body = read_request_body(&catalog, &head, body, timeout).await?;
+    let body = read_request_body(cx, &catalog, &head, body, timeout).await?;
     let service = route.service(rand::rng().random_range(0.0..1.0)).clone();
     record.service.clone_from(&service);
     let service = catalog
@@ -219,6 +222,7 @@
 }
 
 async fn read_request_body(
+    cx: &Cx,
     catalog: &Catalog,
     head: &request::Parts,
     body: hyper::body::Incoming,
@@ -228,11 +232,16 @@
         return Ok(Bytes::new());
     }
     let limit = catalog.limits.body_bytes;
-    read_body(body, limit, timeout).await.map_err(|e| {
+    let mut share = cx.memory.share();
+    let read = read_with_memory(body, limit, |bytes| share.resize(bytes));
+    let read = tokio::time::timeout(timeout, read).await;
+    let read = read.unwrap_or(Err(BodyError::TimedOut(timeout)));
+    read.map(|buf| share.hold(buf)).map_err(|e| {
         debug!(target: PART, "{PART}: event=body_failed path={} why=\"{e}\"", head.uri.path());
         match e {
             BodyError::TooLarge(limit) => Refusal::TooLarge(limit),
             BodyError::TimedOut(_) => Refusal::SlowBody,
+            BodyError::NoMemory(_) => Refusal::NoMemory(NO_MEMORY_RETRY),
             BodyError::Broken(_) | BodyError::Interrupted(_) => Refusal::BrokenBody,
         }
     })
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod loads;
 mod loss;
 pub mod membership;
+pub mod memory;
 pub mod paces;
 mod part_updates;
 pub mod pools;
@@ -80,6 +81,7 @@
 use crate::introduction::Introductions;
 use crate::loads::LoadTable;
 use crate::membership::UpstreamTable;
+use crate::memory::BodyMemory;
 use crate::paces::PaceTable;
 use crate::pools::Pools;
 use crate::release::Releases;
@@ -89,6 +91,10 @@
 
 pub use serve::run;
 
+/// Part of the memory of the process that bodies may take up. Buffers double as they grow, and the rest of the process
+/// takes some tens of megabytes.
+const BODY_MEMORY_PART: u64 = 3;
+
 /// State shared by all parts of a gateway.
 pub struct Cx {
     /// Settings.
@@ -105,6 +111,8 @@
     pub feedback: Feedback,
     /// Released versions of weights.
     pub releases: Releases,
+    /// Memory for bodies in flight.
+    pub memory: Arc<BodyMemory>,
     /// Queues of requests that wait for a slot.
     pub admission: Admission,
     /// Free capacity of services whose routes differ in priority.
@@ -219,6 +227,7 @@
             drains: Drains::default(),
             feedback: Feedback::default(),
             releases: Releases::new(cfg.node.version_time, cfg.node.contact_time),
+            memory: BodyMemory::new(cfg.memory / BODY_MEMORY_PART),
             admission: Admission::default(),
             pools: Pools::default(),
             returns: Returns::default(),
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -48,6 +48,8 @@
     AmbiguousStatus(u16),
     /// the version of the weights there became too old to begin it
     Outdated,
+    /// its {0} didn't end within {1} bytes
+    TooLarge(&'static str, usize),
 }
 
 impl std::error::Error for ResponseLoss {}
@@ -62,6 +64,7 @@
             ResponseLoss::Unsigned => "unsigned",
             ResponseLoss::AmbiguousStatus(_) => "status",
             ResponseLoss::Outdated => "outdated",
+            ResponseLoss::TooLarge(..) => "too_large",
         }
     }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,6 +26,8 @@
     SlowBody,
     /// the body broke off; send it again
     BrokenBody,
+    /// there is no memory for the body now; come back soon
+    NoMemory(Duration),
     /// no configuration is known yet; come back soon
     NotReady(Duration),
     /// the configuration here may be out of date, and does not allow the request; come back soon
@@ -72,7 +74,8 @@
             Refusal::SlowBody => 408,
             Refusal::TooLarge(_) => 413,
             Refusal::BrokenBody => 400,
-            Refusal::NotReady(_)
+            Refusal::NoMemory(_)
+            | Refusal::NotReady(_)
             | Refusal::Unconfirmed(_)
             | Refusal::Busy(_)
             | Refusal::Reserved(_)
@@ -93,7 +96,8 @@
     /// Returns the delay after which to retry, if a retry is suggested.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Refusal::NotReady(delay)
+            Refusal::NoMemory(delay)
+            | Refusal::NotReady(delay)
             | Refusal::Unconfirmed(delay)
             | Refusal::Busy(delay)
             | Refusal::Reserved(delay)
@@ -127,6 +131,7 @@
             Refusal::TooLarge(_) => "too_large",
             Refusal::SlowBody => "slow_body",
             Refusal::BrokenBody => "broken_body",
+            Refusal::NoMemory(_) => "no_memory",
             Refusal::NotReady(_) => "not_ready",
             Refusal::Unconfirmed(_) => "unconfirmed",
             Refusal::Busy(_) | Refusal::BusyPromised(_) | Refusal::BusyUnpromised(_) => "busy",
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -17,12 +17,14 @@
 use log::debug;
 use web::{BodyError, Response};
 
+use crate::Cx;
 use crate::activity::Activity;
 use crate::attempt::{Attempt, AttemptOutcome, StartedStream};
 use crate::connection::Connection;
 use crate::dispatch::{Dispatch, Race};
 use crate::events::EventBuffer;
 use crate::loss::{self, ResponseLoss};
+use crate::memory::BodyShare;
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::refusal::Refusal;
 use crate::upstream::Slot;
@@ -37,6 +39,9 @@
     _connection: Connection,
     events: EventBuffer,
     activity: Arc<Activity>,
+    /// Memory of a partial event.
+    share: BodyShare,
+    max_event: usize,
 }
 
 /// Next item of a source.
@@ -49,6 +54,7 @@
 impl EventSource {
     /// Creates a source from the body of a response.
     pub(crate) fn new(
+        cx: &Cx,
         body: Incoming,
         connection: Connection,
         events: EventBuffer,
@@ -59,6 +65,8 @@
             _connection: connection,
             events,
             activity,
+            share: cx.memory.share(),
+            max_event: cx.cfg.max_event as usize,
         }
     }
 
@@ -68,6 +76,10 @@
             if let Some(complete) = self.events.take_complete() {
                 return Item::Events(complete);
             }
+            let partial = self.events.buffered();
+            if partial > self.max_event || !self.share.resize(partial) {
+                return Item::Lost(ResponseLoss::TooLarge("event", partial));
+            }
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -4,16 +4,18 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::http::response;
 use log::info;
+use web::{BodyError, read_with_memory};
 
 use crate::Cx;
 use crate::activity::Activity;
 use crate::connection::Connection;
 use crate::loss::ResponseLoss;
+use crate::memory::BodyShare;
 use crate::request::{ForwardMetadata, ResponseMetadata, RoutedRequest};
 use crate::spans::Span;
 use crate::upstream::{Health, Slot, Upstream};
@@ -86,7 +88,7 @@
     req.spans.add(Span::Head, started);
     match sent {
         Ok(res) => classify(cx, req, upstream, res, connection, started),
-        Err(e) => SendOutcome::Lost(ResponseLoss::Disconnected(e.to_string())),
+        Err(loss) => SendOutcome::Lost(loss),
     }
 }
 
@@ -196,10 +198,13 @@
     }
 }
 
-/// Reads a body to its end.
-pub async fn read_to_end(body: Incoming) -> Result<Bytes, ResponseLoss> {
-    let collected = body.collect().await;
-    collected
-        .map(|body| body.to_bytes())
-        .map_err(|e| ResponseLoss::Disconnected(e.to_string()))
+/// Reads a body to its end, which may never come: one that exceeds its share of the memory is lost.
+pub async fn read_to_end(body: Incoming, mut share: BodyShare) -> Result<Bytes, ResponseLoss> {
+    let buf = read_with_memory(body, usize::MAX, |bytes| share.resize(bytes)).await;
+    match buf {
+        Ok(buf) => Ok(share.hold(buf)),
+        Err(BodyError::NoMemory(bytes)) => Err(ResponseLoss::TooLarge("body", bytes)),
+        Err(BodyError::Broken(e)) => Err(ResponseLoss::Disconnected(e.to_string())),
+        Err(e) => Err(ResponseLoss::Disconnected(e.to_string())),
+    }
 }
--- a/crates/settings/src/node.rs
+++ b/crates/settings/src/node.rs
@@ -73,6 +73,17 @@
         "Silence of an upstream after which a request that may run twice is also sent to another; at most half of the time \
          that the request had left. The first one to go on serves it.",
     ),
+    field(
+        "memory",
+        Bytes("256MiB", "32MiB", "1024GiB"),
+        "Memory that the process may use. Bodies of requests and responses in flight take up a third of it at most; a \
+         request for whose body there is no memory is refused, and a response is given up.",
+    ),
+    field(
+        "max_event",
+        Bytes("1MiB", "4KiB", "1GiB"),
+        "Largest event of a stream. An upstream that sends a larger one has lost the stream.",
+    ),
     field(
         "start_wait",
         Duration("90ms", "0ms", "30s"),
--- a/crates/settings/src/role.rs
+++ b/crates/settings/src/role.rs
@@ -240,6 +240,8 @@
         return_time: Duration = duration,
         connect_timeout: Duration = duration,
         stall_time: Duration = duration,
+        memory: u64 = number,
+        max_event: u64 = number,
         start_wait: Duration = duration,
         config_time: Duration = duration,
         retry_window: Duration = duration,
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -21,6 +21,8 @@
     Broken(hyper::Error),
     /// the body was cut off: {0}
     Interrupted(&'static str),
+    /// there is no memory for {0} bytes of the body; send less, or later
+    NoMemory(usize),
 }
 
 impl std::error::Error for BodyError {}
@@ -57,6 +59,51 @@
     }
 }
 
+/// Reads a complete body of at most `limit` bytes. `reserve` is called with the number of bytes that the body will take up,
+/// as announced or else before the buffer grows, and returns whether there is memory for them.
+pub async fn read_with_memory<B>(
+    body: B,
+    limit: usize,
+    mut reserve: impl FnMut(usize) -> bool,
+) -> Result<Vec<u8>, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
+    let mut body = body;
+    let announced = body.size_hint().exact();
+    let mut reserved = announced.map_or(0, |n| usize::try_from(n).unwrap_or(usize::MAX));
+    if reserved > limit {
+        return Err(BodyError::TooLarge(limit));
+    }
+    if !reserve(reserved) {
+        return Err(BodyError::NoMemory(reserved));
+    }
+    let mut buf = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(BodyError::Broken)?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        let needed = buf.len() + data.len();
+        if needed > limit {
+            return Err(BodyError::TooLarge(limit));
+        }
+        if needed > reserved {
+            reserved = needed.max(2 * reserved);
+            if !reserve(reserved) {
+                return Err(BodyError::NoMemory(reserved));
+            }
+        }
+        if needed > buf.capacity() {
+            // The announced length isn't allocated in advance, since the body may end long before.
+            let capacity = needed.max(2 * buf.capacity()).min(reserved);
+            buf.reserve_exact(capacity - buf.len());
+        }
+        buf.extend_from_slice(data);
+    }
+    Ok(buf)
+}
+
 /// Reads a complete body of at most `limit` bytes, and fails if none of it arrives for `idle_timeout`.
 ///
 /// There is no bound on the total time, since a large body takes long on a slow link.
--- a/crates/web/src/lib.rs
+++ b/crates/web/src/lib.rs
@@ -5,7 +5,7 @@
 pub mod client;
 pub mod server;
 
-pub use body::{Body, BodyError, empty, full, read_body, read_with_idle_timeout};
+pub use body::{Body, BodyError, empty, full, read_body, read_with_idle_timeout, read_with_memory};
 pub use caller_stream::{CallerStream, GuardedBody, RequestGuard, RequestState, Timeouts};
 pub use client::{Client, DialOptions, SendError};
 pub use server::{ServerLimits, StopSignal, serve};
