Treat a response without a length as cut off if its upstream has exited

Four streams ended as complete after 0 to 17 of 20 events, and four plain responses with 1 to 9 of 10 lines were successes.

Cause: the system closes the connections of a process that has exited like those of one that has sent all, and every end of a connection counted as the end of the response.

Change: after a success without a length the gateway probes whether the upstream still accepts connections, as it does after a lost response. If it doesn't, the response is lost: a stream is resumed, a request that may run twice is sent to another upstream, and any other one ends in 502 or is cut.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -22,7 +22,9 @@
 use crate::refusal::Refusal;
 use crate::relay::{EventSource, Item};
 use crate::request::RoutedRequest;
-use crate::send::{SendOutcome, UpstreamResponse, begin_by, read_to_end, record_health, send};
+use crate::send::{
+    SendOutcome, UpstreamResponse, begin_by, ends_with_connection, read_to_end, record_health, send,
+};
 use crate::spans::Span;
 use crate::upstream::{Health, Slot, Upstream};
 
@@ -268,7 +270,15 @@
         connection,
     } = response;
     let events = EventBuffer::resumed_after(last_event_id);
-    let mut source = EventSource::new(cx, body, connection, events, activity.clone());
+    let ends_with_connection = ends_with_connection(&head);
+    let mut source = EventSource::new(
+        cx,
+        body,
+        connection,
+        events,
+        activity.clone(),
+        ends_with_connection,
+    );
     let started = clock::now();
     let item = source.next().await;
     req.spans.add(Span::FirstEvent, started);
@@ -303,6 +313,10 @@
     let buf = read_to_end(body, cx.memory.share()).await;
     drop(connection);
     let buf = buf?;
+    let may_be_cut = head.status.is_success() && ends_with_connection(&head);
+    if may_be_cut && loss::has_exited(slot.upstream()).await {
+        return Err(ResponseLoss::Exited);
+    }
     let status = head.status.as_u16();
     // These statuses promise that the request has not run. If the upstream had stated so, the response would have
     // been a rejection (`SendOutcome::NotRun`); without that statement the status isn't relayed.
--- a/crates/gateway/src/loss.rs
+++ b/crates/gateway/src/loss.rs
@@ -4,6 +4,9 @@
 //! failed. A connection opened right afterwards tells these cases apart: if the process has exited and its VM is still
 //! up, the connection is refused at once. If the VM is down as well, or the process has already restarted, only the
 //! platform's list shows the exit.
+//!
+//! The system closes the connections of a process that has exited like those of one that has sent all. A response without
+//! a length ends with its connection, so it is complete only if its upstream hasn't exited.
 
 use std::io::ErrorKind;
 use std::sync::Arc;
@@ -50,6 +53,8 @@
     Outdated,
     /// its {0} didn't end within {1} bytes
     TooLarge(&'static str, usize),
+    /// the upstream exited, which ended the connection
+    Exited,
 }
 
 impl std::error::Error for ResponseLoss {}
@@ -65,6 +70,7 @@
             ResponseLoss::AmbiguousStatus(_) => "status",
             ResponseLoss::Outdated => "outdated",
             ResponseLoss::TooLarge(..) => "too_large",
+            ResponseLoss::Exited => "exited",
         }
     }
 }
@@ -103,6 +109,7 @@
     loss: &ResponseLoss,
 ) -> UpstreamOutcome {
     let outcome = match loss {
+        ResponseLoss::Exited => UpstreamOutcome::Exited,
         ResponseLoss::Disconnected(_) if has_exited(upstream).await => UpstreamOutcome::Exited,
         ResponseLoss::TimedOut => UpstreamOutcome::TimedOut,
         ResponseLoss::Outdated => UpstreamOutcome::Outdated,
@@ -172,7 +179,7 @@
 
 /// Returns whether an upstream refuses a connection, or closes it at once and refuses the next one: an exiting
 /// process closes its sockets one after the other, and its listener may be the last.
-async fn has_exited(upstream: &Upstream) -> bool {
+pub(crate) async fn has_exited(upstream: &Upstream) -> bool {
     match probe(upstream).await {
         Probe::Refused => true,
         Probe::Unknown => false,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -42,6 +42,8 @@
     /// Memory of a partial event.
     share: BodyShare,
     max_event: usize,
+    /// Whether the end of the connection is the end of the stream.
+    ends_with_connection: bool,
 }
 
 /// Next item of a source.
@@ -59,6 +61,7 @@
         connection: Connection,
         events: EventBuffer,
         activity: Arc<Activity>,
+        ends_with_connection: bool,
     ) -> EventSource {
         EventSource {
             body,
@@ -67,6 +70,7 @@
             activity,
             share: cx.memory.share(),
             max_event: cx.cfg.max_event as usize,
+            ends_with_connection,
         }
     }
 
@@ -80,12 +84,16 @@
             if partial > self.max_event || !self.share.resize(partial) {
                 return Item::Lost(ResponseLoss::TooLarge("event", partial));
             }
-            match self.body.frame().await {
+            let frame = self.body.frame().await;
+            match frame {
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         self.events.push(data);
                     }
                 }
+                None if self.ends_with_connection && self.has_exited().await => {
+                    return Item::Lost(ResponseLoss::Exited);
+                }
                 None if self.events.is_complete() => return Item::End,
                 None => {
                     return Item::Lost(ResponseLoss::Disconnected(
@@ -98,6 +106,16 @@
     }
 }
 
+impl EventSource {
+    /// Returns whether the upstream has exited.
+    async fn has_exited(&self) -> bool {
+        match self.activity.upstream() {
+            Some(upstream) => loss::has_exited(&upstream).await,
+            None => false,
+        }
+    }
+}
+
 /// Returns the response to a caller: the head, the first events, and all further ones as they arrive.
 pub(crate) fn respond(
     dispatch: Arc<Dispatch>,
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -7,6 +7,7 @@
 use http_body_util::Full;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 use log::info;
 use web::{BodyError, read_with_memory};
@@ -198,6 +199,13 @@
     }
 }
 
+/// Returns whether the end of the connection is the end of the body.
+pub(crate) fn ends_with_connection(head: &response::Parts) -> bool {
+    ![CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|framing| head.headers.contains_key(framing))
+}
+
 /// Reads a body to its end, which may never come: one that exceeds its share of the memory is lost.
 pub async fn read_to_end(body: Incoming, mut share: BodyShare) -> Result<Bytes, ResponseLoss> {
     let buf = read_with_memory(body, usize::MAX, |bytes| share.resize(bytes)).await;
