Verify a claimed version by one loader after the other

Hundreds of loaders may find the same claim at once, such as a row of an earlier release at the start of a fleet, and each would have requested the manifest at the same moment: 330 of 6 KB take 2 s of the origin's link, as computed. Each now leaves those ranked before it 50 ms each, as for the manifest of a release; once one has verified the version, gateways announce it and the others have nothing to verify. The tests of claims pass.

--- a/crates/loader/src/claims.rs
+++ b/crates/loader/src/claims.rs
@@ -5,6 +5,9 @@
 //! have stored versions of either kind. Taken for a release, a version that was never released would end the use of all
 //! others for good, however often it was reported. The origin provides released versions only, so a claim counts once the
 //! origin has sent its manifest. While the origin can't be reached, a claim is neither accepted nor rejected.
+//!
+//! Hundreds of loaders may find the same claim at once. They turn to the origin one after the other, by rank; once one of
+//! them has verified the version, gateways announce it, and it is no claim any more.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -17,7 +20,7 @@
 
 use crate::Cx;
 use crate::api::{ApiError, EngineState, OriginVersion};
-use crate::manifest::check_length;
+use crate::manifest::{TIME_PER_RANK, check_length, preceding};
 
 /// Log prefix of this part.
 const PART: &str = "claims";
@@ -44,11 +47,13 @@
             match due.get(&claim) {
                 None => {
                     report(&claim);
-                    due.insert(claim, clock::now());
+                    let at = clock::now() + delay_by_rank(&cx, &claim);
+                    due.insert(claim, at);
                 }
                 Some(at) if *at <= clock::now() => {
                     verify(&cx, &claim).await;
-                    due.insert(claim, clock::now() + RETRY_PAUSE);
+                    let at = clock::now() + RETRY_PAUSE + delay_by_rank(&cx, &claim);
+                    due.insert(claim, at);
                 }
                 Some(_) => {}
             }
@@ -73,6 +78,11 @@
     held.chain(stored).filter(is_newer).collect()
 }
 
+/// Returns the time that the loaders ranked before this one have to verify a claim.
+fn delay_by_rank(cx: &Cx, (_, version): &Claim) -> Duration {
+    TIME_PER_RANK * preceding(cx, *version).len() as u32
+}
+
 /// Counts and logs a claim that was found.
 fn report((model, version): &Claim) {
     metrics::counter!("driftnotch_unverified_versions_total", "model" => model.clone())
--- a/crates/loader/src/manifest.rs
+++ b/crates/loader/src/manifest.rs
@@ -9,6 +9,7 @@
 
 use base::rendezvous::rank;
 use beacon::Member;
+use catalog::WeightsVersion;
 use log::{debug, info, warn};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -30,7 +31,7 @@
 /// Time that each loader of the ranking has to fetch the manifest before the next one turns to the origin. A
 /// manifest of 4 KB arrives 30 ms after it was requested; after a power failure the first loaders may still be
 /// down.
-const TIME_PER_RANK: Duration = Duration::from_millis(50);
+pub(crate) const TIME_PER_RANK: Duration = Duration::from_millis(50);
 
 /// Time to send a manifest of a hundred chunks, 3 KB, over 7.3 Mbit/s.
 const SEND_TIME: Duration = Duration::from_millis(4);
@@ -46,7 +47,7 @@
     let mut origin_tried = None;
     let mut origin_error = None;
     loop {
-        let preceding = preceding(cx, origin);
+        let preceding = preceding(cx, origin.version);
         let delay = TIME_PER_RANK * preceding.len() as u32;
         let retry_pause = ORIGIN_RETRY_PAUSE * (preceding.len() as u32 + 1);
         let from_origin = match origin_tried {
@@ -139,9 +140,9 @@
     }
 }
 
-/// Returns the loaders that rank before this one.
-fn preceding(cx: &Cx, origin: &OriginVersion) -> Vec<Member> {
-    let key = origin.version.to_le_bytes();
+/// Returns the loaders that rank before this one for a version.
+pub(crate) fn preceding(cx: &Cx, version: WeightsVersion) -> Vec<Member> {
+    let key = version.to_le_bytes();
     let own = rank(&key, &cx.cfg.node.vm);
     let mut preceding: Vec<_> = loaders(cx)
         .into_iter()
