--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -270,7 +270,7 @@
         connection,
     } = response;
     let events = EventBuffer::resumed_after(last_event_id);
-    let ends_with_connection = ends_with_connection(&head);
+    let ends_with_connection = ends_with_connection(&head, &body);
     let mut source = EventSource::new(
         cx,
         body,
@@ -310,10 +310,10 @@
         body,
         connection,
     } = response;
+    let may_be_cut = head.status.is_success() && ends_with_connection(&head, &body);
     let buf = read_to_end(body, cx.memory.share()).await;
     drop(connection);
     let buf = buf?;
-    let may_be_cut = head.status.is_success() && ends_with_connection(&head);
     if may_be_cut && loss::has_exited(slot.upstream()).await {
         return Err(ResponseLoss::Exited);
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -41,6 +41,7 @@
     activity: Arc<Activity>,
     /// Memory of a partial event.
     share: BodyShare,
+    /// Maximum size of an event, in bytes.
     max_event: usize,
     /// Whether the end of the connection is the end of the stream.
     ends_with_connection: bool,
@@ -104,9 +105,7 @@
             }
         }
     }
-}
 
-impl EventSource {
     /// Returns whether the upstream has exited.
     async fn has_exited(&self) -> bool {
         match self.activity.upstream() {
--- a/crates/gateway/src/send.rs
+++ b/crates/gateway/src/send.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::StatusCode;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response;
 use log::info;
@@ -199,11 +199,10 @@
     }
 }
 
-/// Returns whether the end of the connection is the end of the body.
-pub(crate) fn ends_with_connection(head: &response::Parts) -> bool {
-    ![CONTENT_LENGTH, TRANSFER_ENCODING]
-        .iter()
-        .any(|framing| head.headers.contains_key(framing))
+/// Returns whether the end of the connection is the end of the body: there is one, and nothing else tells its end.
+pub(crate) fn ends_with_connection(head: &response::Parts, body: &Incoming) -> bool {
+    let has = |framing| head.headers.contains_key(framing);
+    !body.is_end_stream() && !has(CONTENT_LENGTH) && !has(TRANSFER_ENCODING)
 }
 
 /// Reads a body to its end, which may never come: one that exceeds its share of the memory is lost.
@@ -212,7 +211,6 @@
     match buf {
         Ok(buf) => Ok(share.hold(buf)),
         Err(BodyError::NoMemory(bytes)) => Err(ResponseLoss::TooLarge("body", bytes)),
-        Err(BodyError::Broken(e)) => Err(ResponseLoss::Disconnected(e.to_string())),
         Err(e) => Err(ResponseLoss::Disconnected(e.to_string())),
     }
 }
