--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -270,15 +270,7 @@
         connection,
     } = response;
     let events = EventBuffer::resumed_after(last_event_id);
-    let ends_with_connection = ends_with_connection(&head, &body);
-    let mut source = EventSource::new(
-        cx,
-        body,
-        connection,
-        events,
-        activity.clone(),
-        ends_with_connection,
-    );
+    let mut source = EventSource::new(cx, &head, body, connection, events, activity.clone());
     let started = clock::now();
     let item = source.next().await;
     req.spans.add(Span::FirstEvent, started);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -66,7 +66,7 @@
             }
             activity.record_bytes();
             received += bytes.len();
-            if received > MAX_HEAD_BYTES && received - bytes.len() <= MAX_HEAD_BYTES {
+            if received > MAX_HEAD_BYTES {
                 exceeded.notify_one();
             }
         });
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -26,7 +26,7 @@
     SlowBody,
     /// the body broke off; send it again
     BrokenBody,
-    /// there is no memory for the body now; come back soon
+    /// there isn't enough memory for the body now; retry later
     NoMemory(Duration),
     /// no configuration is known yet; come back soon
     NotReady(Duration),
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -14,6 +14,7 @@
 use futures_util::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::http::response;
 use log::debug;
 use web::{BodyError, Response};
 
@@ -27,6 +28,7 @@
 use crate::memory::BodyShare;
 use crate::record::{RequestOutcome, RequestRecord};
 use crate::refusal::Refusal;
+use crate::send::ends_with_connection;
 use crate::upstream::Slot;
 
 /// Log prefix of this part.
@@ -58,20 +60,20 @@
     /// Creates a source from the body of a response.
     pub(crate) fn new(
         cx: &Cx,
+        head: &response::Parts,
         body: Incoming,
         connection: Connection,
         events: EventBuffer,
         activity: Arc<Activity>,
-        ends_with_connection: bool,
     ) -> EventSource {
         EventSource {
+            ends_with_connection: ends_with_connection(head, &body),
             body,
             _connection: connection,
             events,
             activity,
             share: cx.memory.share(),
             max_event: cx.cfg.max_event as usize,
-            ends_with_connection,
         }
     }
 
--- a/crates/gateway/src/release.rs
+++ b/crates/gateway/src/release.rs
@@ -62,16 +62,13 @@
     /// Records releases that another process has verified. They were made at an unknown time, even where the operators'
     /// rows don't name them any more.
     pub fn observe(&self, verified: &[Release], now: Instant) {
-        let newest = self.newest.borrow();
-        let is_new = |r: &&Release| {
-            r.version > FIRST_VERSION && newest.version(&r.model).is_none_or(|v| v < r.version)
-        };
+        let is_release = |r: &&Release| r.version > FIRST_VERSION;
         let list = ReleaseList {
             revision: 0,
-            releases: verified.iter().filter(is_new).cloned().collect(),
+            releases: verified.iter().filter(is_release).cloned().collect(),
         };
-        drop(newest);
-        if !list.releases.is_empty() {
+        let is_new = list.is_ahead_of(&self.newest.borrow().releases);
+        if is_new {
             let bound = self.contact_time.min(self.version_time);
             self.add(&list, now + bound.saturating_sub(GATEWAY_MARGIN));
         }
